--- /dev/null
+++ b/packages/daemon/bin/balsamwardd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/placement/src/GuaranteeUnit.ts
@@ -0,0 +1,11 @@
+import type { CustomerId, GuaranteeId } from "@balsamward/schema";
+import type { GangShape } from "./GangShape.js";
+
+/** One gang that a customer can always reclaim. */
+export type GuaranteeUnit = {
+    readonly customer: CustomerId;
+    readonly guarantee: GuaranteeId;
+    /** Number of the gang within its guarantee, from 0. */
+    readonly ordinal: number;
+    readonly shape: GangShape;
+};
--- /dev/null
+++ b/packages/placement/src/Plan.ts
@@ -0,0 +1,11 @@
+import type { JobId } from "@balsamward/schema";
+import type { Standing } from "./Holding.js";
+import type { Placement } from "./Placement.js";
+
+/** Where a job goes and which jobs must stop first. */
+export type Plan = {
+    readonly placement: Placement;
+    readonly standing: Standing;
+    /** Borrowing jobs whose accelerators the placement takes. */
+    readonly victims: readonly JobId[];
+};
--- /dev/null
+++ b/packages/placement/src/_lib/capacities.ts
@@ -0,0 +1,93 @@
+import type { Cell, UnitBinding } from "../Cell.js";
+import type { Placement } from "../Placement.js";
+import type { Capacity } from "./Capacity.js";
+
+/**
+ * Returns the accelerators of healthy workers that no job holds.
+ *
+ * @param cell - The cell.
+ * @returns A mask for each worker.
+ */
+export function freeCapacity(cell: Cell): Capacity {
+    return cell.healthy.map((mask, index) => mask & ~cell.held[index]!);
+}
+
+/**
+ * Returns the accelerators of healthy workers outside the slots of guarantees in use.
+ *
+ * @param cell - The cell.
+ * @returns A mask for each worker.
+ */
+export function reclaimableCapacity(cell: Cell): Capacity {
+    const capacity = cell.healthy.slice();
+    for (const binding of cell.bindings) {
+        if (binding.user !== undefined && binding.slot !== undefined) {
+            subtractPlacement(cell, capacity, binding.slot);
+        }
+    }
+    return capacity;
+}
+
+/**
+ * Removes a placement from a capacity, in place.
+ *
+ * @param cell - The cell that names the workers.
+ * @param capacity - The capacity to change.
+ * @param placement - The accelerators to remove.
+ */
+export function subtractPlacement(cell: Cell, capacity: Capacity, placement: Placement): void {
+    for (const placed of placement) {
+        const index = cell.workerIndex.get(placed.worker);
+        if (index !== undefined) {
+            capacity[index]! &= ~placed.accelerators;
+        }
+    }
+}
+
+/**
+ * Removes the slots of guarantees from a capacity, in place.
+ *
+ * @param cell - The cell.
+ * @param capacity - The capacity to change.
+ * @param except - A binding whose slot stays.
+ */
+export function subtractSlots(cell: Cell, capacity: Capacity, except?: UnitBinding): void {
+    for (const binding of cell.bindings) {
+        if (binding !== except && binding.slot !== undefined) {
+            subtractPlacement(cell, capacity, binding.slot);
+        }
+    }
+}
+
+/**
+ * Tells whether a placement lies wholly within a capacity.
+ *
+ * @param cell - The cell that names the workers.
+ * @param capacity - The accelerators that may be used.
+ * @param placement - The placement to test.
+ * @returns Whether every accelerator of the placement is in the capacity.
+ */
+export function fitsCapacity(cell: Cell, capacity: Capacity, placement: Placement): boolean {
+    return placement.every(placed => {
+        const index = cell.workerIndex.get(placed.worker);
+        return index !== undefined && (placed.accelerators & ~capacity[index]!) === 0;
+    });
+}
+
+/**
+ * Returns the accelerators of a placement as a capacity.
+ *
+ * @param cell - The cell that names the workers.
+ * @param placement - The accelerators.
+ * @returns A mask for each worker.
+ */
+export function placementCapacity(cell: Cell, placement: Placement): Capacity {
+    const capacity = new Uint16Array(cell.healthy.length);
+    for (const placed of placement) {
+        const index = cell.workerIndex.get(placed.worker);
+        if (index !== undefined) {
+            capacity[index] = placed.accelerators & cell.healthy[index]!;
+        }
+    }
+    return capacity;
+}
--- /dev/null
+++ b/packages/placement/src/checkDocument.ts
@@ -0,0 +1,25 @@
+import type { Document, InputError } from "@balsamward/schema";
+import { parseDocument } from "@balsamward/schema";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import { divideGuarantees } from "./divideGuarantees.js";
+
+/**
+ * Parses a document and checks that its fleet can hold all guarantees at once.
+ *
+ * @param text - The document's INI text.
+ * @returns The document, or every fault with its line and a remedy.
+ *
+ * @example
+ * checkDocument(text).isOk();
+ */
+export function checkDocument(text: string): Result<Document, readonly InputError[]> {
+    return parseDocument(text).andThen(document => {
+        const division = divideGuarantees(document);
+        return division.isOk() ? ok(document) : err(division.error.map((missing): InputError => {
+            const key = `customer.${missing.customer}.guarantee.${missing.guarantee}`;
+            const line = text.split("\n").findIndex(candidate => candidate.trim() === `[${key}]`) + 1;
+            return { kind: "unpackable-guarantee", message: `Line ${line}: ${missing.message}`, line, key };
+        }));
+    });
+}
--- /dev/null
+++ b/packages/placement/src/measureFragmentation.ts
@@ -0,0 +1,36 @@
+import { freeCapacity } from "./_lib/capacities.js";
+import { countBits } from "./_lib/countBits.js";
+import type { Cell } from "./Cell.js";
+
+/** Free capacity of a cell and how broken up it is. */
+export type Fragmentation = {
+    readonly freeAccelerators: number;
+    /** Accelerators of the largest gang of whole workers in one rack that fits now. */
+    readonly largestGang: number;
+    /** 1 minus the largest gang over what one rack could hold of the free accelerators; 0 is best. */
+    readonly index: number;
+};
+
+/**
+ * Measures how broken up the free accelerators of a cell are.
+ *
+ * @param cell - The cell.
+ * @returns The free accelerators, the largest rack-wide gang of whole workers, and the index from 0 to 1.
+ *
+ * @example
+ * measureFragmentation(cell).index; // 0 in an empty cell
+ */
+export function measureFragmentation(cell: Cell): Fragmentation {
+    const free = freeCapacity(cell);
+    const freeAccelerators = free.reduce((sum, mask) => sum + countBits(mask), 0);
+    let largestGang = 0;
+    let largestRack = 0;
+    for (const rack of cell.topology.racks) {
+        const sizes = rack.map(index => cell.topology.workers[index]!.accelerators);
+        const whole = rack.map((index, position) => countBits(free[index]!) === sizes[position]! ? sizes[position]! : 0);
+        largestGang = Math.max(largestGang, whole.reduce((sum, size) => sum + size, 0));
+        largestRack = Math.max(largestRack, sizes.reduce((sum, size) => sum + size, 0));
+    }
+    const possible = Math.min(freeAccelerators, largestRack);
+    return { freeAccelerators, largestGang, index: possible === 0 ? 0 : 1 - largestGang / possible };
+}
--- /dev/null
+++ b/packages/placement/src/nominalCells.ts
@@ -0,0 +1,54 @@
+import type { CellId, DataCentreId, Document, WorkerId } from "@balsamward/schema";
+import type { CellWorker } from "./CellWorker.js";
+
+/** A cell as the document states it. */
+export type NominalCell = {
+    readonly id: CellId;
+    readonly dataCentre: DataCentreId;
+    readonly workers: readonly CellWorker[];
+};
+
+/**
+ * Returns the cells of the fleet that a document states.
+ *
+ * A cell is a run of racks of one data centre, so that the cell of a rack never changes
+ * when racks are added behind it.
+ *
+ * @param document - The document.
+ * @returns The cells in the order of their data centres and racks.
+ *
+ * @example
+ * nominalCells(document).map(cell => cell.id); // ["recife-c0", "fortaleza-c0"]
+ */
+export function nominalCells(document: Document): readonly NominalCell[] {
+    const cells: NominalCell[] = [];
+    for (const [dataCentre, entry] of Object.entries(document.dataCentre)) {
+        const perCell = entry.workersPerRack * entry.racksPerCell;
+        for (let first = 0; first < entry.workers; first += perCell) {
+            const count = Math.min(perCell, entry.workers - first);
+            const workers = Array.from({ length: count }, (_, offset): CellWorker => ({
+                id: `${dataCentre}-w${first + offset}` as WorkerId,
+                rack: Math.floor((first + offset) / entry.workersPerRack),
+                accelerators: entry.acceleratorsPerWorker,
+            }));
+            const id = cellOfRack(dataCentre as DataCentreId, workers[0]!.rack, entry.racksPerCell);
+            cells.push({ id, dataCentre: dataCentre as DataCentreId, workers });
+        }
+    }
+    return cells;
+}
+
+/**
+ * Returns the cell of a rack.
+ *
+ * @param dataCentre - The rack's data centre.
+ * @param rack - The rack's number within the data centre, from 0.
+ * @param racksPerCell - The number of racks of a cell in the data centre.
+ * @returns The cell.
+ *
+ * @example
+ * cellOfRack(dataCentre, 9, 8); // "recife-c1"
+ */
+export function cellOfRack(dataCentre: DataCentreId, rack: number, racksPerCell: number): CellId {
+    return `${dataCentre}-c${Math.floor(rack / racksPerCell)}` as CellId;
+}
--- /dev/null
+++ b/packages/schema/src/identifier.ts
@@ -0,0 +1,43 @@
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import { IDENTIFIER_PATTERN } from "./constants.js";
+
+declare const brand: unique symbol;
+
+/** Text that was checked to be an identifier of the given sort. */
+export type Identifier<Brand extends string> = string & { readonly [brand]: Brand; };
+
+export type CellId = Identifier<"CellId">;
+export type CustomerId = Identifier<"CustomerId">;
+export type DataCentreId = Identifier<"DataCentreId">;
+export type EndpointId = Identifier<"EndpointId">;
+export type GuaranteeId = Identifier<"GuaranteeId">;
+export type JobId = Identifier<"JobId">;
+export type KindId = Identifier<"KindId">;
+export type NodeId = Identifier<"NodeId">;
+export type WorkerId = Identifier<"WorkerId">;
+
+/** Text that is not an identifier. */
+export type IdentifierError = { kind: "bad-identifier"; message: string; };
+
+/**
+ * Returns the text as an identifier.
+ *
+ * Identifiers have 1 to 128 characters out of lower-case letters, digits and hyphens,
+ * and start with a letter or a digit.
+ *
+ * @param text - The text to check.
+ * @returns The identifier, or `bad-identifier`.
+ *
+ * @example
+ * parseIdentifier<CustomerId>("front-desks").isOk(); // true
+ */
+export function parseIdentifier<T extends Identifier<string>>(text: string): Result<T, IdentifierError> {
+    if (IDENTIFIER_PATTERN.test(text)) {
+        return ok(text as T);
+    }
+    return err({
+        kind: "bad-identifier",
+        message: `'${text.slice(0, 140)}' is not an identifier. Use up to 128 lower-case letters, digits and hyphens.`,
+    });
+}
--- /dev/null
+++ b/packages/stand-ins/src/_lib/sendJson.ts
@@ -0,0 +1,14 @@
+import type { ServerResponse } from "node:http";
+
+/**
+ * Sends a JSON answer.
+ *
+ * @param res - The response to end.
+ * @param status - The HTTP status code.
+ * @param value - The value to send.
+ */
+export function sendJson(res: ServerResponse, status: number, value: unknown): void {
+    const body = JSON.stringify(value);
+    res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
+    res.end(body);
+}
--- /dev/null
+++ b/packages/stand-ins/src/startFleet.ts
@@ -0,0 +1,96 @@
+import polka from "polka";
+import { paramOf } from "./_lib/paramOf.js";
+import { readJson } from "./_lib/readBody.js";
+import { sendJson } from "./_lib/sendJson.js";
+import { serveApp } from "./_lib/serveApp.js";
+import type { EndpointFaults, RunningEndpoint } from "./startEndpoint.js";
+import { startEndpoint } from "./startEndpoint.js";
+import type { RunningVmList } from "./startVmList.js";
+import { startVmList } from "./startVmList.js";
+import type { RunningWorkers } from "./startWorkers.js";
+import { startWorkers } from "./startWorkers.js";
+import type { Vm } from "./Vm.js";
+
+/** The workers of one data centre. */
+export type FleetPart = {
+    readonly dataCentre: string;
+    readonly workers: number;
+    readonly workersPerRack: number;
+    readonly accelerators: number;
+};
+
+/** Options of `startFleet`. */
+export type StartFleetOptions = {
+    readonly vmListPort?: number;
+    readonly controlPort?: number;
+    readonly serviceMs?: number;
+    readonly usageLagMs?: number;
+    readonly vmListLagMs?: number;
+    /** Whether each worker also has an endpoint; they do unless this is false. */
+    readonly endpoints?: boolean;
+};
+
+/** A running fleet. */
+export type RunningFleet = {
+    readonly vmList: RunningVmList;
+    readonly agents: RunningWorkers;
+    readonly endpoints: ReadonlyMap<string, RunningEndpoint>;
+    readonly controlUrl: string;
+    readonly close: () => Promise<void>;
+};
+
+/**
+ * Starts stand-ins for a whole fleet: worker agents, endpoints and the VM list.
+ *
+ * @param parts - The workers of each data centre; each worker also runs an endpoint.
+ * @param options - Ports, service time and lags.
+ * @returns The running fleet.
+ *
+ * @example
+ * const fleet = await startFleet([{ dataCentre: "recife", workers: 11, workersPerRack: 8, accelerators: 8 }]);
+ */
+export async function startFleet(
+    parts: readonly FleetPart[],
+    options: StartFleetOptions = {},
+): Promise<RunningFleet> {
+    const places = parts.flatMap(part =>
+        Array.from({ length: part.workers }, (_, index) => ({ part, index, name: `${part.dataCentre}-w${index}` }))
+    );
+    const agents = await startWorkers(places.map(place => place.name), { usageLagMs: options.usageLagMs ?? 0 });
+    const endpoints = new Map<string, RunningEndpoint>();
+    const vms: Vm[] = [];
+    for (const { part, index, name } of places) {
+        const rack = Math.floor(index / part.workersPerRack);
+        const place = { dataCentre: part.dataCentre, rack, state: "live" } as const;
+        const address = `${agents.url}/workers/${name}`;
+        vms.push({ ...place, id: name, role: "worker", address, accelerators: part.accelerators });
+        if (options.endpoints !== false) {
+            const id = `${part.dataCentre}-e${index}`;
+            const endpoint = await startEndpoint(id, { serviceMs: options.serviceMs ?? 2 });
+            endpoints.set(id, endpoint);
+            vms.push({ ...place, id, role: "endpoint", address: endpoint.url, accelerators: 0 });
+        }
+    }
+    const vmList = await startVmList(vms, { port: options.vmListPort ?? 0, lagMs: options.vmListLagMs ?? 0 });
+    const control = await serveApp(createControl(endpoints), options.controlPort ?? 0);
+    const close = async () => {
+        await Promise.all([control.close(), vmList.close(), agents.close()]);
+        await Promise.all([...endpoints.values()].map(endpoint => endpoint.close()));
+    };
+    return { vmList, agents, endpoints, controlUrl: control.url, close };
+}
+
+function createControl(endpoints: ReadonlyMap<string, RunningEndpoint>) {
+    const app = polka();
+    app.get("/control/executions", (req, res) => {
+        sendJson(res, 200, [...endpoints].flatMap(([endpoint, { executions }]) =>
+            executions.map(execution => ({ endpoint, ...execution }))
+        ));
+    });
+    app.post("/control/endpoints/:id", async (req, res) => {
+        const endpoint = endpoints.get(paramOf(req, "id"));
+        Object.assign(endpoint?.faults ?? {}, await readJson<Partial<EndpointFaults>>(req));
+        sendJson(res, endpoint === undefined ? 404 : 200, endpoint?.faults ?? {});
+    });
+    return app;
+}
--- /dev/null
+++ b/packages/stand-ins/src/startWorkers.ts
@@ -0,0 +1,115 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import polka from "polka";
+import type { Listening } from "./_lib/listen.js";
+import { readJson } from "./_lib/readBody.js";
+import type { RoutedRequest } from "./_lib/paramOf.js";
+import { paramOf } from "./_lib/paramOf.js";
+import { sendJson } from "./_lib/sendJson.js";
+import { serveApp } from "./_lib/serveApp.js";
+import type { CommandResult, Commander, ReservationRequest, WorkerFaults, WorkerModel } from "./WorkerModel.js";
+import { createWorkerModel } from "./WorkerModel.js";
+
+/** Options of `startWorkers`. */
+export type StartWorkersOptions = {
+    readonly port?: number;
+    readonly clock?: () => number;
+    readonly usageLagMs?: number;
+};
+
+/** Running worker agents behind one port. */
+export type RunningWorkers = Listening & { readonly workers: ReadonlyMap<string, WorkerModel>; };
+
+/**
+ * Starts stand-ins for the agents of many workers, each under `/workers/ID`.
+ *
+ * @param ids - The workers.
+ * @param options - Port, clock and usage lag.
+ * @returns The running agents.
+ *
+ * @example
+ * const agents = await startWorkers(["recife-w0"]);
+ */
+export async function startWorkers(
+    ids: readonly string[],
+    options: StartWorkersOptions = {},
+): Promise<RunningWorkers> {
+    const clock = options.clock ?? (() => Date.now());
+    const lag = { usageLagMs: options.usageLagMs ?? 0 };
+    const workers = new Map(ids.map(id => [id, createWorkerModel(clock, lag)]));
+    const app = polka();
+    addControl(app, workers);
+    addCommands(app, workers);
+    return { ...await serveApp(app, options.port ?? 0), workers };
+}
+
+function addControl(app: polka.Polka, workers: ReadonlyMap<string, WorkerModel>): void {
+    app.post("/control/workers/:worker", async (req, res) => {
+        const worker = workers.get(paramOf(req, "worker"));
+        const faults = await readJson<Partial<WorkerFaults>>(req);
+        if (faults.dead === true) {
+            worker?.kill();
+        }
+        Object.assign(worker?.faults ?? {}, faults);
+        sendJson(res, worker === undefined ? 404 : 200, worker?.faults ?? {});
+    });
+    app.get("/control/reservations", (req, res) => {
+        const reports = [...workers].flatMap(([worker, model]) =>
+            model.reports().map(report => ({ worker, ...report }))
+        );
+        sendJson(res, 200, reports);
+    });
+}
+
+type Handler = (worker: WorkerModel, req: RoutedRequest, res: ServerResponse) => Promise<void> | void;
+
+function addCommands(app: polka.Polka, workers: ReadonlyMap<string, WorkerModel>): void {
+    const handle = (handler: Handler) => (req: RoutedRequest, res: ServerResponse) => {
+        const worker = workers.get(paramOf(req, "worker"));
+        if (worker === undefined || worker.faults.dead) {
+            res.destroy();
+            return;
+        }
+        Promise.resolve(handler(worker, req, res)).catch(() => res.destroy());
+    };
+    app.put("/workers/:worker/reservations/:id", handle(async (worker, req, res) => {
+        const body = await readJson<Omit<ReservationRequest, "id">>(req);
+        answer(res, worker.reserve({ ...body, id: paramOf(req, "id") }));
+    }));
+    app.post("/workers/:worker/reservations/:id/start", handle(async (worker, req, res) => {
+        const body = await readJson<Commander & { runMs: number; }>(req);
+        answer(res, worker.start(body, paramOf(req, "id"), body.runMs));
+    }));
+    app.post("/workers/:worker/reservations/:id/checkpoint", handle(async (worker, req, res) => {
+        const body = await readJson<Commander>(req);
+        await sleep(worker.faults.checkpointMs);
+        answer(res, worker.checkpoint(body, paramOf(req, "id")));
+    }));
+    app.post("/workers/:worker/reservations/:id/stop", handle(async (worker, req, res) => {
+        answer(res, worker.stop(await readJson<Commander>(req), paramOf(req, "id")));
+    }));
+    app.post("/workers/:worker/renewals", handle(async (worker, req, res) => {
+        const body = await readRenewal(req);
+        const reports = worker.renew(body, body.ttlMs);
+        if (reports === undefined) {
+            sendJson(res, 409, { reason: "stale-epoch" });
+            return;
+        }
+        for (const id of body.settled) {
+            worker.forget(id);
+        }
+        sendJson(res, 200, { reservations: reports.filter(report => !body.settled.includes(report.id)) });
+    }));
+}
+
+function readRenewal(req: IncomingMessage): Promise<Commander & { ttlMs: number; settled: readonly string[]; }> {
+    return readJson(req);
+}
+
+function answer(res: ServerResponse, result: CommandResult): void {
+    if (result.kind === "done") {
+        sendJson(res, 200, result.report);
+        return;
+    }
+    sendJson(res, 409, { reason: result.reason });
+}
