--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,12 @@
             "@stylistic/quotes": ["error", "double", { avoidEscape: true }],
             "@stylistic/semi": ["error", "always"],
             "@stylistic/brace-style": ["error", "stroustrup", { allowSingleLine: false }],
-            "@stylistic/max-len": ["error", { code: 120, ignoreUrls: true, ignoreTemplateLiterals: true, ignoreStrings: true }],
+            "@stylistic/max-len": ["error", {
+                code: 120,
+                ignoreUrls: true,
+                ignoreTemplateLiterals: true,
+                ignoreStrings: true,
+            }],
             "@stylistic/one-var-declaration-per-line": ["error", "always"],
             "@typescript-eslint/consistent-type-imports": ["error", { fixStyle: "separate-type-imports" }],
             "@typescript-eslint/naming-convention": [
@@ -18,7 +23,11 @@
                 { selector: "typeLike", format: ["PascalCase"] },
                 { selector: "enumMember", format: ["PascalCase"] },
                 { selector: "function", format: ["camelCase"] },
-                { selector: "variable", modifiers: ["const", "global"], format: ["camelCase", "UPPER_CASE", "PascalCase"] },
+                {
+                    selector: "variable",
+                    modifiers: ["const", "global"],
+                    format: ["camelCase", "UPPER_CASE", "PascalCase"],
+                },
                 { selector: "variable", format: ["camelCase"] },
             ],
             "@typescript-eslint/no-unused-vars": ["error", { args: "after-used" }],
--- /dev/null
+++ b/packages/admission/src/EndpointPool.ts
@@ -0,0 +1,159 @@
+import type { DataCentreId, EndpointId } from "@balsamward/schema";
+import {
+    EJECTION_FAILURES,
+    EJECTION_MAX_MS,
+    EJECTION_MS,
+    EJECTION_SHARE,
+    ENDPOINT_SLOTS,
+} from "./constants.js";
+
+/** An endpoint as the list of VMs gives it. */
+export type Endpoint = {
+    readonly id: EndpointId;
+    /** Base address as `http://IP:port`. */
+    readonly address: string;
+    readonly dataCentre: DataCentreId;
+    readonly leaving: boolean;
+};
+
+/** How an attempt at an endpoint ended. */
+export type AttemptResult = "succeeded" | "failed" | "busy" | "leaving";
+
+/** Chooses endpoints for attempts. */
+export type EndpointPool = {
+    /** Replaces the known endpoints; what was learned of those that stay is kept. */
+    readonly update: (endpoints: readonly Endpoint[]) => void;
+    /** Takes a slot of an endpoint that is not in `avoid`, or returns `undefined` if none is free. */
+    readonly acquire: (avoid: ReadonlySet<EndpointId>) => Endpoint | undefined;
+    /** Gives the slot back. */
+    readonly release: (endpoint: EndpointId, result: AttemptResult) => void;
+    /** Marks an endpoint as leaving, as told by a peer. */
+    readonly markLeaving: (endpoint: EndpointId) => void;
+    readonly leaving: () => readonly EndpointId[];
+    readonly slots: () => number;
+};
+
+type Entry = {
+    endpoint: Endpoint;
+    outstanding: number;
+    failures: number;
+    ejections: number;
+    ejectedUntil: number;
+    leaving: boolean;
+};
+
+/** Options of `createEndpointPool`. */
+export type CreateEndpointPoolOptions = {
+    readonly dataCentre: DataCentreId;
+    /** Returns a monotonic time in milliseconds. */
+    readonly clock: () => number;
+    /** Returns a number from 0 up to 1. */
+    readonly random: () => number;
+};
+
+/**
+ * Creates a pool that sends work to the less loaded of two random endpoints, nearer ones first.
+ *
+ * An endpoint that fails several times in a row is ejected for a growing time, but never more than
+ * a share of all. A leaving endpoint gets no new work from the first sign on.
+ *
+ * @param options - Own data centre, clock and random source.
+ * @returns The pool.
+ *
+ * @example
+ * const pool = createEndpointPool({ dataCentre, clock, random });
+ */
+export function createEndpointPool(options: CreateEndpointPoolOptions): EndpointPool {
+    const entries = new Map<EndpointId, Entry>();
+    const isUsable = (entry: Entry) =>
+        !entry.leaving && entry.ejectedUntil <= options.clock() && entry.outstanding < ENDPOINT_SLOTS;
+
+    function choose(candidates: readonly Entry[]): Entry | undefined {
+        if (candidates.length === 0) {
+            return undefined;
+        }
+        const pick = () => candidates[Math.floor(options.random() * candidates.length)]!;
+        const first = pick();
+        const second = pick();
+        return second.outstanding < first.outstanding ? second : first;
+    }
+
+    function eject(entry: Entry): void {
+        const now = options.clock();
+        const ejected = [...entries.values()].filter(other => other.ejectedUntil > now).length;
+        if (ejected + 1 > entries.size * EJECTION_SHARE) {
+            return;
+        }
+        entry.ejectedUntil = now + Math.min(EJECTION_MAX_MS, EJECTION_MS * 2 ** entry.ejections);
+        entry.ejections += 1;
+        entry.failures = 0;
+    }
+
+    return {
+        update: endpoints => {
+            const ids = new Set(endpoints.map(endpoint => endpoint.id));
+            for (const id of entries.keys()) {
+                if (!ids.has(id)) {
+                    entries.delete(id);
+                }
+            }
+            for (const endpoint of endpoints) {
+                const known = entries.get(endpoint.id);
+                const fresh = { outstanding: 0, failures: 0, ejections: 0, ejectedUntil: 0, leaving: false };
+                const entry = known ?? { endpoint, ...fresh };
+                entry.endpoint = endpoint;
+                entry.leaving ||= endpoint.leaving;
+                entries.set(endpoint.id, entry);
+            }
+        },
+        acquire: avoid => {
+            const usable = [...entries.values()].filter(entry =>
+                isUsable(entry) && !avoid.has(entry.endpoint.id)
+            );
+            const near = usable.filter(entry => entry.endpoint.dataCentre === options.dataCentre);
+            const entry = choose(near) ?? choose(usable);
+            if (entry !== undefined) {
+                entry.outstanding += 1;
+            }
+            return entry?.endpoint;
+        },
+        release: (id, result) => {
+            const entry = entries.get(id);
+            if (entry === undefined) {
+                return;
+            }
+            entry.outstanding -= 1;
+            recordResult(entry, result, eject);
+        },
+        markLeaving: id => {
+            const entry = entries.get(id);
+            if (entry !== undefined) {
+                entry.leaving = true;
+            }
+        },
+        leaving: () => [...entries.values()].filter(entry => entry.leaving).map(entry => entry.endpoint.id),
+        slots: () => [...entries.values()].filter(entry => !entry.leaving).length * ENDPOINT_SLOTS,
+    };
+}
+
+function recordResult(entry: Entry, result: AttemptResult, eject: (entry: Entry) => void): void {
+    switch (result) {
+        case "succeeded":
+            entry.failures = 0;
+            entry.ejections = 0;
+            return;
+        case "failed":
+            entry.failures += 1;
+            if (entry.failures >= EJECTION_FAILURES) {
+                eject(entry);
+            }
+            return;
+        case "busy":
+            return;
+        case "leaving":
+            entry.leaving = true;
+            return;
+        default:
+            result satisfies never;
+    }
+}
--- /dev/null
+++ b/packages/command-line/src/commands/addWorkCommands.ts
@@ -0,0 +1,160 @@
+import type { Command } from "commander";
+import { InvalidArgumentError } from "commander";
+import { setTimeout as sleep } from "node:timers/promises";
+import { WAIT_POLL_MS } from "../constants.js";
+import type { Answer, Context } from "../Context.js";
+import type { CommandResult } from "../runCommand.js";
+import { resultOf, runCommand } from "../runCommand.js";
+
+type SubmitOptions = {
+    readonly kind: string;
+    readonly members: number;
+    readonly accelerators: number;
+    readonly adjacency: string;
+    readonly runMs: number;
+    readonly key?: string;
+    readonly wait?: string;
+};
+type RequestOptions = {
+    readonly kind: string;
+    readonly payload: unknown;
+    readonly caller?: string;
+    readonly key?: string;
+};
+type JobView = {
+    readonly id: string;
+    readonly stage: string;
+    readonly standing?: string;
+    readonly workers: readonly string[];
+    readonly waits_for?: string;
+    readonly reason?: string;
+};
+
+/**
+ * Adds the commands of callers: submit, job, cancel and request.
+ *
+ * @param program - The program.
+ *
+ * @example
+ * addWorkCommands(program);
+ */
+export function addWorkCommands(program: Command): void {
+    program.command("submit")
+        .description("submit a job that runs as a gang")
+        .requiredOption("--kind <name>", "kind of work in the document")
+        .requiredOption("--members <count>", "members of the gang", parseWhole)
+        .requiredOption("--accelerators <count>", "accelerators of each member", parseWhole)
+        .option("--adjacency <level>", "'worker', 'rack' or 'data-centre'", "data-centre")
+        .requiredOption("--run-ms <ms>", "declared run time in milliseconds", parseWhole)
+        .option("--key <text>", "idempotency key")
+        .option("--wait <stage>", "wait until the job is 'running' or 'ended'")
+        .addHelpText(
+            "after",
+            "\nExample:\n  balsamward submit --kind lane-reconciliation --members 4 "
+                + "--accelerators 8 --adjacency rack --run-ms 60000 --key nightly-7",
+        )
+        .action((options: SubmitOptions, command: Command) =>
+            runCommand(command, context => submit(context, options))
+        );
+    program.command("job <id>")
+        .description("show a job, and why it waits")
+        .action((id: string, options: object, command: Command) =>
+            runCommand(command, async context => resultOf(await readJob(context, id), describeJob))
+        );
+    program.command("cancel <id>")
+        .description("cancel a job")
+        .action((id: string, options: object, command: Command) =>
+            runCommand(command, async context => {
+                const path = `/v1/jobs/${encodeURIComponent(id)}`;
+                return resultOf(await context.callCallers({ method: "DELETE", path }), () =>
+                    "The job is cancelled.");
+            })
+        );
+    program.command("request")
+        .description("send a request and print its answer")
+        .requiredOption("--kind <name>", "kind of work in the document")
+        .option("--payload <json>", "the request as JSON", parseJson, {})
+        .option("--caller <name>", "the caller within the customer")
+        .option("--key <text>", "idempotency key")
+        .addHelpText("after", "\nExample:\n  balsamward request --kind walk-in --payload '{\"lane\":4}'")
+        .action((options: RequestOptions, command: Command) =>
+            runCommand(command, context => sendRequest(context, options))
+        );
+}
+
+async function submit(context: Context, options: SubmitOptions): Promise<CommandResult> {
+    const answer = await context.callCallers({
+        method: "POST",
+        path: "/v1/jobs",
+        headers: keyHeader(options.key),
+        body: {
+            kind: options.kind,
+            members: options.members,
+            accelerators_per_member: options.accelerators,
+            adjacency: options.adjacency,
+            run_ms: options.runMs,
+        },
+    });
+    if (answer.outcome !== "completed" || options.wait === undefined) {
+        return resultOf(answer, describeJob);
+    }
+    return waitForStage(context, (answer["job"] as JobView).id, options.wait);
+}
+
+async function waitForStage(context: Context, id: string, stage: string): Promise<CommandResult> {
+    const reached = stage === "running" ? ["running", "ended"] : ["ended"];
+    for (;;) {
+        const answer = await readJob(context, id);
+        const job = answer["job"] as JobView | undefined;
+        const lost = answer.outcome !== "completed" && answer.reason === "not-found";
+        if (lost || job !== undefined && reached.includes(job.stage)) {
+            return resultOf(answer, describeJob);
+        }
+        if (process.stderr.isTTY) {
+            process.stderr.write(`\r${id}: ${job?.stage ?? answer.reason}        `);
+        }
+        await sleep(WAIT_POLL_MS);
+    }
+}
+
+function readJob(context: Context, id: string): Promise<Answer> {
+    return context.callCallers({ method: "GET", path: `/v1/jobs/${encodeURIComponent(id)}` });
+}
+
+async function sendRequest(context: Context, options: RequestOptions): Promise<CommandResult> {
+    const answer = await context.callCallers({
+        method: "POST",
+        path: "/v1/requests",
+        headers: keyHeader(options.key),
+        body: { kind: options.kind, payload: options.payload, caller: options.caller },
+    });
+    return resultOf(answer, completed => JSON.stringify(completed["answer"] ?? completed));
+}
+
+function keyHeader(key: string | undefined): Readonly<Record<string, string>> {
+    return key === undefined ? {} : { "idempotency-key": key };
+}
+
+function describeJob(answer: Answer): string {
+    const job = answer["job"] as JobView;
+    const place = job.workers.length > 0 ? ` on ${job.workers.join(", ")}` : "";
+    const standing = job.standing === undefined ? "" : ` (${job.standing})`;
+    const wait = job.waits_for === undefined ? "" : `\n${job.waits_for}`;
+    return `${job.id}: ${job.stage}${standing}${place}${wait}`;
+}
+
+function parseWhole(text: string): number {
+    if (!/^\d+$/.test(text)) {
+        throw new InvalidArgumentError("Write a whole number.");
+    }
+    return Number(text);
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        throw new InvalidArgumentError("Write valid JSON.");
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/assignCells.ts
@@ -0,0 +1,50 @@
+import type { CellId, NodeId } from "@balsamward/schema";
+import { hashText } from "@balsamward/schema";
+import { OWNERSHIP_LOAD_FACTOR } from "./constants.js";
+
+/**
+ * Assigns every cell to a live daemon by rendezvous hashing with bounded load.
+ *
+ * All daemons that know the same members arrive at the same assignment. When a daemon goes, only
+ * its cells move, and those that the bound had displaced.
+ *
+ * @param cells - The cells, in any order.
+ * @param members - The daemons that may own cells.
+ * @returns The owner of each cell; empty if there are no members.
+ *
+ * @example
+ * assignCells(cells, members).get(cell);
+ */
+export function assignCells(
+    cells: readonly CellId[],
+    members: readonly NodeId[],
+): ReadonlyMap<CellId, NodeId> {
+    const owners = new Map<CellId, NodeId>();
+    const loads = new Map(members.map(member => [member, 0]));
+    const bound = Math.ceil(cells.length / Math.max(1, members.length) * OWNERSHIP_LOAD_FACTOR);
+    for (const cell of cells.toSorted()) {
+        const owner = rankMembers(cell, members).find(member => loads.get(member)! < bound);
+        if (owner !== undefined) {
+            owners.set(cell, owner);
+            loads.set(owner, loads.get(owner)! + 1);
+        }
+    }
+    return owners;
+}
+
+/**
+ * Ranks daemons for a cell by rendezvous hashing.
+ *
+ * @param cell - The cell.
+ * @param members - The daemons.
+ * @returns The daemons, the preferred one first.
+ *
+ * @example
+ * rankMembers(cell, members)[0];
+ */
+export function rankMembers(cell: CellId, members: readonly NodeId[]): readonly NodeId[] {
+    return members
+        .map(member => ({ member, score: hashText(`${cell} ${member}`) }))
+        .sort((left, right) => left.score < right.score ? 1 : -1)
+        .map(entry => entry.member);
+}
--- /dev/null
+++ b/packages/coordination/src/keys.ts
@@ -0,0 +1,103 @@
+import type { CellId, CustomerId, NodeId } from "@balsamward/schema";
+import { hashText } from "@balsamward/schema";
+
+/** Environment whose document a key belongs to. */
+export type Environment = "trial" | "production";
+
+/**
+ * Returns the prefix of the values that every daemon of an environment watches.
+ *
+ * @param environment - The environment.
+ * @returns The prefix.
+ *
+ * @example
+ * controlPrefix("production"); // "production/control/"
+ */
+export function controlPrefix(environment: Environment): string {
+    return `${environment}/control/`;
+}
+
+/**
+ * Returns the key of an environment's configuration.
+ *
+ * @param environment - The environment.
+ * @returns The key.
+ *
+ * @example
+ * configurationKey("trial");
+ */
+export function configurationKey(environment: Environment): string {
+    return `${controlPrefix(environment)}configuration`;
+}
+
+/**
+ * Returns the key under which a daemon is registered.
+ *
+ * @param environment - The environment.
+ * @param node - The daemon.
+ * @returns The key.
+ *
+ * @example
+ * memberKey("production", node);
+ */
+export function memberKey(environment: Environment, node: NodeId): string {
+    return `${controlPrefix(environment)}members/${node}`;
+}
+
+/**
+ * Returns the key under which the owner of a cell is registered.
+ *
+ * @param environment - The environment.
+ * @param cell - The cell.
+ * @returns The key.
+ *
+ * @example
+ * ownerKey("production", cell);
+ */
+export function ownerKey(environment: Environment, cell: CellId): string {
+    return `${controlPrefix(environment)}owners/${cell}`;
+}
+
+/**
+ * Returns the key of a cell's durable state.
+ *
+ * @param environment - The environment.
+ * @param cell - The cell.
+ * @returns The key.
+ *
+ * @example
+ * cellStateKey("production", cell);
+ */
+export function cellStateKey(environment: Environment, cell: CellId): string {
+    return `${environment}/cells/${cell}`;
+}
+
+/**
+ * Returns the key of a page of ended jobs.
+ *
+ * @param environment - The environment.
+ * @param cell - The cell.
+ * @param page - The number of the page, from 0.
+ * @returns The key.
+ *
+ * @example
+ * ledgerKey("production", cell, 0);
+ */
+export function ledgerKey(environment: Environment, cell: CellId, page: number): string {
+    return `${environment}/ledger/${cell}/${page}`;
+}
+
+/**
+ * Returns the key of the claim on an idempotency key.
+ *
+ * @param environment - The environment.
+ * @param customer - The customer that sent the idempotency key.
+ * @param idempotencyKey - The idempotency key.
+ * @returns The key; it has a bounded length.
+ *
+ * @example
+ * claimKey("production", customer, "batch-7");
+ */
+export function claimKey(environment: Environment, customer: CustomerId, idempotencyKey: string): string {
+    return `${environment}/claims/${customer}/${hashText(idempotencyKey)}`;
+}
--- /dev/null
+++ b/packages/coordination/src/watchPrefix.ts
@@ -0,0 +1,98 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { WATCH_RETRY_MAX_MS, WATCH_RETRY_MS, WATCH_WAIT_MS } from "./constants.js";
+import type { RawChange, StoreTransport } from "./StoreTransport.js";
+
+/** What a watch tells its owner. */
+export type WatchEvent =
+    /** All values below the prefix; values that are not listed do not exist. */
+    | { readonly kind: "listing"; readonly values: readonly RawChange[] }
+    | { readonly kind: "change"; readonly change: RawChange }
+    /** Calls fail; what is known may be out of date. */
+    | { readonly kind: "lost"; readonly message: string };
+
+/** Options of `watchPrefix`. */
+export type WatchPrefixOptions = {
+    readonly waitMs?: number;
+    /** Returns a number from 0 up to 1, for jitter. */
+    readonly random?: () => number;
+};
+
+/**
+ * Watches the values below a prefix until the signal aborts.
+ *
+ * Starts with a listing and lists again whenever the store has dropped changes. A silent watch
+ * ends by its own deadline. Failed calls are repeated with a growing, jittered pause.
+ *
+ * @param transport - The store's calls.
+ * @param prefix - The prefix of the keys.
+ * @param notify - Receives the events in order.
+ * @param signal - Ends the watch.
+ * @param options - Wait of one call and source of jitter.
+ *
+ * @example
+ * await watchPrefix(transport, "control/", event => events.push(event), signal);
+ */
+export async function watchPrefix(
+    transport: StoreTransport,
+    prefix: string,
+    notify: (event: WatchEvent) => void,
+    signal: AbortSignal,
+    options: WatchPrefixOptions = {},
+): Promise<void> {
+    const random = options.random ?? Math.random;
+    let after: number | undefined;
+    let failures = 0;
+    while (!signal.aborted) {
+        const result = after === undefined
+            ? await listValues(transport, prefix, notify)
+            : await waitOnce(transport, prefix, after, notify, signal, options.waitMs ?? WATCH_WAIT_MS);
+        if (signal.aborted) {
+            return;
+        }
+        if (result.kind === "revision") {
+            after = result.revision;
+            failures = 0;
+            continue;
+        }
+        after = result.relist ? undefined : after;
+        notify({ kind: "lost", message: result.message });
+        const ceiling = Math.min(WATCH_RETRY_MAX_MS, WATCH_RETRY_MS * 2 ** failures);
+        failures += 1;
+        await sleep(ceiling * (0.5 + random() / 2), undefined, { signal }).catch(() => undefined);
+    }
+}
+
+type WatchStep =
+    | { readonly kind: "revision"; readonly revision: number }
+    | { readonly kind: "failed"; readonly relist: boolean; readonly message: string };
+
+async function listValues(
+    transport: StoreTransport,
+    prefix: string,
+    notify: (event: WatchEvent) => void,
+): Promise<WatchStep> {
+    const listing = await transport.list(prefix);
+    if (listing.isErr()) {
+        return { kind: "failed", relist: true, message: listing.error.message };
+    }
+    notify({ kind: "listing", values: listing.value.values });
+    return { kind: "revision", revision: listing.value.revision };
+}
+
+async function waitOnce(
+    transport: StoreTransport,
+    prefix: string,
+    after: number,
+    notify: (event: WatchEvent) => void,
+    signal: AbortSignal,
+    waitMs: number,
+): Promise<WatchStep> {
+    const waited = await transport.waitForChanges(prefix, after, waitMs, signal);
+    if (waited.isErr()) {
+        return { kind: "failed", relist: true, message: waited.error.message };
+    }
+    for (const change of waited.value.changes) {
+        notify({ kind: "change", change });
+    }
+    return { kind: "revision", revision: waited.value.revision };
+}
--- /dev/null
+++ b/packages/daemon/src/DaemonState.ts
@@ -0,0 +1,47 @@
+import type { EndpointPool, FairQueue, FairQueueOptions, Limiter, RetryBudget } from "@balsamward/admission";
+import type { ConfigurationTracker, Environment, HeldLease, Store } from "@balsamward/coordination";
+import type { CellId, DataCentreId, NodeId } from "@balsamward/schema";
+import type PQueue from "p-queue";
+import type { Logger } from "winston";
+import type { Configured } from "./_lib/Configured.js";
+import type { TaskGroup } from "./_lib/createTaskGroup.js";
+import type { Vm } from "./_lib/Vm.js";
+import type { OwnedCell } from "./cells/runCell.js";
+import type { WorkerClient } from "./fleet/WorkerClient.js";
+import type { Metrics } from "./Metrics.js";
+import type { Membership } from "./peers/Membership.js";
+
+/** Limits and retries of one kind of work. */
+export type KindControl = { readonly limiter: Limiter; readonly retries: RetryBudget };
+
+/** What the tasks of one daemon share. */
+export type DaemonState = {
+    readonly node: NodeId;
+    /** Distinguishes two lives of one daemon. */
+    readonly incarnation: string;
+    readonly environment: Environment;
+    readonly dataCentre: DataCentreId;
+    readonly peerAddress: string;
+    readonly log: Logger;
+    readonly metrics: Metrics;
+    readonly store: Store;
+    readonly workers: WorkerClient;
+    readonly pool: EndpointPool;
+    readonly queue: PQueue<FairQueue, FairQueueOptions>;
+    readonly kinds: Map<string, KindControl>;
+    readonly tracker: ConfigurationTracker;
+    readonly membership: Membership;
+    readonly owned: Map<CellId, OwnedCell>;
+    readonly tasks: TaskGroup;
+    /** Returns a number from 0 up to 1. */
+    readonly random: () => number;
+    configured: Configured | undefined;
+    vms: readonly Vm[];
+    lease: HeldLease | undefined;
+    /** Lease with which claims end, and when it was taken, in milliseconds since the epoch. */
+    claimLease: { readonly id: string; readonly takenAt: number } | undefined;
+    /** Time of the last word from the store's watch, in milliseconds of the monotonic clock. */
+    watchedAt: number;
+    stopping: boolean;
+    inFlight: number;
+};
--- /dev/null
+++ b/packages/daemon/src/_lib/Configured.ts
@@ -0,0 +1,11 @@
+import type { GuaranteeDivision } from "@balsamward/placement";
+import type { Configuration, Document } from "@balsamward/schema";
+
+/** A configuration in force with what follows from it. */
+export type Configured = {
+    readonly configuration: Configuration;
+    readonly document: Document;
+    readonly division: GuaranteeDivision;
+    /** The customer of each token digest. */
+    readonly customers: ReadonlyMap<string, string>;
+};
--- /dev/null
+++ b/packages/daemon/src/callers/attemptEndpoint.ts
@@ -0,0 +1,100 @@
+import type { Endpoint } from "@balsamward/admission";
+import { Reason } from "@balsamward/schema";
+import type { Dispatcher } from "undici";
+import { MAX_ANSWER_BYTES } from "../constants.js";
+
+/** The work as it is sent to an endpoint. */
+export type EndpointWork = {
+    readonly requestId: string;
+    readonly kind: string;
+    readonly body: string;
+};
+
+/** How one attempt at an endpoint ended. */
+export type Attempt =
+    | { readonly kind: "answered"; readonly body: Uint8Array }
+    /** The endpoint ran the work and reports its failure. */
+    | { readonly kind: "failed"; readonly status: number }
+    /** The work did not run: nothing was sent, or the endpoint said so. */
+    | { readonly kind: "not-run"; readonly reason: Reason }
+    /** The work may have run. */
+    | { readonly kind: "unclear"; readonly reason: Reason };
+
+/**
+ * Sends work to one endpoint and waits for its whole answer.
+ *
+ * @param dispatcher - The connections to endpoints.
+ * @param endpoint - The endpoint.
+ * @param work - The work.
+ * @param timeoutMs - Time in milliseconds for the whole attempt.
+ * @returns How the attempt ended; never an answer that is cut or belongs to another request.
+ *
+ * @example
+ * const attempt = await attemptEndpoint(dispatcher, endpoint, work, 500);
+ */
+export async function attemptEndpoint(
+    dispatcher: Dispatcher,
+    endpoint: Endpoint,
+    work: EndpointWork,
+    timeoutMs: number,
+): Promise<Attempt> {
+    const abort = new AbortController();
+    const timer = setTimeout(() => abort.abort(), timeoutMs);
+    try {
+        const response = await dispatcher.request({
+            origin: endpoint.address,
+            path: "/work",
+            method: "POST",
+            headers: {
+                "content-type": "application/json",
+                "x-request-id": work.requestId,
+                "x-kind": work.kind,
+            },
+            body: work.body,
+            signal: abort.signal,
+        });
+        return await readAnswer(response, work);
+    }
+    catch (error) {
+        return describeFailure(error, abort.signal.aborted);
+    }
+    finally {
+        clearTimeout(timer);
+    }
+}
+
+async function readAnswer(response: Dispatcher.ResponseData, work: EndpointWork): Promise<Attempt> {
+    if (response.statusCode === 503 && response.headers["x-ran"] === "no") {
+        const { reason } = await response.body.json() as { reason?: string };
+        return { kind: "not-run", reason: reason === "leaving" ? Reason.STOPPING : Reason.ENDPOINT_BUSY };
+    }
+    if (Number(response.headers["content-length"] ?? 0) > MAX_ANSWER_BYTES) {
+        response.body.destroy();
+        return { kind: "unclear", reason: Reason.ANSWER_TOO_LARGE };
+    }
+    const body = new Uint8Array(await response.body.arrayBuffer());
+    if (response.statusCode !== 200) {
+        return { kind: "failed", status: response.statusCode };
+    }
+    const whole = response.headers["x-request-id"] === work.requestId && isJson(body);
+    return whole ? { kind: "answered", body } : { kind: "unclear", reason: Reason.ANSWER_CUT };
+}
+
+function isJson(body: Uint8Array): boolean {
+    try {
+        JSON.parse(Buffer.from(body.buffer, body.byteOffset, body.length).toString("utf8"));
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
+
+/** Only a connection that was never made proves that nothing was sent. */
+function describeFailure(error: unknown, timedOut: boolean): Attempt {
+    const { code } = error as { code?: string };
+    if (!timedOut && (code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT")) {
+        return { kind: "not-run", reason: Reason.ENDPOINT_UNREACHABLE };
+    }
+    return { kind: "unclear", reason: timedOut ? Reason.DEADLINE : Reason.ANSWER_CUT };
+}
--- /dev/null
+++ b/packages/daemon/src/callers/authenticate.ts
@@ -0,0 +1,54 @@
+import type { Customer, CustomerId } from "@balsamward/schema";
+import { hashText, Reason } from "@balsamward/schema";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import type { IncomingMessage } from "node:http";
+import type { Configured } from "../_lib/Configured.js";
+import type { DaemonState } from "../DaemonState.js";
+import { refuse } from "./refuse.js";
+import type { Reply } from "./Reply.js";
+
+/** A customer known by its token, with the configuration that the decision uses. */
+export type Authenticated = {
+    readonly customer: CustomerId;
+    readonly entry: Customer;
+    readonly configured: Configured;
+};
+
+/**
+ * Derives the customer from a request's bearer token.
+ *
+ * @param state - The daemon.
+ * @param req - The request.
+ * @returns The customer, or the refusal to send.
+ *
+ * @example
+ * authenticate(state, req).map(authenticated => authenticated.customer);
+ */
+export function authenticate(state: DaemonState, req: IncomingMessage): Result<Authenticated, Reply> {
+    const { configured } = state;
+    if (state.stopping) {
+        return err(
+            refuse(Reason.STOPPING, "This daemon stops. Send the request to another.", {
+                retryAfterMs: 1_000,
+            }),
+        );
+    }
+    if (configured === undefined) {
+        const message = "No configuration is known yet. Try again, or have an operator promote a document.";
+        return err(refuse(Reason.CONFIGURATION_UNKNOWN, message, { retryAfterMs: 2_000 }));
+    }
+    const header = req.headers.authorization ?? "";
+    const token = header.startsWith("Bearer ") ? header.slice("Bearer ".length) : "";
+    const customer = configured.customers.get(hashText(token));
+    if (token === "" || customer === undefined) {
+        return err(
+            refuse(Reason.BAD_TOKEN, "The bearer token is missing or not known. Ask an operator for one."),
+        );
+    }
+    return ok({
+        customer: customer as CustomerId,
+        entry: configured.document.customer[customer]!,
+        configured,
+    });
+}
--- /dev/null
+++ b/packages/daemon/src/callers/handleJobs.ts
@@ -0,0 +1,287 @@
+import { claimKey, claimRequest } from "@balsamward/coordination";
+import type { CellId, Job, JobId } from "@balsamward/schema";
+import { hashText, JobSchema, JobStage, Outcome, parseIdentifier, Reason, Work } from "@balsamward/schema";
+import { create } from "@bufbuild/protobuf";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import type { DaemonState } from "../DaemonState.js";
+import { describeJob } from "../operations/describeJob.js";
+import type { CellRouter } from "../peers/CellRouter.js";
+import type { Authenticated } from "./authenticate.js";
+import { authenticate } from "./authenticate.js";
+import { chooseCell } from "./chooseCell.js";
+import { ensureClaimLease } from "./ensureClaimLease.js";
+import type { CountedReply } from "./handleRequest.js";
+import { findKind } from "./handleRequest.js";
+import { parseJobFields } from "./parseJobFields.js";
+import { readIdempotencyKey } from "./readIdempotencyKey.js";
+import { readRequestBody } from "./readRequestBody.js";
+import { refuse } from "./refuse.js";
+import type { Reply } from "./Reply.js";
+
+type Submission = { readonly cell: CellId; readonly job: Job };
+
+/**
+ * Handles `POST /v1/jobs`.
+ *
+ * The idempotency key is claimed for the job's id first, so that a repeat on any daemon hands the
+ * same job to the same cell.
+ *
+ * @param state - The daemon.
+ * @param router - Reaches the owners of cells.
+ * @param req - The request.
+ * @returns The answer; `completed` means that the job is durable and will run.
+ *
+ * @example
+ * const { reply } = await handleSubmission(state, router, req);
+ */
+export async function handleSubmission(
+    state: DaemonState,
+    router: CellRouter,
+    req: IncomingMessage,
+): Promise<CountedReply> {
+    const authenticated = authenticate(state, req);
+    if (authenticated.isErr()) {
+        return { kind: "none", reply: authenticated.error };
+    }
+    const fields = await readRequestBody(req);
+    if (fields.isErr()) {
+        return { kind: "none", reply: fields.error };
+    }
+    const kindName = String(fields.value["kind"] ?? "");
+    const planned = planSubmission(state, authenticated.value, kindName, fields.value);
+    if (planned.isErr()) {
+        return { kind: findKind(authenticated.value, kindName) ? kindName : "none", reply: planned.error };
+    }
+    const key = readIdempotencyKey(req, authenticated.value.configured.document.kind[kindName]!);
+    if (key.isErr()) {
+        return { kind: kindName, reply: key.error };
+    }
+    const claimed = key.value === undefined
+        ? ok(planned.value)
+        : await claimSubmission(
+            state,
+            authenticated.value,
+            key.value,
+            planned.value,
+            JSON.stringify(fields.value),
+        );
+    if (claimed.isErr()) {
+        return { kind: kindName, reply: claimed.error };
+    }
+    return { kind: kindName, reply: await forwardSubmission(router, claimed.value) };
+}
+
+/**
+ * Handles `GET /v1/jobs/{id}`.
+ *
+ * @param state - The daemon.
+ * @param router - Reaches the owners of cells.
+ * @param req - The request.
+ * @param id - The job's id as the caller wrote it.
+ * @returns The answer; another customer's job is not found.
+ *
+ * @example
+ * const { reply } = await handleInquiry(state, router, req, id);
+ */
+export async function handleInquiry(
+    state: DaemonState,
+    router: CellRouter,
+    req: IncomingMessage,
+    id: string,
+): Promise<CountedReply> {
+    const found = await findJob(state, router, req, id);
+    if (found.isErr()) {
+        return { kind: "none", reply: found.error };
+    }
+    const { job, explanation } = found.value;
+    const fields = { job: { ...describeJob(job), waits_for: explanation === "" ? undefined : explanation } };
+    return {
+        kind: job.kind,
+        reply: { outcome: Outcome.COMPLETED, reason: Reason.NONE, status: 200, fields },
+    };
+}
+
+/**
+ * Handles `DELETE /v1/jobs/{id}`.
+ *
+ * @param state - The daemon.
+ * @param router - Reaches the owners of cells.
+ * @param req - The request.
+ * @param id - The job's id as the caller wrote it.
+ * @returns The answer; `completed` means that the cancellation is durable.
+ *
+ * @example
+ * const { reply } = await handleCancellation(state, router, req, id);
+ */
+export async function handleCancellation(
+    state: DaemonState,
+    router: CellRouter,
+    req: IncomingMessage,
+    id: string,
+): Promise<CountedReply> {
+    const found = await findJob(state, router, req, id);
+    if (found.isErr()) {
+        return { kind: "none", reply: found.error };
+    }
+    const { job, cell } = found.value;
+    const { outcome, reason, job: cancelled } = await router.cancel(cell, job.id as JobId);
+    if (outcome === Outcome.REFUSED) {
+        const message = "The cancellation did not reach the job's owner. Try again.";
+        return { kind: job.kind, reply: refuse(reason, message, { retryAfterMs: 1_000 }) };
+    }
+    const fields = cancelled === undefined ? {} : { job: describeJob(cancelled) };
+    const status = outcome === Outcome.COMPLETED ? 202 : 504;
+    return { kind: job.kind, reply: { outcome, reason, status, fields } };
+}
+
+function planSubmission(
+    state: DaemonState,
+    authenticated: Authenticated,
+    kindName: string,
+    fields: { readonly [field: string]: unknown },
+): Result<Submission, Reply> {
+    const { customer, entry, configured } = authenticated;
+    const kind = findKind(authenticated, kindName);
+    if (kind === undefined) {
+        return err(
+            refuse(Reason.UNKNOWN_KIND, "The document has no such kind of work. Check the field 'kind'."),
+        );
+    }
+    if (kind.work !== Work.JOB) {
+        return err(
+            refuse(Reason.WRONG_WORK, `'${kindName}' is a kind of request. Send it to '/v1/requests'.`),
+        );
+    }
+    const parsed = parseJobFields(fields);
+    if (parsed.isErr()) {
+        return err(parsed.error);
+    }
+    const { shape, runMs } = parsed.value;
+    const total = shape.members * shape.acceleratorsPerMember;
+    if (total > entry.quotaAccelerators) {
+        const message =
+            `The job needs ${total} accelerators; the quota is ${entry.quotaAccelerators}. Ask for fewer.`;
+        return err(refuse(Reason.QUOTA_EXCEEDED, message));
+    }
+    const summaries = listSummaries(state);
+    const cell = chooseCell(configured, summaries, { customer, kind, shape });
+    if (cell === undefined) {
+        const message = kind.preemptible
+            ? "No cell of the fleet can ever hold the shape. Ask for fewer members or a looser adjacency."
+            : "The kind may not borrow and no guarantee of the customer fits. Ask for a smaller shape.";
+        return err(refuse(Reason.SHAPE_IMPOSSIBLE, message));
+    }
+    const id = `${cell}-${randomUUID().replaceAll("-", "").slice(0, 20)}`;
+    return ok({
+        cell,
+        job: create(JobSchema, {
+            id,
+            customer,
+            kind: kindName,
+            shape,
+            declaredRunMs: BigInt(runMs),
+            stage: JobStage.QUEUED,
+            submittedAtMs: BigInt(Date.now()),
+        }),
+    });
+}
+
+function listSummaries(state: DaemonState) {
+    const own = [...state.owned.values()].map(cell => cell.summarize());
+    return [...own, ...state.membership.heartbeats().flatMap(heartbeat => heartbeat.cells)];
+}
+
+async function claimSubmission(
+    state: DaemonState,
+    authenticated: Authenticated,
+    idempotencyKey: string,
+    submission: Submission,
+    content: string,
+): Promise<Result<Submission, Reply>> {
+    const unavailable = refuse(
+        Reason.STORE_UNAVAILABLE,
+        "The job cannot be claimed now. It was not accepted; try again later.",
+        { retryAfterMs: 2_000 },
+    );
+    const lease = await ensureClaimLease(state);
+    if (lease === undefined) {
+        return err(unavailable);
+    }
+    const claimed = await claimRequest(state.store, {
+        key: claimKey(state.environment, authenticated.customer, idempotencyKey),
+        requestDigest: hashText(content),
+        node: state.node,
+        incarnation: state.incarnation,
+        job: submission.job.id,
+        lease,
+    });
+    if (claimed.isErr()) {
+        return err(unavailable);
+    }
+    switch (claimed.value.kind) {
+        case "claimed":
+            return ok(submission);
+        case "taken":
+            return ok(renameSubmission(submission, claimed.value.claim.job as JobId));
+        case "reused":
+            return err(refuse(Reason.KEY_REUSED, "The key belongs to a different job. Use a new key."));
+        default:
+            return claimed.value satisfies never;
+    }
+}
+
+function renameSubmission(submission: Submission, id: JobId): Submission {
+    return { cell: cellOfJob(id), job: { ...submission.job, id } };
+}
+
+function cellOfJob(id: string): CellId {
+    return id.slice(0, id.lastIndexOf("-")) as CellId;
+}
+
+async function forwardSubmission(router: CellRouter, submission: Submission): Promise<Reply> {
+    const { outcome, reason, job } = await router.submit(submission.cell, submission.job);
+    switch (outcome) {
+        case Outcome.COMPLETED:
+            return { outcome, reason, status: 202, fields: { job: describeJob(job ?? submission.job) } };
+        case Outcome.REFUSED:
+            return refuse(reason, "The cell of the job takes no jobs now. Try again.", {
+                retryAfterMs: 1_000,
+            });
+        default: {
+            const message = `The job may have been accepted as '${submission.job.id}'. `
+                + "Send it again with the same key, or ask for it.";
+            return { outcome: Outcome.UNKNOWN, reason, status: 504, message };
+        }
+    }
+}
+
+type FoundJob = { readonly job: Job; readonly cell: CellId; readonly explanation: string };
+
+async function findJob(
+    state: DaemonState,
+    router: CellRouter,
+    req: IncomingMessage,
+    id: string,
+): Promise<Result<FoundJob, Reply>> {
+    const notFound = refuse(Reason.NOT_FOUND, "The customer has no such job. Check the id.");
+    const authenticated = authenticate(state, req);
+    if (authenticated.isErr()) {
+        return err(authenticated.error);
+    }
+    const parsed = parseIdentifier<JobId>(id);
+    if (parsed.isErr()) {
+        return err(notFound);
+    }
+    const cell = cellOfJob(parsed.value);
+    const answer = await router.get(cell, parsed.value);
+    if (answer === undefined) {
+        const message = "The owner of the job's cell cannot be reached. Try again.";
+        return err(refuse(Reason.OWNER_UNREACHABLE, message, { retryAfterMs: 1_000 }));
+    }
+    return answer.job === undefined || answer.job.customer !== authenticated.value.customer
+        ? err(notFound)
+        : ok({ job: answer.job, cell, explanation: answer.explanation });
+}
--- /dev/null
+++ b/packages/daemon/src/callers/parseJobFields.ts
@@ -0,0 +1,60 @@
+import type { GangShape } from "@balsamward/placement";
+import { Adjacency, Reason } from "@balsamward/schema";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import type { BodyFields } from "./readRequestBody.js";
+import { refuse } from "./refuse.js";
+import type { Reply } from "./Reply.js";
+
+/** A job as its caller states it. */
+export type JobFields = {
+    readonly shape: GangShape;
+    /** Declared run time in milliseconds. */
+    readonly runMs: number;
+};
+
+const adjacencies: ReadonlyMap<unknown, Adjacency> = new Map([
+    ["worker", Adjacency.WORKER],
+    ["rack", Adjacency.RACK],
+    ["data-centre", Adjacency.DATA_CENTRE],
+]);
+
+/**
+ * Parses the fields of a job's submission.
+ *
+ * @param fields - The caller's fields.
+ * @returns The job, or the refusal that names the field at fault.
+ *
+ * @example
+ * parseJobFields({ members: 2, accelerators_per_member: 4, adjacency: "rack", run_ms: 60_000 });
+ */
+export function parseJobFields(fields: BodyFields): Result<JobFields, Reply> {
+    const members = readWhole(fields, "members", 256);
+    const acceleratorsPerMember = readWhole(fields, "accelerators_per_member", 16);
+    const runMs = readWhole(fields, "run_ms", 2_592_000_000);
+    const adjacency = adjacencies.get(fields["adjacency"] ?? "data-centre");
+    if (members === undefined) {
+        return badField("members", "a whole number from 1 to 256");
+    }
+    if (acceleratorsPerMember === undefined) {
+        return badField("accelerators_per_member", "a whole number from 1 to 16");
+    }
+    if (runMs === undefined) {
+        return badField("run_ms", "a whole number of milliseconds, at most 30 days");
+    }
+    if (adjacency === undefined) {
+        return badField("adjacency", "'worker', 'rack' or 'data-centre'");
+    }
+    return ok({ shape: { members, acceleratorsPerMember, adjacency }, runMs });
+}
+
+function readWhole(fields: BodyFields, name: string, largest: number): number | undefined {
+    const value = fields[name];
+    return typeof value === "number" && Number.isInteger(value) && value >= 1 && value <= largest
+        ? value
+        : undefined;
+}
+
+function badField(name: string, expected: string): Result<never, Reply> {
+    return err(refuse(Reason.BAD_INPUT, `The field '${name}' does not fit. Send ${expected}.`));
+}
--- /dev/null
+++ b/packages/daemon/src/callers/refuse.ts
@@ -0,0 +1,50 @@
+import { Outcome, Reason } from "@balsamward/schema";
+import type { Reply } from "./Reply.js";
+
+/** Options of `refuse`. */
+export type RefuseOptions = {
+    /** Time in milliseconds after which another attempt may succeed. */
+    readonly retryAfterMs?: number;
+};
+
+/**
+ * Returns the answer to a request that did not run.
+ *
+ * @param reason - Why it did not run.
+ * @param message - What to do about it.
+ * @param options - When to try again.
+ * @returns The answer.
+ *
+ * @example
+ * refuse(Reason.BAD_TOKEN, "The token is not known. Ask an operator for one.");
+ */
+export function refuse(reason: Reason, message: string, options: RefuseOptions = {}): Reply {
+    return { outcome: Outcome.REFUSED, reason, status: statusOf(reason), message, ...options };
+}
+
+function statusOf(reason: Reason): number {
+    switch (reason) {
+        case Reason.BAD_INPUT:
+        case Reason.KEY_REQUIRED:
+        case Reason.WRONG_WORK:
+        case Reason.BAD_DOCUMENT:
+            return 400;
+        case Reason.BAD_TOKEN:
+            return 401;
+        case Reason.UNKNOWN_KIND:
+        case Reason.NOT_FOUND:
+            return 404;
+        case Reason.CONFLICT:
+        case Reason.KEY_REUSED:
+            return 409;
+        case Reason.SHAPE_IMPOSSIBLE:
+        case Reason.QUOTA_EXCEEDED:
+            return 422;
+        case Reason.RATE_LIMIT:
+        case Reason.CONCURRENCY_LIMIT:
+        case Reason.QUEUE_FULL:
+            return 429;
+        default:
+            return 503;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/constants.ts
@@ -0,0 +1,92 @@
+/** Interval in milliseconds of heartbeats between daemons. */
+export const HEARTBEAT_MS = 500;
+
+/** Time in milliseconds after which a call to a peer is given up. */
+export const PEER_CALL_TIMEOUT_MS = 1_000;
+
+/** Time in milliseconds without a heartbeat after which a peer counts as dead. */
+export const PEER_SUSPICION_MS = 2_500;
+
+/** Time in milliseconds after which a forwarded job call is given up. */
+export const FORWARD_TIMEOUT_MS = 5_000;
+
+/** Interval in milliseconds at which the VM list is read. */
+export const VM_LIST_POLL_MS = 1_000;
+
+/** Time in milliseconds after which a call to the VM list is given up. */
+export const VM_LIST_TIMEOUT_MS = 800;
+
+/** Interval in milliseconds at which a daemon compares the cells it owns with its assignment. */
+export const OWNERSHIP_PASS_MS = 500;
+
+/** Time in milliseconds for which members must be unchanged before cells move between live daemons. */
+export const REBALANCE_DELAY_MS = 5_000;
+
+/** Interval in milliseconds at which an owner renews the reservations at its workers. */
+export const WORKER_RENEWAL_MS = 1_000;
+
+/** Time to live in milliseconds of the reservations at a worker. */
+export const RESERVATION_TTL_MS = 10_000;
+
+/** Time in milliseconds after which a call to a worker is given up. */
+export const WORKER_CALL_TIMEOUT_MS = 1_500;
+
+/** Interval in milliseconds at which an owner looks at its queue without being woken. */
+export const SCHEDULE_PASS_MS = 250;
+
+/** Time in milliseconds added to a kind's checkpoint time before a task is stopped without one. */
+export const CHECKPOINT_GRACE_MS = 500;
+
+/** Number of times that a job may fail by itself before it ends as failed. */
+export const MAX_JOB_FAILURES = 3;
+
+/** Consecutive failed starts after which a worker is taken out. */
+export const WORKER_EJECTION_FAILURES = 3;
+
+/** Time in milliseconds for which a worker that fails its tasks is taken out; doubled each time. */
+export const WORKER_EJECTION_MS = 5_000;
+
+/** Longest time in milliseconds for which a worker is taken out. */
+export const WORKER_EJECTION_MAX_MS = 600_000;
+
+/** Calls to workers that an owner has in flight. */
+export const WORKER_CALL_CONCURRENCY = 128;
+
+/** Ended jobs in a cell's state from which a page of them is moved to the ledger. */
+export const LEDGER_PAGE_JOBS = 500;
+
+/** Largest body of a caller's request, in bytes. */
+export const MAX_REQUEST_BYTES = 1_000_000;
+
+/** Largest answer of an endpoint, in bytes. */
+export const MAX_ANSWER_BYTES = 4_000_000;
+
+/** Largest answer that is kept for an idempotency key, in bytes. */
+export const MAX_KEPT_ANSWER_BYTES = 65_536;
+
+/** Longest idempotency key, in characters. */
+export const MAX_KEY_LENGTH = 256;
+
+/** Connections of one daemon to one endpoint. */
+export const ENDPOINT_CONNECTIONS = 9;
+
+/** Shortest time in milliseconds that an attempt at an endpoint is given. */
+export const MIN_ATTEMPT_MS = 20;
+
+/** Attempts at endpoints for one request. */
+export const MAX_ATTEMPTS = 4;
+
+/** Pause in milliseconds before another look for a free slot. */
+export const SLOT_PAUSE_MS = 2;
+
+/** Interval in milliseconds at which the answer to a claimed key is looked for. */
+export const CLAIM_POLL_MS = 100;
+
+/** Time in milliseconds within which a stopping daemon ends its requests in flight. */
+export const DRAIN_TIMEOUT_MS = 25_000;
+
+/** Time in milliseconds between becoming not ready and refusing new connections. */
+export const DRAIN_NOTICE_MS = 500;
+
+/** Time in milliseconds after which a client has to have sent a whole request. */
+export const CLIENT_REQUEST_TIMEOUT_MS = 10_000;
--- /dev/null
+++ b/packages/daemon/src/operations/isReady.ts
@@ -0,0 +1,41 @@
+import { WATCH_GRACE_MS, WATCH_WAIT_MS } from "@balsamward/coordination";
+import type { DaemonState } from "../DaemonState.js";
+
+/** Whether a daemon takes requests, and what it knows of its configuration. */
+export type Readiness = {
+    readonly ready: boolean;
+    readonly generation: number;
+    /** Whether the store or a peer confirmed the generation lately. */
+    readonly current: boolean;
+    readonly message: string;
+};
+
+/**
+ * Tells whether a daemon takes requests.
+ *
+ * @param state - The daemon.
+ * @returns The readiness; a daemon that cannot confirm its configuration stays ready and says so.
+ *
+ * @example
+ * isReady(state).ready;
+ */
+export function isReady(state: DaemonState): Readiness {
+    const generation = Number(state.configured?.configuration.generation ?? 0n);
+    const watched = performance.now() - state.watchedAt < WATCH_WAIT_MS + WATCH_GRACE_MS;
+    const current = generation > 0 && (watched || state.membership.heartbeats().length > 0);
+    if (state.stopping) {
+        return { ready: false, generation, current, message: "The daemon stops." };
+    }
+    if (generation === 0) {
+        return {
+            ready: false,
+            generation,
+            current,
+            message: "No configuration is known. Promote a document.",
+        };
+    }
+    const message = current
+        ? "The daemon takes requests."
+        : "The daemon takes requests. Neither the store nor a peer confirms its configuration.";
+    return { ready: true, generation, current, message };
+}
--- /dev/null
+++ b/packages/daemon/src/peers/CellRouter.ts
@@ -0,0 +1,77 @@
+import type {
+    CancelJobResponse,
+    CellId,
+    GetJobResponse,
+    InspectCellResponse,
+    Job,
+    JobId,
+    SubmitJobResponse,
+} from "@balsamward/schema";
+import { CancelJobResponseSchema, Outcome, Reason, SubmitJobResponseSchema } from "@balsamward/schema";
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
+import { FORWARD_TIMEOUT_MS } from "../constants.js";
+import type { DaemonState } from "../DaemonState.js";
+import type { PeerClient, PeerClients } from "./runPeer.js";
+
+/** Reaches the owner of a cell, on this daemon or on a peer. */
+export type CellRouter = {
+    readonly submit: (cell: CellId, job: Job) => Promise<SubmitJobResponse>;
+    /** Returns `undefined` if the owner cannot be reached. */
+    readonly get: (cell: CellId, job: JobId) => Promise<GetJobResponse | undefined>;
+    readonly cancel: (cell: CellId, job: JobId) => Promise<CancelJobResponse>;
+    /** Returns `undefined` if the owner cannot be reached. */
+    readonly inspect: (cell: CellId) => Promise<InspectCellResponse | undefined>;
+};
+
+/**
+ * Creates a router to the owners of cells.
+ *
+ * @param state - The daemon.
+ * @param clients - The connections to the peers.
+ * @returns The router.
+ *
+ * @example
+ * const router = createCellRouter(state, clients);
+ */
+export function createCellRouter(state: DaemonState, clients: PeerClients): CellRouter {
+    const clientOf = (cell: CellId): PeerClient | undefined => {
+        const owner = state.membership.owners.get(cell);
+        return owner === undefined ? undefined : clients.get(owner.node);
+    };
+    const options = { timeoutMs: FORWARD_TIMEOUT_MS };
+    return {
+        submit: async (cell, job) => {
+            const owned = state.owned.get(cell);
+            if (owned !== undefined) {
+                return owned.submit(job);
+            }
+            const client = clientOf(cell);
+            const call = client?.submitJob({ cell, job }, options);
+            return await call?.catch(error => create(SubmitJobResponseSchema, describeFailure(error)))
+                ?? create(SubmitJobResponseSchema, { outcome: Outcome.REFUSED, reason: Reason.CELL_UNOWNED });
+        },
+        get: async (cell, job) =>
+            state.owned.get(cell)?.get(job)
+                ?? await clientOf(cell)?.getJob({ cell, job }, options).catch(() => undefined),
+        cancel: async (cell, job) => {
+            const owned = state.owned.get(cell);
+            if (owned !== undefined) {
+                return owned.cancel(job);
+            }
+            const call = clientOf(cell)?.cancelJob({ cell, job }, options);
+            return await call?.catch(error => create(CancelJobResponseSchema, describeFailure(error)))
+                ?? create(CancelJobResponseSchema, { outcome: Outcome.REFUSED, reason: Reason.CELL_UNOWNED });
+        },
+        inspect: async cell =>
+            state.owned.get(cell)?.inspect()
+                ?? await clientOf(cell)?.inspectCell({ cell }, options).catch(() => undefined),
+    };
+}
+
+/** A peer that does not own the cell says so before it acts; any other failure leaves the effect open. */
+function describeFailure(error: unknown): { readonly outcome: Outcome; readonly reason: Reason } {
+    return ConnectError.from(error).code === Code.FailedPrecondition
+        ? { outcome: Outcome.REFUSED, reason: Reason.CELL_UNOWNED }
+        : { outcome: Outcome.UNKNOWN, reason: Reason.OWNER_UNREACHABLE };
+}
--- /dev/null
+++ b/packages/daemon/src/peers/composeHeartbeat.ts
@@ -0,0 +1,43 @@
+import type { EndpointId, Heartbeat } from "@balsamward/schema";
+import { HeartbeatSchema } from "@balsamward/schema";
+import { create } from "@bufbuild/protobuf";
+import type { DaemonState } from "../DaemonState.js";
+
+/**
+ * Composes what a daemon tells its peers of itself.
+ *
+ * @param state - The daemon.
+ * @returns The heartbeat.
+ *
+ * @example
+ * composeHeartbeat(state).configurationGeneration;
+ */
+export function composeHeartbeat(state: DaemonState): Heartbeat {
+    return create(HeartbeatSchema, {
+        node: state.node,
+        incarnation: state.incarnation,
+        configurationGeneration: state.configured?.configuration.generation ?? 0n,
+        leaving: state.stopping,
+        cells: [...state.owned.values()].map(cell => cell.summarize()),
+        leavingEndpoints: [...state.pool.leaving()],
+        demands: [...state.kinds].map(([kind, { limiter }]) => ({ kind, inFlight: limiter.inFlight() })),
+    });
+}
+
+/**
+ * Takes in what a peer tells of itself.
+ *
+ * @param state - The daemon.
+ * @param heartbeat - The peer's heartbeat.
+ * @returns Whether the peer has a newer configuration.
+ *
+ * @example
+ * const newer = receiveHeartbeat(state, heartbeat);
+ */
+export function receiveHeartbeat(state: DaemonState, heartbeat: Heartbeat): boolean {
+    state.membership.recordHeartbeat(heartbeat);
+    for (const endpoint of heartbeat.leavingEndpoints) {
+        state.pool.markLeaving(endpoint as EndpointId);
+    }
+    return heartbeat.configurationGeneration > (state.configured?.configuration.generation ?? 0n);
+}
--- /dev/null
+++ b/packages/daemon/src/peers/startPeerListener.ts
@@ -0,0 +1,89 @@
+import type { CellId, JobId, NodeId } from "@balsamward/schema";
+import { FetchConfigurationResponseSchema, PeerService } from "@balsamward/schema";
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
+import type { ConnectRouter } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { createServer } from "node:http2";
+import type { Http2Server, ServerHttp2Session } from "node:http2";
+import { listenOn } from "../_lib/listenOn.js";
+import type { OwnedCell } from "../cells/runCell.js";
+import type { DaemonState } from "../DaemonState.js";
+import { composeHeartbeat, receiveHeartbeat } from "./composeHeartbeat.js";
+import type { PeerClients } from "./runPeer.js";
+import { fetchConfiguration } from "./runPeer.js";
+
+/** A listener that can be closed. */
+export type PeerListener = { readonly close: () => Promise<void> };
+
+/**
+ * Serves the calls of other daemons.
+ *
+ * @param state - The daemon.
+ * @param clients - The connections to the peers.
+ * @param address - The address as `IP:port`.
+ * @returns The listener.
+ *
+ * @example
+ * const listener = await startPeerListener(state, clients, "127.0.0.1:7400");
+ */
+export async function startPeerListener(
+    state: DaemonState,
+    clients: PeerClients,
+    address: string,
+): Promise<PeerListener> {
+    const sessions = new Set<ServerHttp2Session>();
+    const server: Http2Server = createServer(connectNodeAdapter({
+        routes: router => addRoutes(router, state, clients),
+    }));
+    server.on("session", session => {
+        sessions.add(session);
+        session.once("close", () => sessions.delete(session));
+    });
+    await listenOn(server, address);
+    return {
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                sessions.forEach(session => session.close());
+            }),
+    };
+}
+
+function addRoutes(router: ConnectRouter, state: DaemonState, clients: PeerClients): void {
+    const requireCell = (cell: string): OwnedCell => {
+        const owned = state.owned.get(cell as CellId);
+        if (owned === undefined) {
+            throw new ConnectError(
+                "This daemon does not own the cell. Ask its owner.",
+                Code.FailedPrecondition,
+            );
+        }
+        return owned;
+    };
+    router.service(PeerService, {
+        exchange: request => {
+            const { heartbeat } = request;
+            if (heartbeat !== undefined && receiveHeartbeat(state, heartbeat)) {
+                pullConfiguration(state, clients, heartbeat.node as NodeId);
+            }
+            return { heartbeat: composeHeartbeat(state) };
+        },
+        fetchConfiguration: () =>
+            create(
+                FetchConfigurationResponseSchema,
+                state.configured === undefined ? {} : { configuration: state.configured.configuration },
+            ),
+        submitJob: request => requireCell(request.cell).submit(request.job!),
+        getJob: request => requireCell(request.cell).get(request.job as JobId),
+        cancelJob: request => requireCell(request.cell).cancel(request.job as JobId),
+        inspectCell: request => requireCell(request.cell).inspect(),
+    });
+}
+
+function pullConfiguration(state: DaemonState, clients: PeerClients, node: NodeId): void {
+    const client = clients.get(node);
+    if (client !== undefined) {
+        state.tasks.start(() => fetchConfiguration(state, client).catch(() => undefined));
+    }
+}
--- a/packages/placement/src/Cell.ts
+++ b/packages/placement/src/Cell.ts
@@ -56,7 +56,10 @@
         racks.set(worker.rack, [...racks.get(worker.rack) ?? [], index]);
     }
     return {
-        topology: { workers, racks: [...racks.entries()].sort(([left], [right]) => left - right).map(([, rack]) => rack) },
+        topology: {
+            workers,
+            racks: [...racks.entries()].sort(([left], [right]) => left - right).map(([, rack]) => rack),
+        },
         workerIndex: new Map(workers.map((worker, index) => [worker.id, index])),
         healthy: Uint16Array.from(workers, worker => (1 << worker.accelerators) - 1),
         held: new Uint16Array(workers.length),
--- a/packages/placement/src/Holding.ts
+++ b/packages/placement/src/Holding.ts
@@ -9,7 +9,7 @@
         /** Place for the whole guaranteed gang; the job's own placement lies within it. */
         readonly slot: Placement;
     }
-    | { readonly kind: "borrowed"; };
+    | { readonly kind: "borrowed" };
 
 /** Accelerators that a job holds in a cell. */
 export type Holding = {
--- a/packages/placement/src/bindGuarantees.ts
+++ b/packages/placement/src/bindGuarantees.ts
@@ -1,5 +1,5 @@
-import type { Capacity } from "./_lib/Capacity.js";
 import { fitsCapacity, reclaimableCapacity, subtractPlacement } from "./_lib/capacities.js";
+import type { Capacity } from "./_lib/Capacity.js";
 import type { Cell, UnitBinding } from "./Cell.js";
 import { findPlacement } from "./findPlacement.js";
 import type { GangShape } from "./GangShape.js";
@@ -38,7 +38,9 @@
     const capacity = reclaimableCapacity(cell);
     const kept = cell.bindings.map(binding => keepSlot(cell, capacity, binding));
     const bound = kept.map(binding => findSlot(cell, capacity, binding));
-    return bound.every(binding => binding.user !== undefined || binding.slot !== undefined) ? bound : undefined;
+    return bound.every(binding => binding.user !== undefined || binding.slot !== undefined)
+        ? bound
+        : undefined;
 }
 
 function keepSlot(cell: Cell, capacity: Capacity, binding: UnitBinding): UnitBinding {
@@ -66,7 +68,9 @@
 function packSlots(cell: Cell): readonly UnitBinding[] {
     const capacity = reclaimableCapacity(cell);
     return cell.bindings
-        .map(binding => binding.user === undefined ? { unit: binding.unit, user: undefined, slot: undefined } : binding)
+        .map(binding =>
+            binding.user === undefined ? { unit: binding.unit, user: undefined, slot: undefined } : binding
+        )
         .sort((left, right) => compareShapes(left.unit.shape, right.unit.shape))
         .map(binding => findSlot(cell, capacity, binding));
 }
--- a/packages/placement/src/divideGuarantees.ts
+++ b/packages/placement/src/divideGuarantees.ts
@@ -88,7 +88,8 @@
         customer,
         guarantee,
         gangs: units.length,
-        message: `The fleet cannot hold ${units.length} gangs of the guarantee '${guarantee}' of customer '${customer}' `
+        message:
+            `The fleet cannot hold ${units.length} gangs of the guarantee '${guarantee}' of customer '${customer}' `
             + "beside the other guarantees. Lower 'gangs', loosen 'adjacency', or add workers.",
     };
 }
--- a/packages/placement/src/findPlacement.ts
+++ b/packages/placement/src/findPlacement.ts
@@ -4,7 +4,7 @@
 import { takeBlock } from "./_lib/takeBlock.js";
 import type { CellWorker } from "./CellWorker.js";
 import type { GangShape } from "./GangShape.js";
-import type { Placement, PlacedMembers } from "./Placement.js";
+import type { PlacedMembers, Placement } from "./Placement.js";
 
 /** Workers of a cell, grouped by rack. */
 export type Topology = {
@@ -27,7 +27,11 @@
  * @example
  * findPlacement(topology, available, { members: 2, acceleratorsPerMember: 4, adjacency: Adjacency.WORKER });
  */
-export function findPlacement(topology: Topology, available: Capacity, shape: GangShape): Placement | undefined {
+export function findPlacement(
+    topology: Topology,
+    available: Capacity,
+    shape: GangShape,
+): Placement | undefined {
     switch (shape.adjacency) {
         case Adjacency.WORKER:
             return placeInWorker(topology, available, shape);
@@ -53,7 +57,9 @@
             fewest = free;
         }
     }
-    return best < 0 ? undefined : [takeMembers(topology, available, best, shape.members, shape.acceleratorsPerMember)];
+    return best < 0
+        ? undefined
+        : [takeMembers(topology, available, best, shape.members, shape.acceleratorsPerMember)];
 }
 
 function placeInRack(topology: Topology, available: Capacity, shape: GangShape): Placement | undefined {
--- a/packages/placement/src/measureFragmentation.ts
+++ b/packages/placement/src/measureFragmentation.ts
@@ -27,7 +27,9 @@
     let largestRack = 0;
     for (const rack of cell.topology.racks) {
         const sizes = rack.map(index => cell.topology.workers[index]!.accelerators);
-        const whole = rack.map((index, position) => countBits(free[index]!) === sizes[position]! ? sizes[position]! : 0);
+        const whole = rack.map((index, position) =>
+            countBits(free[index]!) === sizes[position]! ? sizes[position]! : 0
+        );
         largestGang = Math.max(largestGang, whole.reduce((sum, size) => sum + size, 0));
         largestRack = Math.max(largestRack, sizes.reduce((sum, size) => sum + size, 0));
     }
--- a/packages/placement/src/occupyCell.ts
+++ b/packages/placement/src/occupyCell.ts
@@ -77,5 +77,7 @@
 }
 
 function freeBinding(binding: UnitBinding, holding: Holding): UnitBinding {
-    return binding.user === holding.job ? { unit: binding.unit, user: undefined, slot: binding.slot } : binding;
+    return binding.user === holding.job
+        ? { unit: binding.unit, user: undefined, slot: binding.slot }
+        : binding;
 }
--- a/packages/placement/src/planPlacement.ts
+++ b/packages/placement/src/planPlacement.ts
@@ -2,7 +2,6 @@
 import type { JobId } from "@balsamward/schema";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
-import type { Capacity } from "./_lib/Capacity.js";
 import {
     fitsCapacity,
     freeCapacity,
@@ -11,6 +10,7 @@
     subtractPlacement,
     subtractSlots,
 } from "./_lib/capacities.js";
+import type { Capacity } from "./_lib/Capacity.js";
 import { countBits } from "./_lib/countBits.js";
 import type { Candidate } from "./Candidate.js";
 import type { Cell, UnitBinding } from "./Cell.js";
@@ -66,7 +66,8 @@
 }
 
 function findUnusedBinding(cell: Cell, candidate: Candidate): UnitBinding | undefined {
-    const total = (binding: UnitBinding) => binding.unit.shape.members * binding.unit.shape.acceleratorsPerMember;
+    const total = (binding: UnitBinding) =>
+        binding.unit.shape.members * binding.unit.shape.acceleratorsPerMember;
     return cell.bindings
         .filter(binding =>
             binding.user === undefined
@@ -86,8 +87,9 @@
         return undefined;
     }
     const room = placementCapacity(cell, slot);
-    const placement = findPlacement(cell.topology, room.map((mask, index) => mask & free[index]!), candidate.shape)
-        ?? findPlacement(cell.topology, room, candidate.shape);
+    const placement =
+        findPlacement(cell.topology, room.map((mask, index) => mask & free[index]!), candidate.shape)
+            ?? findPlacement(cell.topology, room, candidate.shape);
     return placement === undefined ? undefined : {
         placement,
         standing: { kind: "guaranteed", guarantee: binding.unit.guarantee, slot },
@@ -117,7 +119,11 @@
 /** Finds a free slot whose use leaves a slot for every other unused guarantee. */
 function findRepackableSlot(cell: Cell, binding: UnitBinding, free: Capacity): Placement | undefined {
     const rest = reclaimableCapacity(cell);
-    const slot = findPlacement(cell.topology, rest.map((mask, index) => mask & free[index]!), binding.unit.shape);
+    const slot = findPlacement(
+        cell.topology,
+        rest.map((mask, index) => mask & free[index]!),
+        binding.unit.shape,
+    );
     if (slot === undefined) {
         return undefined;
     }
@@ -154,8 +160,14 @@
     if (free !== undefined) {
         return { placement: free, standing, victims: [] };
     }
-    const placement = findPlacement(cell.topology, lessUrgentCapacity(cell, candidate.urgency), candidate.shape);
-    return placement === undefined ? undefined : { placement, standing, victims: findHolders(cell, placement) };
+    const placement = findPlacement(
+        cell.topology,
+        lessUrgentCapacity(cell, candidate.urgency),
+        candidate.shape,
+    );
+    return placement === undefined
+        ? undefined
+        : { placement, standing, victims: findHolders(cell, placement) };
 }
 
 function lessUrgentCapacity(cell: Cell, urgency: number): Capacity {
@@ -177,16 +189,23 @@
 function findHolders(cell: Cell, placement: Placement): readonly JobId[] {
     const wanted = new Map(placement.map(placed => [placed.worker, placed.accelerators]));
     return [...cell.holdings.values()]
-        .filter(holding => holding.placement.some(placed => (wanted.get(placed.worker) ?? 0) & placed.accelerators))
+        .filter(holding =>
+            holding.placement.some(placed => (wanted.get(placed.worker) ?? 0) & placed.accelerators)
+        )
         .map(holding => holding.job);
 }
 
-function holdingConstraint(cell: Cell, candidate: Candidate, binding: UnitBinding | undefined): PlacementError {
+function holdingConstraint(
+    cell: Cell,
+    candidate: Candidate,
+    binding: UnitBinding | undefined,
+): PlacementError {
     if (!candidate.preemptible) {
         return binding === undefined
             ? {
                 kind: "guarantee-in-use",
-                message: "Every guarantee that fits the job is in use. It starts when a job of the customer ends.",
+                message:
+                    "Every guarantee that fits the job is in use. It starts when a job of the customer ends.",
             }
             : {
                 kind: "guarantee-short",
--- a/packages/schema/src/decodeIni.ts
+++ b/packages/schema/src/decodeIni.ts
@@ -4,14 +4,14 @@
 import { parse } from "ini";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
-import type { LineIndex } from "./_lib/indexLines.js";
 import { convertScalar } from "./_lib/convertScalar.js";
+import type { LineIndex } from "./_lib/indexLines.js";
 import { indexLines, lineOf } from "./_lib/indexLines.js";
 import type { InputError } from "./InputError.js";
 import { nearestText } from "./nearestText.js";
 
-type Decoding = { readonly index: LineIndex; readonly errors: InputError[]; };
-type IniTree = { readonly [key: string]: unknown; };
+type Decoding = { readonly index: LineIndex; readonly errors: InputError[] };
+type IniTree = { readonly [key: string]: unknown };
 
 const validator = createValidator();
 
@@ -60,12 +60,19 @@
     return json;
 }
 
-function convertField(field: DescField, raw: unknown, path: string, decoding: Decoding): JsonValue | undefined {
+function convertField(
+    field: DescField,
+    raw: unknown,
+    path: string,
+    decoding: Decoding,
+): JsonValue | undefined {
     if (field.fieldKind === "map") {
         return isTree(raw) ? convertMap(field, raw, path, decoding) : badValue(path, "a section", decoding);
     }
     if (field.fieldKind === "message") {
-        return isTree(raw) ? convertMessage(field.message, raw, path, decoding) : badValue(path, "a section", decoding);
+        return isTree(raw)
+            ? convertMessage(field.message, raw, path, decoding)
+            : badValue(path, "a section", decoding);
     }
     if (isTree(raw)) {
         return badValue(path, "a value, not a section", decoding);
@@ -78,7 +85,7 @@
 }
 
 function convertMap(
-    field: DescField & { fieldKind: "map"; },
+    field: DescField & { fieldKind: "map" },
     tree: IniTree,
     path: string,
     decoding: Decoding,
@@ -87,7 +94,9 @@
     for (const [key, raw] of Object.entries(tree)) {
         const entryPath = `${path}.${key}`;
         if (!isTree(raw)) {
-            const remedy = field.message ? nearestText(key, field.message.fields.map(entry => entry.name)) : undefined;
+            const remedy = field.message
+                ? nearestText(key, field.message.fields.map(entry => entry.name))
+                : undefined;
             decoding.errors.push({
                 kind: "unknown-key",
                 message: `Line ${lineOf(decoding.index, entryPath)}: '${key}' stands directly in '${path}'. `
@@ -103,7 +112,12 @@
     return json;
 }
 
-function convertValue(field: DescField, raw: unknown, path: string, decoding: Decoding): JsonValue | undefined {
+function convertValue(
+    field: DescField,
+    raw: unknown,
+    path: string,
+    decoding: Decoding,
+): JsonValue | undefined {
     const result = convertScalar(field, raw);
     return result.isOk() ? result.value : badValue(path, result.error, decoding);
 }
@@ -126,7 +140,13 @@
     const remedy = nearest === undefined
         ? `Use one of ${names.map(name => `'${name}'`).join(", ")}.`
         : `Write '${nearest}' instead.`;
-    return { kind: "unknown-key", message: `Line ${line}: '${path}' is not known. ${remedy}`, line, key: path, nearest };
+    return {
+        kind: "unknown-key",
+        message: `Line ${line}: '${path}' is not known. ${remedy}`,
+        line,
+        key: path,
+        nearest,
+    };
 }
 
 function findViolations<Desc extends DescMessage>(
@@ -144,12 +164,13 @@
     return result.violations.map(violation => {
         const path = violation.field.map(step => pathStep(step)).filter(step => step !== "").join(".");
         const line = lineOf(index, path);
-        const text = `Line ${line}: '${path}' breaks a constraint: ${violation.message}. Change it to a value that fits.`;
+        const text =
+            `Line ${line}: '${path}' breaks a constraint: ${violation.message}. Change it to a value that fits.`;
         return { kind: "constraint", message: text, line, key: path } as const;
     });
 }
 
-function pathStep(step: { kind: string; }): string {
+function pathStep(step: { kind: string }): string {
     if (step.kind === "map_sub" && "key" in step) {
         return String(step.key);
     }
--- a/packages/schema/src/identifier.ts
+++ b/packages/schema/src/identifier.ts
@@ -5,7 +5,7 @@
 declare const brand: unique symbol;
 
 /** Text that was checked to be an identifier of the given sort. */
-export type Identifier<Brand extends string> = string & { readonly [brand]: Brand; };
+export type Identifier<Brand extends string> = string & { readonly [brand]: Brand };
 
 export type CellId = Identifier<"CellId">;
 export type CustomerId = Identifier<"CustomerId">;
@@ -18,7 +18,7 @@
 export type WorkerId = Identifier<"WorkerId">;
 
 /** Text that is not an identifier. */
-export type IdentifierError = { kind: "bad-identifier"; message: string; };
+export type IdentifierError = { kind: "bad-identifier"; message: string };
 
 /**
  * Returns the text as an identifier.
@@ -38,6 +38,8 @@
     }
     return err({
         kind: "bad-identifier",
-        message: `'${text.slice(0, 140)}' is not an identifier. Use up to 128 lower-case letters, digits and hyphens.`,
+        message: `'${
+            text.slice(0, 140)
+        }' is not an identifier. Use up to 128 lower-case letters, digits and hyphens.`,
     });
 }
--- a/packages/stand-ins/src/StoreModel.ts
+++ b/packages/stand-ins/src/StoreModel.ts
@@ -19,86 +19,63 @@
 
 /** Result of a compare-and-swap. */
 export type Swap =
-    | { readonly kind: "done"; readonly revision: number; }
-    | { readonly kind: "conflict"; readonly revision: number; }
-    | { readonly kind: "no-lease"; }
-    | { readonly kind: "too-large"; };
+    | { readonly kind: "done"; readonly revision: number }
+    | { readonly kind: "conflict"; readonly revision: number }
+    | { readonly kind: "no-lease" }
+    | { readonly kind: "too-large" };
 
 /** Changes after a revision. */
 export type Changes =
-    | { readonly kind: "changes"; readonly revision: number; readonly changes: readonly Change[]; }
-    | { readonly kind: "compacted"; readonly revision: number; };
+    | { readonly kind: "changes"; readonly revision: number; readonly changes: readonly Change[] }
+    | { readonly kind: "compacted"; readonly revision: number };
 
-/** The store's values and leases in memory. */
-export type StoreModel = ReturnType<typeof createStoreModel>;
-
-type Lease = { readonly ttlMs: number; expiresAt: number; readonly keys: Set<string>; };
+type Lease = { readonly ttlMs: number; expiresAt: number; readonly keys: Set<string> };
 
 /**
- * Creates an empty store.
- *
- * @param clock - Returns the time in milliseconds.
- * @returns The store's operations.
+ * The store's values and leases in memory.
  *
  * @example
- * const model = createStoreModel(() => Date.now());
+ * const model = new StoreModel(() => Date.now());
  */
-export function createStoreModel(clock: () => number) {
-    const values = new Map<string, StoredValue>();
-    const leases = new Map<string, Lease>();
-    const log: Change[] = [];
-    const waiters = new Set<() => void>();
-    let revision = 0;
-    let leaseCount = 0;
-    let compacted = 0;
-
-    function record(change: Change): void {
-        log.push(change);
-        while (log.length > CHANGE_LOG_LENGTH) {
-            compacted = log.shift()!.revision;
-        }
-        for (const wake of [...waiters]) {
-            wake();
-        }
-    }
+export class StoreModel {
+    private readonly values = new Map<string, StoredValue>();
+    private readonly leases = new Map<string, Lease>();
+    private readonly log: Change[] = [];
+    private readonly waiters = new Set<() => void>();
+    private revision = 0;
+    private leaseCount = 0;
+    private compacted = 0;
 
-    function remove(key: string): void {
-        const previous = values.get(key);
-        if (previous === undefined) {
-            return;
-        }
-        values.delete(key);
-        detach(previous);
-        revision += 1;
-        record({ key, revision, value: undefined });
-    }
+    /**
+     * Creates an empty store.
+     *
+     * @param clock - Returns the time in milliseconds.
+     */
+    constructor(private readonly clock: () => number) {}
 
-    function detach(previous: StoredValue | undefined): void {
-        if (previous?.lease !== undefined) {
-            leases.get(previous.lease)?.keys.delete(previous.key);
-        }
-    }
-
-    function expire(): void {
-        for (const [id, lease] of leases) {
-            if (lease.expiresAt <= clock()) {
-                revoke(id);
+    /** Ends the leases whose time has passed, with their values. */
+    expire(): void {
+        for (const [id, lease] of this.leases) {
+            if (lease.expiresAt <= this.clock()) {
+                this.revoke(id);
             }
         }
     }
 
-    function revoke(id: string): boolean {
-        const lease = leases.get(id);
-        leases.delete(id);
+    /** Ends a lease; false if it does not exist. */
+    revoke(id: string): boolean {
+        const lease = this.leases.get(id);
+        this.leases.delete(id);
         for (const key of lease?.keys ?? []) {
-            remove(key);
+            this.remove(key);
         }
         return lease !== undefined;
     }
 
-    function swap(key: string, value: Uint8Array, expected: number | undefined, leaseId?: string): Swap {
-        expire();
-        const previous = values.get(key);
+    /** Writes a value if its revision is as expected; `undefined` expects nothing. */
+    swap(key: string, value: Uint8Array, expected: number | undefined, leaseId?: string): Swap {
+        this.expire();
+        const previous = this.values.get(key);
         const actual = previous?.revision ?? 0;
         if (expected !== undefined && expected !== actual) {
             return { kind: "conflict", revision: actual };
@@ -106,65 +83,101 @@
         if (value.length > MAX_VALUE_BYTES) {
             return { kind: "too-large" };
         }
-        if (leaseId !== undefined && !leases.has(leaseId)) {
+        if (leaseId !== undefined && !this.leases.has(leaseId)) {
             return { kind: "no-lease" };
         }
-        detach(previous);
-        revision += 1;
-        values.set(key, { key, value, revision, lease: leaseId });
+        this.detach(previous);
+        this.revision += 1;
+        this.values.set(key, { key, value, revision: this.revision, lease: leaseId });
         if (leaseId !== undefined) {
-            leases.get(leaseId)!.keys.add(key);
+            this.leases.get(leaseId)!.keys.add(key);
         }
-        record({ key, revision, value });
-        return { kind: "done", revision };
+        this.record({ key, revision: this.revision, value });
+        return { kind: "done", revision: this.revision };
     }
 
-    return {
-        expire,
-        revoke,
-        swap,
-        get(key: string): StoredValue | undefined {
-            expire();
-            return values.get(key);
-        },
-        list(prefix: string): { readonly revision: number; readonly values: readonly StoredValue[]; } {
-            expire();
-            return { revision, values: [...values.values()].filter(entry => entry.key.startsWith(prefix)) };
-        },
-        removeIf(key: string, expected: number): Swap {
-            expire();
-            const actual = values.get(key)?.revision ?? 0;
-            if (actual !== expected) {
-                return { kind: "conflict", revision: actual };
-            }
-            remove(key);
-            return { kind: "done", revision };
-        },
-        grant(ttlMs: number): string {
-            leaseCount += 1;
-            const id = `lease-${leaseCount}`;
-            leases.set(id, { ttlMs, expiresAt: clock() + ttlMs, keys: new Set() });
-            return id;
-        },
-        renew(id: string): boolean {
-            expire();
-            const lease = leases.get(id);
-            if (lease !== undefined) {
-                lease.expiresAt = clock() + lease.ttlMs;
-            }
-            return lease !== undefined;
-        },
-        changes(prefix: string, after: number): Changes {
-            expire();
-            if (after < compacted) {
-                return { kind: "compacted", revision };
-            }
-            const changes = log.filter(change => change.revision > after && change.key.startsWith(prefix));
-            return { kind: "changes", revision, changes };
-        },
-        onChange(wake: () => void): () => void {
-            waiters.add(wake);
-            return () => waiters.delete(wake);
-        },
-    };
+    /** Returns a value. */
+    get(key: string): StoredValue | undefined {
+        this.expire();
+        return this.values.get(key);
+    }
+
+    /** Returns all values below a prefix. */
+    list(prefix: string): { readonly revision: number; readonly values: readonly StoredValue[] } {
+        this.expire();
+        const values = [...this.values.values()].filter(entry => entry.key.startsWith(prefix));
+        return { revision: this.revision, values };
+    }
+
+    /** Removes a value if its revision is as expected. */
+    removeIf(key: string, expected: number): Swap {
+        this.expire();
+        const actual = this.values.get(key)?.revision ?? 0;
+        if (actual !== expected) {
+            return { kind: "conflict", revision: actual };
+        }
+        this.remove(key);
+        return { kind: "done", revision: this.revision };
+    }
+
+    /** Opens a lease. */
+    grant(ttlMs: number): string {
+        this.leaseCount += 1;
+        const id = `lease-${this.leaseCount}`;
+        this.leases.set(id, { ttlMs, expiresAt: this.clock() + ttlMs, keys: new Set() });
+        return id;
+    }
+
+    /** Renews a lease; false if it has ended. */
+    renew(id: string): boolean {
+        this.expire();
+        const lease = this.leases.get(id);
+        if (lease !== undefined) {
+            lease.expiresAt = this.clock() + lease.ttlMs;
+        }
+        return lease !== undefined;
+    }
+
+    /** Returns the changes below a prefix after a revision. */
+    changes(prefix: string, after: number): Changes {
+        this.expire();
+        if (after < this.compacted) {
+            return { kind: "compacted", revision: this.revision };
+        }
+        const changes = this.log.filter(change => change.revision > after && change.key.startsWith(prefix));
+        return { kind: "changes", revision: this.revision, changes };
+    }
+
+    /** Calls `wake` after each change, until the returned function is called. */
+    onChange(wake: () => void): () => void {
+        this.waiters.add(wake);
+        return () => this.waiters.delete(wake);
+    }
+
+    private record(change: Change): void {
+        this.log.push(change);
+        while (this.log.length > CHANGE_LOG_LENGTH) {
+            this.compacted = this.log.shift()!.revision;
+        }
+        for (const wake of [...this.waiters]) {
+            wake();
+        }
+    }
+
+    private remove(key: string): void {
+        const previous = this.values.get(key);
+        if (previous === undefined) {
+            return;
+        }
+        this.values.delete(key);
+        this.detach(previous);
+        this.revision += 1;
+        this.record({ key, revision: this.revision, value: undefined });
+    }
+
+    private detach(previous: StoredValue | undefined): void {
+        if (previous?.lease !== undefined) {
+            this.leases.get(previous.lease)?.keys.delete(previous.key);
+        }
+    }
 }
--- a/packages/stand-ins/src/WorkerModel.ts
+++ b/packages/stand-ins/src/WorkerModel.ts
@@ -26,7 +26,7 @@
 };
 
 /** Who commands a worker: the owner of a cell with its fencing epoch. */
-export type Commander = { readonly cell: string; readonly epoch: number; };
+export type Commander = { readonly cell: string; readonly epoch: number };
 
 /** A request for accelerators. */
 export type ReservationRequest = Commander & {
@@ -39,11 +39,8 @@
 
 /** Result of a command to a worker. */
 export type CommandResult =
-    | { readonly kind: "done"; readonly report: ReservationReport; }
-    | { readonly kind: "refused"; readonly reason: "stale-epoch" | "accelerators-held" | "no-reservation"; };
-
-/** One worker in memory. */
-export type WorkerModel = ReturnType<typeof createWorkerModel>;
+    | { readonly kind: "done"; readonly report: ReservationReport }
+    | { readonly kind: "refused"; readonly reason: "stale-epoch" | "accelerators-held" | "no-reservation" };
 
 type Reservation = {
     readonly request: ReservationRequest;
@@ -55,59 +52,175 @@
     checkpoints: number;
 };
 
-/** Options of `createWorkerModel`. */
-export type CreateWorkerModelOptions = {
+/** Options of a worker. */
+export type WorkerModelOptions = {
     /** Time in milliseconds by which reported usage is behind. */
     readonly usageLagMs?: number;
 };
 
 /**
- * Creates a worker that holds nothing.
- *
- * @param clock - Returns the time in milliseconds.
- * @param options - The usage lag.
- * @returns The worker's operations and its fault switches.
+ * One worker in memory.
  *
  * @example
- * const worker = createWorkerModel(() => Date.now());
+ * const worker = new WorkerModel(() => Date.now());
  */
-export function createWorkerModel(clock: () => number, options: CreateWorkerModelOptions = {}) {
-    const reservations = new Map<string, Reservation>();
-    const epochs = new Map<string, number>();
-    const faults: WorkerFaults = { dead: false, failsTasks: false, checkpointMs: 50, leaseShare: 1 };
-    const starts: string[] = [];
-
-    function admits(commander: Commander): boolean {
-        const highest = epochs.get(commander.cell) ?? 0;
-        if (commander.epoch < highest) {
+export class WorkerModel {
+    readonly faults: WorkerFaults = { dead: false, failsTasks: false, checkpointMs: 50, leaseShare: 1 };
+    private readonly reservations = new Map<string, Reservation>();
+    private readonly epochs = new Map<string, number>();
+    private readonly forgotten: ReservationReport[] = [];
+
+    /**
+     * Creates a worker that holds nothing.
+     *
+     * @param clock - Returns the time in milliseconds.
+     * @param options - The usage lag.
+     */
+    constructor(private readonly clock: () => number, private readonly options: WorkerModelOptions = {}) {}
+
+    /** Reserves accelerators; a repeat returns the first reservation. */
+    reserve(request: ReservationRequest): CommandResult {
+        this.settle();
+        if (!this.admits(request)) {
+            return { kind: "refused", reason: "stale-epoch" };
+        }
+        const held = [...this.reservations.values()].some(other =>
+            other.releasedAt === undefined
+            && other.request.id !== request.id
+            && (other.request.accelerators & request.accelerators) !== 0
+        );
+        if (held) {
+            return { kind: "refused", reason: "accelerators-held" };
+        }
+        const reservation = this.reservations.get(request.id) ?? this.open(request);
+        this.reservations.set(request.id, reservation);
+        return { kind: "done", report: this.report(reservation) };
+    }
+
+    /** Starts the task of a reservation; a started one stays as it is. */
+    start(commander: Commander, id: string, runMs: number): CommandResult {
+        return this.command(commander, id, reservation => {
+            if (reservation.state !== "reserved") {
+                return;
+            }
+            reservation.state = "running";
+            reservation.finishesAt = this.clock() + runMs;
+            if (this.faults.failsTasks) {
+                release(reservation, "failed", this.clock());
+            }
+        });
+    }
+
+    /** Records that a task wrote a checkpoint. */
+    checkpoint(commander: Commander, id: string): CommandResult {
+        return this.command(commander, id, reservation => {
+            reservation.checkpoints += 1;
+        });
+    }
+
+    /** Stops a task and releases its accelerators. */
+    stop(commander: Commander, id: string): CommandResult {
+        return this.command(commander, id, reservation => {
+            if (reservation.releasedAt === undefined) {
+                release(reservation, "stopped", this.clock());
+            }
+        });
+    }
+
+    /** Renews the reservations of a cell; `undefined` for a commander with a stale epoch. */
+    renew(commander: Commander, ttlMs: number): readonly ReservationReport[] | undefined {
+        this.settle();
+        if (!this.admits(commander)) {
+            return undefined;
+        }
+        const own = [...this.reservations.values()].filter(entry => entry.request.cell === commander.cell);
+        for (const reservation of own) {
+            reservation.expiresAt = this.clock() + ttlMs * this.faults.leaseShare;
+        }
+        return own.map(reservation => this.report(reservation));
+    }
+
+    /** Drops a reservation whose end is durable elsewhere. */
+    forget(id: string): void {
+        const reservation = this.reservations.get(id);
+        if (reservation !== undefined) {
+            this.forgotten.push(this.report(reservation));
+            this.reservations.delete(id);
+        }
+    }
+
+    /** Makes the worker dead, with all its tasks. */
+    kill(): void {
+        this.faults.dead = true;
+        for (const reservation of this.reservations.values()) {
+            if (reservation.releasedAt === undefined) {
+                release(reservation, "failed", this.clock());
+            }
+        }
+    }
+
+    /** Returns the reports of all reservations, forgotten ones included. */
+    reports(): readonly ReservationReport[] {
+        this.settle();
+        return [...this.forgotten, ...[...this.reservations.values()].map(entry => this.report(entry))];
+    }
+
+    private open(request: ReservationRequest): Reservation {
+        return {
+            request,
+            grantedAt: this.clock(),
+            state: "reserved",
+            expiresAt: this.clock() + request.ttlMs * this.faults.leaseShare,
+            finishesAt: Number.POSITIVE_INFINITY,
+            releasedAt: undefined,
+            checkpoints: 0,
+        };
+    }
+
+    private admits(commander: Commander): boolean {
+        if (commander.epoch < (this.epochs.get(commander.cell) ?? 0)) {
             return false;
         }
-        epochs.set(commander.cell, commander.epoch);
+        this.epochs.set(commander.cell, commander.epoch);
         return true;
     }
 
-    function settle(): void {
-        for (const reservation of reservations.values()) {
+    /** Ends the tasks that have finished and the reservations that have lapsed. */
+    private settle(): void {
+        for (const reservation of this.reservations.values()) {
             if (reservation.releasedAt !== undefined) {
                 continue;
             }
-            if (reservation.state === "running" && reservation.finishesAt <= clock()) {
+            if (reservation.state === "running" && reservation.finishesAt <= this.clock()) {
                 release(reservation, "finished", reservation.finishesAt);
             }
-            else if (reservation.expiresAt <= clock()) {
+            else if (reservation.expiresAt <= this.clock()) {
                 release(reservation, "lapsed", reservation.expiresAt);
             }
         }
     }
 
-    function release(reservation: Reservation, state: ReservationState, at: number): void {
-        reservation.state = state;
-        reservation.releasedAt = at;
+    private command(
+        commander: Commander,
+        id: string,
+        act: (reservation: Reservation) => void,
+    ): CommandResult {
+        this.settle();
+        if (!this.admits(commander)) {
+            return { kind: "refused", reason: "stale-epoch" };
+        }
+        const reservation = this.reservations.get(id);
+        if (reservation === undefined) {
+            return { kind: "refused", reason: "no-reservation" };
+        }
+        act(reservation);
+        this.settle();
+        return { kind: "done", report: this.report(reservation) };
     }
 
-    function report(reservation: Reservation): ReservationReport {
+    private report(reservation: Reservation): ReservationReport {
         const { request, state, grantedAt, releasedAt, checkpoints } = reservation;
-        const until = releasedAt ?? Math.max(grantedAt, clock() - (options.usageLagMs ?? 0));
+        const until = releasedAt ?? Math.max(grantedAt, this.clock() - (this.options.usageLagMs ?? 0));
         return {
             id: request.id,
             job: request.job,
@@ -118,105 +231,11 @@
             checkpoints,
         };
     }
+}
 
-    function command(commander: Commander, id: string, act: (reservation: Reservation) => void): CommandResult {
-        settle();
-        if (!admits(commander)) {
-            return { kind: "refused", reason: "stale-epoch" };
-        }
-        const reservation = reservations.get(id);
-        if (reservation === undefined) {
-            return { kind: "refused", reason: "no-reservation" };
-        }
-        act(reservation);
-        settle();
-        return { kind: "done", report: report(reservation) };
-    }
-
-    return {
-        faults,
-        starts,
-        reserve(request: ReservationRequest): CommandResult {
-            settle();
-            if (!admits(request)) {
-                return { kind: "refused", reason: "stale-epoch" };
-            }
-            const held = [...reservations.values()].some(other =>
-                other.releasedAt === undefined
-                && other.request.id !== request.id
-                && (other.request.accelerators & request.accelerators) !== 0
-            );
-            if (held) {
-                return { kind: "refused", reason: "accelerators-held" };
-            }
-            const reservation = reservations.get(request.id) ?? {
-                request,
-                grantedAt: clock(),
-                state: "reserved",
-                expiresAt: clock() + request.ttlMs * faults.leaseShare,
-                finishesAt: Number.POSITIVE_INFINITY,
-                releasedAt: undefined,
-                checkpoints: 0,
-            };
-            reservations.set(request.id, reservation);
-            return { kind: "done", report: report(reservation) };
-        },
-        start(commander: Commander, id: string, runMs: number): CommandResult {
-            return command(commander, id, reservation => {
-                if (reservation.state !== "reserved") {
-                    return;
-                }
-                starts.push(id);
-                reservation.state = "running";
-                reservation.finishesAt = clock() + runMs;
-                if (faults.failsTasks) {
-                    release(reservation, "failed", clock());
-                }
-            });
-        },
-        checkpoint(commander: Commander, id: string): CommandResult {
-            return command(commander, id, reservation => {
-                reservation.checkpoints += 1;
-            });
-        },
-        stop(commander: Commander, id: string): CommandResult {
-            return command(commander, id, reservation => {
-                if (reservation.releasedAt === undefined) {
-                    release(reservation, "stopped", clock());
-                }
-            });
-        },
-        renew(commander: Commander, ttlMs: number): readonly ReservationReport[] | undefined {
-            settle();
-            if (!admits(commander)) {
-                return undefined;
-            }
-            const own = [...reservations.values()].filter(reservation => reservation.request.cell === commander.cell);
-            for (const reservation of own) {
-                reservation.expiresAt = clock() + ttlMs * faults.leaseShare;
-            }
-            return own.map(report);
-        },
-        forget(id: string): void {
-            reservations.delete(id);
-        },
-        kill(): void {
-            faults.dead = true;
-            for (const reservation of reservations.values()) {
-                if (reservation.releasedAt === undefined) {
-                    release(reservation, "failed", clock());
-                }
-            }
-        },
-        running(): readonly string[] {
-            settle();
-            return [...reservations.values()].filter(entry => entry.state === "running").map(entry => entry.request.job);
-        },
-        reports(): readonly ReservationReport[] {
-            settle();
-            return [...reservations.values()].map(report);
-        },
-    };
+function release(reservation: Reservation, state: ReservationState, at: number): void {
+    reservation.state = state;
+    reservation.releasedAt = at;
 }
 
 function countBits(mask: number): number {
--- a/packages/stand-ins/src/_lib/paramOf.ts
+++ b/packages/stand-ins/src/_lib/paramOf.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from "node:http";
 
 /** A request with the parameters of its path. */
-export type RoutedRequest = IncomingMessage & { readonly params: Record<string, string | string[]>; };
+export type RoutedRequest = IncomingMessage & { readonly params: Record<string, string | string[]> };
 
 /**
  * Returns a parameter of a request's path.
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -7,7 +7,7 @@
 
 program.command("store")
     .requiredOption("--port <port>", "port to listen on", Number)
-    .action(async ({ port }: { port: number; }) => {
+    .action(async ({ port }: { port: number }) => {
         const store = await startStore({ port });
         process.stdout.write(`${JSON.stringify({ store: store.url })}\n`);
         stopOnSignal(store.close);
@@ -17,7 +17,7 @@
     .requiredOption("--part <dc:workers:perRack:accelerators...>", "data centres with their workers")
     .requiredOption("--vm-list-port <port>", "port of the VM list", Number)
     .requiredOption("--control-port <port>", "port of the fault switches", Number)
-    .action(async (options: { part: string[]; vmListPort: number; controlPort: number; }) => {
+    .action(async (options: { part: string[]; vmListPort: number; controlPort: number }) => {
         const fleet = await startFleet(options.part.map(parsePart), {
             vmListPort: options.vmListPort,
             controlPort: options.controlPort,
--- a/packages/stand-ins/src/startEndpoint.ts
+++ b/packages/stand-ins/src/startEndpoint.ts
@@ -22,7 +22,7 @@
 };
 
 /** One request that an endpoint ran. */
-export type Execution = { readonly request: string; readonly kind: string; };
+export type Execution = { readonly request: string; readonly kind: string };
 
 /** Options of `startEndpoint`. */
 export type StartEndpointOptions = {
@@ -52,8 +52,17 @@
  * @example
  * const endpoint = await startEndpoint("recife-e0");
  */
-export async function startEndpoint(id: string, options: StartEndpointOptions = {}): Promise<RunningEndpoint> {
-    const faults: EndpointFaults = { delayMs: 0, truncates: false, silent: false, failsAll: false, leaving: false };
+export async function startEndpoint(
+    id: string,
+    options: StartEndpointOptions = {},
+): Promise<RunningEndpoint> {
+    const faults: EndpointFaults = {
+        delayMs: 0,
+        truncates: false,
+        silent: false,
+        failsAll: false,
+        leaving: false,
+    };
     const executions: Execution[] = [];
     let busy = 0;
     let peak = 0;
@@ -67,6 +76,7 @@
         busy += 1;
         peak = Math.max(peak, busy);
         const request = String(req.headers["x-request-id"] ?? "");
+        res.setHeader("x-request-id", request);
         executions.push({ request, kind: String(req.headers["x-kind"] ?? "") });
         try {
             await work(faults, options.serviceMs ?? 2);
--- a/packages/stand-ins/src/startFleet.ts
+++ b/packages/stand-ins/src/startFleet.ts
@@ -54,9 +54,14 @@
     options: StartFleetOptions = {},
 ): Promise<RunningFleet> {
     const places = parts.flatMap(part =>
-        Array.from({ length: part.workers }, (_, index) => ({ part, index, name: `${part.dataCentre}-w${index}` }))
+        Array.from(
+            { length: part.workers },
+            (_, index) => ({ part, index, name: `${part.dataCentre}-w${index}` }),
+        )
     );
-    const agents = await startWorkers(places.map(place => place.name), { usageLagMs: options.usageLagMs ?? 0 });
+    const agents = await startWorkers(places.map(place => place.name), {
+        usageLagMs: options.usageLagMs ?? 0,
+    });
     const endpoints = new Map<string, RunningEndpoint>();
     const vms: Vm[] = [];
     for (const { part, index, name } of places) {
@@ -83,9 +88,13 @@
 function createControl(endpoints: ReadonlyMap<string, RunningEndpoint>) {
     const app = polka();
     app.get("/control/executions", (req, res) => {
-        sendJson(res, 200, [...endpoints].flatMap(([endpoint, { executions }]) =>
-            executions.map(execution => ({ endpoint, ...execution }))
-        ));
+        sendJson(
+            res,
+            200,
+            [...endpoints].flatMap(([endpoint, { executions }]) =>
+                executions.map(execution => ({ endpoint, ...execution }))
+            ),
+        );
     });
     app.post("/control/endpoints/:id", async (req, res) => {
         const endpoint = endpoints.get(paramOf(req, "id"));
--- a/packages/stand-ins/src/startStore.ts
+++ b/packages/stand-ins/src/startStore.ts
@@ -6,8 +6,8 @@
 import { sendJson } from "./_lib/sendJson.js";
 import { serveApp } from "./_lib/serveApp.js";
 import { LEASE_SWEEP_MS } from "./constants.js";
-import type { StoredValue, StoreModel, Swap } from "./StoreModel.js";
-import { createStoreModel } from "./StoreModel.js";
+import type { StoredValue, Swap } from "./StoreModel.js";
+import { StoreModel } from "./StoreModel.js";
 
 /** Faults of the store that are switched on. */
 export type StoreFaults = {
@@ -22,7 +22,7 @@
 };
 
 /** Calls that the store has counted. */
-export type StoreCounters = { reads: number; writes: number; watches: number; writtenBytes: number; };
+export type StoreCounters = { reads: number; writes: number; watches: number; writtenBytes: number };
 
 /** Options of `startStore`. */
 export type StartStoreOptions = {
@@ -48,7 +48,7 @@
  * store.faults.down = true;
  */
 export async function startStore(options: StartStoreOptions = {}): Promise<RunningStore> {
-    const model = createStoreModel(options.clock ?? (() => Date.now()));
+    const model = new StoreModel(options.clock ?? (() => Date.now()));
     const faults: StoreFaults = { down: false, delayMs: 0, lostAnswers: 0, silentWatches: false };
     const counters: StoreCounters = { reads: 0, writes: 0, watches: 0, writtenBytes: 0 };
     const app = polka();
@@ -124,7 +124,9 @@
         return;
     }
     let found = model.changes(prefix, after);
-    while (found.kind === "changes" && found.changes.length === 0 && Date.now() < deadline && !res.destroyed) {
+    while (
+        found.kind === "changes" && found.changes.length === 0 && Date.now() < deadline && !res.destroyed
+    ) {
         await waitForChange(model, res, deadline - Date.now());
         found = model.changes(prefix, after);
     }
@@ -204,7 +206,7 @@
 }
 
 function queryOf(req: IncomingMessage, name: string): string {
-    const { query } = req as unknown as { query: Record<string, string | undefined>; };
+    const { query } = req as unknown as { query: Record<string, string | undefined> };
     return query[name] ?? "";
 }
 
--- a/packages/stand-ins/src/startWorkers.ts
+++ b/packages/stand-ins/src/startWorkers.ts
@@ -2,13 +2,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import polka from "polka";
 import type { Listening } from "./_lib/listen.js";
-import { readJson } from "./_lib/readBody.js";
 import type { RoutedRequest } from "./_lib/paramOf.js";
 import { paramOf } from "./_lib/paramOf.js";
+import { readJson } from "./_lib/readBody.js";
 import { sendJson } from "./_lib/sendJson.js";
 import { serveApp } from "./_lib/serveApp.js";
-import type { CommandResult, Commander, ReservationRequest, WorkerFaults, WorkerModel } from "./WorkerModel.js";
-import { createWorkerModel } from "./WorkerModel.js";
+import type { Commander, CommandResult, ReservationRequest, WorkerFaults } from "./WorkerModel.js";
+import { WorkerModel } from "./WorkerModel.js";
 
 /** Options of `startWorkers`. */
 export type StartWorkersOptions = {
@@ -18,7 +18,7 @@
 };
 
 /** Running worker agents behind one port. */
-export type RunningWorkers = Listening & { readonly workers: ReadonlyMap<string, WorkerModel>; };
+export type RunningWorkers = Listening & { readonly workers: ReadonlyMap<string, WorkerModel> };
 
 /**
  * Starts stand-ins for the agents of many workers, each under `/workers/ID`.
@@ -36,7 +36,7 @@
 ): Promise<RunningWorkers> {
     const clock = options.clock ?? (() => Date.now());
     const lag = { usageLagMs: options.usageLagMs ?? 0 };
-    const workers = new Map(ids.map(id => [id, createWorkerModel(clock, lag)]));
+    const workers = new Map(ids.map(id => [id, new WorkerModel(clock, lag)]));
     const app = polka();
     addControl(app, workers);
     addCommands(app, workers);
@@ -72,37 +72,54 @@
         }
         Promise.resolve(handler(worker, req, res)).catch(() => res.destroy());
     };
-    app.put("/workers/:worker/reservations/:id", handle(async (worker, req, res) => {
-        const body = await readJson<Omit<ReservationRequest, "id">>(req);
-        answer(res, worker.reserve({ ...body, id: paramOf(req, "id") }));
-    }));
-    app.post("/workers/:worker/reservations/:id/start", handle(async (worker, req, res) => {
-        const body = await readJson<Commander & { runMs: number; }>(req);
-        answer(res, worker.start(body, paramOf(req, "id"), body.runMs));
-    }));
-    app.post("/workers/:worker/reservations/:id/checkpoint", handle(async (worker, req, res) => {
-        const body = await readJson<Commander>(req);
-        await sleep(worker.faults.checkpointMs);
-        answer(res, worker.checkpoint(body, paramOf(req, "id")));
-    }));
-    app.post("/workers/:worker/reservations/:id/stop", handle(async (worker, req, res) => {
-        answer(res, worker.stop(await readJson<Commander>(req), paramOf(req, "id")));
-    }));
-    app.post("/workers/:worker/renewals", handle(async (worker, req, res) => {
-        const body = await readRenewal(req);
-        const reports = worker.renew(body, body.ttlMs);
-        if (reports === undefined) {
-            sendJson(res, 409, { reason: "stale-epoch" });
-            return;
-        }
-        for (const id of body.settled) {
-            worker.forget(id);
-        }
-        sendJson(res, 200, { reservations: reports.filter(report => !body.settled.includes(report.id)) });
-    }));
+    app.put(
+        "/workers/:worker/reservations/:id",
+        handle(async (worker, req, res) => {
+            const body = await readJson<Omit<ReservationRequest, "id">>(req);
+            answer(res, worker.reserve({ ...body, id: paramOf(req, "id") }));
+        }),
+    );
+    app.post(
+        "/workers/:worker/reservations/:id/start",
+        handle(async (worker, req, res) => {
+            const body = await readJson<Commander & { runMs: number }>(req);
+            answer(res, worker.start(body, paramOf(req, "id"), body.runMs));
+        }),
+    );
+    app.post(
+        "/workers/:worker/reservations/:id/checkpoint",
+        handle(async (worker, req, res) => {
+            const body = await readJson<Commander>(req);
+            await sleep(worker.faults.checkpointMs);
+            answer(res, worker.checkpoint(body, paramOf(req, "id")));
+        }),
+    );
+    app.post(
+        "/workers/:worker/reservations/:id/stop",
+        handle(async (worker, req, res) => {
+            answer(res, worker.stop(await readJson<Commander>(req), paramOf(req, "id")));
+        }),
+    );
+    app.post(
+        "/workers/:worker/renewals",
+        handle(async (worker, req, res) => {
+            const body = await readRenewal(req);
+            const reports = worker.renew(body, body.ttlMs);
+            if (reports === undefined) {
+                sendJson(res, 409, { reason: "stale-epoch" });
+                return;
+            }
+            for (const id of body.settled) {
+                worker.forget(id);
+            }
+            sendJson(res, 200, { reservations: reports.filter(report => !body.settled.includes(report.id)) });
+        }),
+    );
 }
 
-function readRenewal(req: IncomingMessage): Promise<Commander & { ttlMs: number; settled: readonly string[]; }> {
+function readRenewal(
+    req: IncomingMessage,
+): Promise<Commander & { ttlMs: number; settled: readonly string[] }> {
     return readJson(req);
 }
 
