--- /dev/null
+++ b/cucumber.mjs
@@ -0,0 +1,11 @@
+export default {
+    paths: ["packages/*/src/**/*.feature", "features/**/*.feature", "specs/**/*.feature"],
+    import: [
+        "features/support/**/*.ts",
+        "packages/*/src/**/*.steps.ts",
+        "features/**/*.steps.ts",
+        "specs/**/*.steps.ts",
+    ],
+    format: ["progress"],
+    strict: true,
+};
--- a/packages/schema/src/_lib/indexLines.ts
+++ b/packages/schema/src/_lib/indexLines.ts
@@ -39,14 +39,18 @@
 }
 
 /**
- * Returns the line of a path, or of its nearest enclosing section.
+ * Returns the line of a path, of the first section below it, or of its nearest enclosing section.
  *
  * @param index - The index of the text.
  * @param path - The dotted path of a section or key.
- * @returns The line number, or 1 if nothing encloses the path.
+ * @returns The line number, or 1 if the path stands nowhere.
  */
 export function lineOf(index: LineIndex, path: string): number {
+    const below = [...index.lines].find(([candidate]) => candidate.startsWith(`${path}.`));
     const parts = path.split(".");
+    if (!index.lines.has(path) && below !== undefined) {
+        return below[1];
+    }
     while (parts.length > 0) {
         const line = index.lines.get(parts.join("."));
         if (line !== undefined) {
--- a/packages/schema/src/decodeIni.ts
+++ b/packages/schema/src/decodeIni.ts
@@ -34,7 +34,9 @@
 ): Result<MessageShape<Desc>, readonly InputError[]> {
     const index = indexLines(text);
     const decoding: Decoding = { index, errors: [...index.duplicates] };
-    const json = convertMessage(desc, parse(text), "", decoding);
+    const tree = parse(text);
+    decoding.errors.push(...findDropped(tree, index));
+    const json = convertMessage(desc, tree, "", decoding);
     if (decoding.errors.length > 0) {
         return err(decoding.errors);
     }
@@ -43,6 +45,27 @@
     return violations.length > 0 ? err(violations) : ok(message);
 }
 
+/** Finds what stands in the text but not in the tree, such as names that the INI library does not take. */
+function findDropped(tree: IniTree, index: LineIndex): readonly InputError[] {
+    return [...index.lines]
+        .filter(([path]) => path.split(".").includes("__proto__") || !hasPath(tree, path.split(".")))
+        .map(([path, line]) => ({
+            kind: "unknown-key",
+            message: `Line ${line}: '${path}' is a name that cannot be used. Choose another one.`,
+            line,
+            key: path,
+            nearest: undefined,
+        }));
+}
+
+function hasPath(tree: unknown, path: readonly string[]): boolean {
+    const [first, ...rest] = path;
+    if (first === undefined) {
+        return true;
+    }
+    return isTree(tree) && Object.hasOwn(tree, first) && hasPath(tree[first], rest);
+}
+
 function convertMessage(desc: DescMessage, tree: IniTree, path: string, decoding: Decoding): JsonObject {
     const json: JsonObject = {};
     for (const [key, raw] of Object.entries(tree)) {
