Prove the guarantee invariant and lost store answers; measure path and capacity

Cause: a random search found that a guarantee in use whose slot loses a worker beside its user was not reported short. Ruled out: moving the slot, which would move a running job.

--- /dev/null
+++ b/packages/coordination/src/Store.steps.ts
@@ -0,0 +1,75 @@
+import { ClaimSchema } from "@balsamward/schema";
+import { create } from "@bufbuild/protobuf";
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { Result } from "neverthrow";
+import assert from "node:assert/strict";
+import type { StoreFault } from "../../../features/support/MemoryStore.js";
+import { MemoryStore } from "../../../features/support/MemoryStore.js";
+import type { TestWorld } from "../../../features/support/TestWorld.js";
+import type { Store, StoreError } from "./index.js";
+import { createStore } from "./index.js";
+
+const KEY = "production/claims/a/1";
+
+Given("a store in memory with a claim written by another", async function(this: TestWorld) {
+    const memory = new MemoryStore(() => 0);
+    let nonces = 0;
+    const pauses: (() => Promise<void>)[] = [];
+    const store = createStore(memory.transport(), {
+        createNonce: () => `nonce-${nonces++}`,
+        pause: async () => {
+            await pauses.shift()?.();
+        },
+    });
+    await store.write(ClaimSchema, {
+        key: KEY,
+        message: create(ClaimSchema, { node: "first" }),
+        expected: 0,
+    });
+    this.notes.set("memory", memory);
+    this.notes.set("store", store);
+    this.notes.set("pauses", pauses);
+    this.notes.set("revision", memory.model.get(KEY)!.revision);
+});
+
+Given("the next writes meet the faults {string}", function(this: TestWorld, faults: string) {
+    this.note<MemoryStore>("memory").faults = faults.split(" ") as StoreFault[];
+});
+
+Given("another replaces the claim meanwhile", function(this: TestWorld) {
+    const { model } = this.note<MemoryStore>("memory");
+    this.note<(() => Promise<void>)[]>("pauses").push(async () => {
+        model.swap(KEY, new Uint8Array(), undefined);
+    });
+});
+
+When("the claim is replaced", async function(this: TestWorld) {
+    const store = this.note<Store>("store");
+    const message = create(ClaimSchema, { node: "second" });
+    this.notes.set(
+        "result",
+        await store.write(ClaimSchema, { key: KEY, message, expected: this.note("revision") }),
+    );
+});
+
+When("the stored bytes are damaged", function(this: TestWorld) {
+    const { model } = this.note<MemoryStore>("memory");
+    const bytes = Uint8Array.from(model.get(KEY)!.value);
+    bytes[bytes.length - 1]! ^= 1;
+    model.swap(KEY, bytes, undefined);
+});
+
+Then("the write is {string}", function(this: TestWorld, kind: string) {
+    const result = this.note<Result<number, StoreError>>("result");
+    assert.equal(result.isOk() ? "done" : result.error.kind, kind);
+});
+
+Then("the value was changed {int} times", async function(this: TestWorld, times: number) {
+    const { model } = this.note<MemoryStore>("memory");
+    assert.equal(model.get(KEY)!.revision - this.note<number>("revision"), times);
+});
+
+Then("reading it gives {string}", async function(this: TestWorld, kind: string) {
+    const read = await this.note<Store>("store").read(ClaimSchema, KEY);
+    assert.equal(read._unsafeUnwrapErr().kind, kind);
+});
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -59,6 +59,12 @@
             labelNames: ["result"] as const,
             registers,
         }),
+        peerBytes: new Counter({
+            name: "balsamward_peer_bytes_total",
+            help: "Bytes on connections that peers opened to the daemon, by direction.",
+            labelNames: ["direction"] as const,
+            registers,
+        }),
         generation: new Gauge({
             name: "balsamward_configuration_generation",
             help: "Generation of the configuration in force.",
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -7,6 +7,9 @@
 /** Time in milliseconds without a heartbeat after which a peer counts as dead. */
 export const PEER_SUSPICION_MS = 2_500;
 
+/** Interval in milliseconds at which bytes on peer connections are counted. */
+export const BYTE_COUNT_MS = 1_000;
+
 /** Time in milliseconds after which a forwarded job call is given up. */
 export const FORWARD_TIMEOUT_MS = 5_000;
 
--- a/packages/daemon/src/peers/startPeerListener.ts
+++ b/packages/daemon/src/peers/startPeerListener.ts
@@ -8,6 +8,7 @@
 import type { Http2Server, ServerHttp2Session } from "node:http2";
 import { listenOn } from "../_lib/listenOn.js";
 import type { OwnedCell } from "../cells/runCell.js";
+import { BYTE_COUNT_MS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import { composeHeartbeat, receiveHeartbeat } from "./composeHeartbeat.js";
 import type { PeerClients } from "./runPeer.js";
@@ -33,23 +34,38 @@
     address: string,
 ): Promise<PeerListener> {
     const sessions = new Set<ServerHttp2Session>();
+    const count = setInterval(() => sessions.forEach(session => countBytes(state, session)), BYTE_COUNT_MS);
     const server: Http2Server = createServer(connectNodeAdapter({
         routes: router => addRoutes(router, state, clients),
     }));
     server.on("session", session => {
         sessions.add(session);
-        session.once("close", () => sessions.delete(session));
+        session.once("close", () => {
+            sessions.delete(session);
+        });
     });
     await listenOn(server, address);
     return {
         close: () =>
             new Promise(resolve => {
+                clearInterval(count);
                 server.close(() => resolve());
                 sessions.forEach(session => session.close());
             }),
     };
 }
 
+const counted = new WeakMap<ServerHttp2Session, { readonly read: number; readonly written: number }>();
+
+/** Adds what came over a connection since it was last counted. */
+function countBytes(state: DaemonState, session: ServerHttp2Session): void {
+    const { bytesRead: read, bytesWritten: written } = session.socket;
+    const last = counted.get(session) ?? { read: 0, written: 0 };
+    counted.set(session, { read, written });
+    state.metrics.peerBytes.inc({ direction: "in" }, read - last.read);
+    state.metrics.peerBytes.inc({ direction: "out" }, written - last.written);
+}
+
 function addRoutes(router: ConnectRouter, state: DaemonState, clients: PeerClients): void {
     const requireCell = (cell: string): OwnedCell => {
         const owned = state.owned.get(cell as CellId);
--- /dev/null
+++ b/packages/measure/src/_lib/composeDocument.ts
@@ -0,0 +1,43 @@
+import { hashText } from "@balsamward/schema";
+
+/** Size of a composed document. */
+export type DocumentSize = {
+    readonly dataCentres: number;
+    /** Workers of each data centre. */
+    readonly workers: number;
+    readonly acceleratorsPerWorker: number;
+    readonly customers: number;
+    readonly kinds: number;
+};
+
+/**
+ * Composes a document of a given size; each customer has two guarantees.
+ *
+ * @param size - The size.
+ * @returns The document's text.
+ */
+export function composeDocument(size: DocumentSize): string {
+    const sections: string[] = [];
+    for (let index = 0; index < size.dataCentres; index++) {
+        sections.push(
+            `[data_centre.dc${index}]\nworkers = ${size.workers}\nworkers_per_rack = 8\n`
+                + `accelerators_per_worker = ${size.acceleratorsPerWorker}\nracks_per_cell = 64\n`,
+        );
+    }
+    for (let index = 0; index < size.customers; index++) {
+        sections.push(
+            `[customer.c${index}]\nweight = 1\ntoken_sha256 = ${hashText(`c${index}-token`)}\n`
+                + "quota_accelerators = 100000\n",
+            `[customer.c${index}.guarantee.wide]\ngangs = 1\nmembers = 4\naccelerators_per_member = 2\nadjacency = rack\n`,
+            `[customer.c${index}.guarantee.narrow]\ngangs = 2\nmembers = 1\naccelerators_per_member = 2\n`
+                + "adjacency = worker\n",
+        );
+    }
+    for (let index = 0; index < size.kinds; index++) {
+        sections.push(
+            `[kind.batch${index}]\nwork = job\nidempotent = true\nurgency = normal\ndeadline_ms = 60000\n`
+                + "rate_per_second = 1000\nconcurrency = 100000\npreemptible = true\ncheckpoint_ms = 1000\n",
+        );
+    }
+    return sections.join("\n");
+}
--- /dev/null
+++ b/packages/measure/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./_lib/startProcess.js";
+export * from "./_lib/writeSettings.js";
+export * from "./constants.js";
--- /dev/null
+++ b/packages/measure/src/relay.ts
@@ -0,0 +1,36 @@
+import type { RequestListener } from "node:http";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import polka from "polka";
+import { Agent } from "undici";
+
+// The baseline of 'measure path': a bare relay of polka and undici that takes turns between endpoints.
+const endpoints = process.argv.slice(2);
+const agent = new Agent({ connections: 64, pipelining: 1 });
+let turn = 0;
+
+const app = polka();
+app.post("/v1/requests", async (req, res) => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    turn = (turn + 1) % endpoints.length;
+    const response = await agent.request({
+        origin: endpoints[turn]!,
+        path: "/work",
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: Buffer.concat(chunks),
+    });
+    const body = Buffer.from(await response.body.arrayBuffer());
+    res.writeHead(response.statusCode, { "content-type": "application/json", "content-length": body.length });
+    res.end(body);
+});
+const server = createServer(app.handler as unknown as RequestListener);
+server.listen(0, "127.0.0.1", () => {
+    process.stdout.write(
+        `${JSON.stringify({ url: `http://127.0.0.1:${(server.address() as AddressInfo).port}` })}\n`,
+    );
+});
+process.once("SIGTERM", () => process.exit(0));
--- a/packages/placement/src/bindGuarantees.ts
+++ b/packages/placement/src/bindGuarantees.ts
@@ -22,16 +22,16 @@
 }
 
 /**
- * Returns the guarantees that cannot be reclaimed now.
+ * Returns the guarantees that the healthy workers do not hold whole.
  *
  * @param cell - The cell.
- * @returns The bindings that have neither a user nor a slot.
+ * @returns The bindings without a slot, and those in use whose slot has lost a worker beside the user's.
  *
  * @example
  * findShortfalls(cell).length; // 0 in a healthy cell
  */
 export function findShortfalls(cell: Cell): readonly UnitBinding[] {
-    return cell.bindings.filter(binding => binding.user === undefined && binding.slot === undefined);
+    return cell.bindings.filter(({ slot }) => slot === undefined || !fitsCapacity(cell, cell.healthy, slot));
 }
 
 function keepSlots(cell: Cell): readonly UnitBinding[] | undefined {
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -1,7 +1,17 @@
 import { Command } from "commander";
+import { startEndpoint } from "./startEndpoint.js";
 import type { FleetPart } from "./startFleet.js";
 import { startFleet } from "./startFleet.js";
 import { startStore } from "./startStore.js";
+import { startVmList } from "./startVmList.js";
+import type { Vm } from "./Vm.js";
+
+type FleetOptions = {
+    readonly part: readonly string[];
+    readonly vmListPort: number;
+    readonly controlPort: number;
+    readonly endpoints: boolean;
+};
 
 const program = new Command("stand-ins").description("Runs small fakes of the platform's interfaces.");
 
@@ -17,16 +27,47 @@
     .requiredOption("--part <dc:workers:perRack:accelerators...>", "data centres with their workers")
     .requiredOption("--vm-list-port <port>", "port of the VM list", Number)
     .requiredOption("--control-port <port>", "port of the fault switches", Number)
-    .action(async (options: { part: string[]; vmListPort: number; controlPort: number }) => {
+    .option("--no-endpoints", "start worker agents only")
+    .action(async (options: FleetOptions) => {
         const fleet = await startFleet(options.part.map(parsePart), {
             vmListPort: options.vmListPort,
             controlPort: options.controlPort,
             usageLagMs: 200,
+            endpoints: options.endpoints,
         });
         process.stdout.write(`${JSON.stringify({ vmList: fleet.vmList.url, agents: fleet.agents.url })}\n`);
         stopOnSignal(fleet.close);
     });
 
+program.command("endpoints")
+    .requiredOption("--count <count>", "number of endpoints", Number)
+    .option("--service-ms <ms>", "time that a request takes", Number, 0)
+    .action(async (options: { count: number; serviceMs: number }) => {
+        const endpoints = await Promise.all(
+            Array.from(
+                { length: options.count },
+                (_, index) =>
+                    startEndpoint(`endpoint-${index}`, {
+                        serviceMs: options.serviceMs,
+                        keepsExecutions: false,
+                    }),
+            ),
+        );
+        process.stdout.write(`${JSON.stringify({ endpoints: endpoints.map(endpoint => endpoint.url) })}\n`);
+        stopOnSignal(async () => {
+            await Promise.all(endpoints.map(endpoint => endpoint.close()));
+        });
+    });
+
+program.command("vm-list")
+    .requiredOption("--port <port>", "port to listen on", Number)
+    .requiredOption("--vms <json>", "the list as JSON")
+    .action(async (options: { port: number; vms: string }) => {
+        const list = await startVmList(JSON.parse(options.vms) as readonly Vm[], { port: options.port });
+        process.stdout.write(`${JSON.stringify({ vmList: list.url })}\n`);
+        stopOnSignal(list.close);
+    });
+
 await program.parseAsync();
 
 function parsePart(text: string): FleetPart {
--- a/packages/stand-ins/src/startEndpoint.ts
+++ b/packages/stand-ins/src/startEndpoint.ts
@@ -29,6 +29,8 @@
     readonly port?: number;
     /** Time in milliseconds that a request takes. */
     readonly serviceMs?: number;
+    /** Whether to record every request that ran; it does unless this is false. */
+    readonly keepsExecutions?: boolean;
 };
 
 /** A running endpoint. */
@@ -77,7 +79,9 @@
         peak = Math.max(peak, busy);
         const request = String(req.headers["x-request-id"] ?? "");
         res.setHeader("x-request-id", request);
-        executions.push({ request, kind: String(req.headers["x-kind"] ?? "") });
+        if (options.keepsExecutions !== false) {
+            executions.push({ request, kind: String(req.headers["x-kind"] ?? "") });
+        }
         try {
             await work(faults, options.serviceMs ?? 2);
             answer(res, faults, { endpoint: id, request, echo: body.toString("utf8") });
--- a/packages/stand-ins/src/startWorkers.ts
+++ b/packages/stand-ins/src/startWorkers.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import polka from "polka";
 import type { Listening } from "./_lib/listen.js";
@@ -17,6 +18,9 @@
     readonly usageLagMs?: number;
 };
 
+/** Calls to worker agents and their bytes on the connections, headers included. */
+export type WorkerTraffic = { calls: number; bytesIn: number; bytesOut: number };
+
 /** Running worker agents behind one port. */
 export type RunningWorkers = Listening & { readonly workers: ReadonlyMap<string, WorkerModel> };
 
@@ -38,12 +42,21 @@
     const lag = { usageLagMs: options.usageLagMs ?? 0 };
     const workers = new Map(ids.map(id => [id, new WorkerModel(clock, lag)]));
     const app = polka();
-    addControl(app, workers);
+    const traffic: WorkerTraffic = { calls: 0, bytesIn: 0, bytesOut: 0 };
+    app.use((req, res, next) => {
+        countTraffic(traffic, req.socket, res);
+        next();
+    });
+    addControl(app, workers, traffic);
     addCommands(app, workers);
     return { ...await serveApp(app, options.port ?? 0), workers };
 }
 
-function addControl(app: polka.Polka, workers: ReadonlyMap<string, WorkerModel>): void {
+function addControl(
+    app: polka.Polka,
+    workers: ReadonlyMap<string, WorkerModel>,
+    traffic: WorkerTraffic,
+): void {
     app.post("/control/workers/:worker", async (req, res) => {
         const worker = workers.get(paramOf(req, "worker"));
         const faults = await readJson<Partial<WorkerFaults>>(req);
@@ -53,6 +66,7 @@
         Object.assign(worker?.faults ?? {}, faults);
         sendJson(res, worker === undefined ? 404 : 200, worker?.faults ?? {});
     });
+    app.get("/control/traffic", (req, res) => sendJson(res, 200, traffic));
     app.get("/control/reservations", (req, res) => {
         const reports = [...workers].flatMap(([worker, model]) =>
             model.reports().map(report => ({ worker, ...report }))
@@ -61,6 +75,19 @@
     });
 }
 
+const counted = new WeakMap<Socket, { read: number; written: number }>();
+
+/** Adds what came over a connection since its last counted call. */
+function countTraffic(traffic: WorkerTraffic, socket: Socket, res: ServerResponse): void {
+    traffic.calls += 1;
+    res.once("close", () => {
+        const last = counted.get(socket) ?? { read: 0, written: 0 };
+        traffic.bytesIn += socket.bytesRead - last.read;
+        traffic.bytesOut += socket.bytesWritten - last.written;
+        counted.set(socket, { read: socket.bytesRead, written: socket.bytesWritten });
+    });
+}
+
 type Handler = (worker: WorkerModel, req: RoutedRequest, res: ServerResponse) => Promise<void> | void;
 
 function addCommands(app: polka.Polka, workers: ReadonlyMap<string, WorkerModel>): void {
