Halve heartbeats and shorten the way of a request

Cause: a profile of 7 daemons at rest shows heartbeats as the only large cost; both daemons of a pair called each other twice a second although an exchange carries both heartbeats. A profile under load shows abort signals, token digests, lists built for each choice of an endpoint, and a second write. Ruled out: the VM list and the ownership pass, which do not show. Change: of a pair only one calls, once a second; an emitter serves as the abort signal; seen tokens are kept; endpoints are chosen without new lists; an answer is sent as one text.

--- a/packages/admission/src/EndpointPool.ts
+++ b/packages/admission/src/EndpointPool.ts
@@ -65,17 +65,29 @@
  */
 export function createEndpointPool(options: CreateEndpointPoolOptions): EndpointPool {
     const entries = new Map<EndpointId, Entry>();
+    let near: readonly Entry[] = [];
+    let far: readonly Entry[] = [];
     const isUsable = (entry: Entry) =>
         !entry.leaving && entry.ejectedUntil <= options.clock() && entry.outstanding < ENDPOINT_SLOTS;
 
-    function choose(candidates: readonly Entry[]): Entry | undefined {
-        if (candidates.length === 0) {
-            return undefined;
+    /** Returns the less loaded of two usable entries, looking on from two random places. */
+    function choose(candidates: readonly Entry[], avoid: ReadonlySet<EndpointId>): Entry | undefined {
+        const first = findUsable(candidates, avoid);
+        const second = findUsable(candidates, avoid);
+        return first !== undefined && second !== undefined && second.outstanding < first.outstanding
+            ? second
+            : first;
+    }
+
+    function findUsable(candidates: readonly Entry[], avoid: ReadonlySet<EndpointId>): Entry | undefined {
+        const start = Math.floor(options.random() * candidates.length);
+        for (let offset = 0; offset < candidates.length; offset++) {
+            const entry = candidates[(start + offset) % candidates.length]!;
+            if (isUsable(entry) && !avoid.has(entry.endpoint.id)) {
+                return entry;
+            }
         }
-        const pick = () => candidates[Math.floor(options.random() * candidates.length)]!;
-        const first = pick();
-        const second = pick();
-        return second.outstanding < first.outstanding ? second : first;
+        return undefined;
     }
 
     function eject(entry: Entry): void {
@@ -105,13 +117,12 @@
                 entry.leaving ||= endpoint.leaving;
                 entries.set(endpoint.id, entry);
             }
+            const all = [...entries.values()];
+            near = all.filter(entry => entry.endpoint.dataCentre === options.dataCentre);
+            far = all.filter(entry => entry.endpoint.dataCentre !== options.dataCentre);
         },
         acquire: avoid => {
-            const usable = [...entries.values()].filter(entry =>
-                isUsable(entry) && !avoid.has(entry.endpoint.id)
-            );
-            const near = usable.filter(entry => entry.endpoint.dataCentre === options.dataCentre);
-            const entry = choose(near) ?? choose(usable);
+            const entry = choose(near, avoid) ?? choose(far, avoid);
             if (entry !== undefined) {
                 entry.outstanding += 1;
             }
--- a/packages/daemon/src/_lib/Configured.ts
+++ b/packages/daemon/src/_lib/Configured.ts
@@ -8,4 +8,6 @@
     readonly division: GuaranteeDivision;
     /** The customer of each token digest. */
     readonly customers: ReadonlyMap<string, string>;
+    /** The customers of tokens that were seen; never larger than `MAX_SEEN_TOKENS`. */
+    readonly seenTokens: Map<string, string>;
 };
--- a/packages/daemon/src/_lib/applyConfiguration.ts
+++ b/packages/daemon/src/_lib/applyConfiguration.ts
@@ -26,5 +26,11 @@
             customers.set(digest, customer);
         }
     }
-    return ok({ configuration, document: document.value, division: division.value, customers });
+    return ok({
+        configuration,
+        document: document.value,
+        division: division.value,
+        customers,
+        seenTokens: new Map(),
+    });
 }
--- a/packages/daemon/src/callers/Reply.ts
+++ b/packages/daemon/src/callers/Reply.ts
@@ -12,7 +12,7 @@
     /** Time in milliseconds after which another attempt may succeed. */
     readonly retryAfterMs?: number;
     /** The endpoint's answer, which is valid JSON. */
-    readonly answer?: Uint8Array;
+    readonly answer?: string;
     /** Further fields of the answer. */
     readonly fields?: object;
 };
@@ -36,12 +36,10 @@
         message: reply.message,
         ...reply.fields,
     });
-    const body = reply.answer === undefined
-        ? Buffer.from(head)
-        : Buffer.concat([Buffer.from(`${head.slice(0, -1)},"answer":`), reply.answer, Buffer.from("}")]);
+    const body = reply.answer === undefined ? head : `${head.slice(0, -1)},"answer":${reply.answer}}`;
     res.statusCode = reply.status;
     res.setHeader("content-type", "application/json");
-    res.setHeader("content-length", body.length);
+    res.setHeader("content-length", Buffer.byteLength(body));
     if (reply.retryAfterMs !== undefined) {
         res.setHeader("retry-after", Math.max(1, Math.ceil(reply.retryAfterMs / 1_000)));
     }
--- a/packages/daemon/src/callers/attemptEndpoint.ts
+++ b/packages/daemon/src/callers/attemptEndpoint.ts
@@ -1,5 +1,6 @@
 import type { Endpoint } from "@balsamward/admission";
 import { Reason } from "@balsamward/schema";
+import { EventEmitter } from "node:events";
 import type { Dispatcher } from "undici";
 import { MAX_ANSWER_BYTES } from "../constants.js";
 
@@ -12,7 +13,7 @@
 
 /** How one attempt at an endpoint ended. */
 export type Attempt =
-    | { readonly kind: "answered"; readonly body: Uint8Array }
+    | { readonly kind: "answered"; readonly body: string }
     /** The endpoint ran the work and reports its failure. */
     | { readonly kind: "failed"; readonly status: number }
     /** The work did not run: nothing was sent, or the endpoint said so. */
@@ -38,8 +39,12 @@
     work: EndpointWork,
     timeoutMs: number,
 ): Promise<Attempt> {
-    const abort = new AbortController();
-    const timer = setTimeout(() => abort.abort(), timeoutMs);
+    const signal = new EventEmitter();
+    let timedOut = false;
+    const timer = setTimeout(() => {
+        timedOut = true;
+        signal.emit("abort");
+    }, timeoutMs);
     try {
         const response = await dispatcher.request({
             origin: endpoint.address,
@@ -51,12 +56,12 @@
                 "x-kind": work.kind,
             },
             body: work.body,
-            signal: abort.signal,
+            signal,
         });
         return await readAnswer(response, work);
     }
     catch (error) {
-        return describeFailure(error, abort.signal.aborted);
+        return describeFailure(error, timedOut);
     }
     finally {
         clearTimeout(timer);
@@ -72,7 +77,7 @@
         response.body.destroy();
         return { kind: "unclear", reason: Reason.ANSWER_TOO_LARGE };
     }
-    const body = new Uint8Array(await response.body.arrayBuffer());
+    const body = await response.body.text();
     if (response.statusCode !== 200) {
         return { kind: "failed", status: response.statusCode };
     }
@@ -80,9 +85,9 @@
     return whole ? { kind: "answered", body } : { kind: "unclear", reason: Reason.ANSWER_CUT };
 }
 
-function isJson(body: Uint8Array): boolean {
+function isJson(body: string): boolean {
     try {
-        JSON.parse(Buffer.from(body.buffer, body.byteOffset, body.length).toString("utf8"));
+        JSON.parse(body);
         return true;
     }
     catch {
--- a/packages/daemon/src/callers/authenticate.ts
+++ b/packages/daemon/src/callers/authenticate.ts
@@ -4,6 +4,7 @@
 import { err, ok } from "neverthrow";
 import type { IncomingMessage } from "node:http";
 import type { Configured } from "../_lib/Configured.js";
+import { MAX_SEEN_TOKENS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import { refuse } from "./refuse.js";
 import type { Reply } from "./Reply.js";
@@ -40,7 +41,7 @@
     }
     const header = req.headers.authorization ?? "";
     const token = header.startsWith("Bearer ") ? header.slice("Bearer ".length) : "";
-    const customer = configured.customers.get(hashText(token));
+    const customer = customerOf(configured, token);
     if (token === "" || customer === undefined) {
         return err(
             refuse(Reason.BAD_TOKEN, "The bearer token is missing or not known. Ask an operator for one."),
@@ -52,3 +53,15 @@
         configured,
     });
 }
+
+function customerOf(configured: Configured, token: string): string | undefined {
+    const seen = configured.seenTokens.get(token);
+    if (seen !== undefined) {
+        return seen;
+    }
+    const customer = configured.customers.get(hashText(token));
+    if (customer !== undefined && configured.seenTokens.size < MAX_SEEN_TOKENS) {
+        configured.seenTokens.set(token, customer);
+    }
+    return customer;
+}
--- a/packages/daemon/src/callers/serveOnce.ts
+++ b/packages/daemon/src/callers/serveOnce.ts
@@ -108,7 +108,7 @@
 }
 
 function toAnswer(reply: Reply): Answer {
-    const body = reply.answer ?? new Uint8Array();
+    const body = Buffer.from(reply.answer ?? "", "utf8");
     const kept = body.length <= MAX_KEPT_ANSWER_BYTES;
     return create(AnswerSchema, {
         outcome: reply.outcome,
@@ -129,7 +129,7 @@
             fields,
             message: "This is the outcome of the first attempt with this key.",
         }
-        : { outcome, reason, status, fields, answer: answer.body };
+        : { outcome, reason, status, fields, answer: Buffer.from(answer.body).toString("utf8") };
 }
 
 function describeInterrupted(): Reply {
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -1,5 +1,5 @@
 /** Interval in milliseconds of heartbeats between daemons. */
-export const HEARTBEAT_MS = 500;
+export const HEARTBEAT_MS = 1_000;
 
 /** Time in milliseconds after which a call to a peer is given up. */
 export const PEER_CALL_TIMEOUT_MS = 1_000;
@@ -93,3 +93,6 @@
 
 /** Time in milliseconds after which a client has to have sent a whole request. */
 export const CLIENT_REQUEST_TIMEOUT_MS = 10_000;
+
+/** Good tokens whose customers are kept, so that their digests are not computed again. */
+export const MAX_SEEN_TOKENS = 20_000;
--- a/packages/daemon/src/peers/runPeer.ts
+++ b/packages/daemon/src/peers/runPeer.ts
@@ -15,8 +15,9 @@
 export type PeerClients = Map<NodeId, PeerClient>;
 
 /**
- * Exchanges heartbeats with one peer until the signal aborts.
+ * Keeps the connection to one peer until the signal aborts, and exchanges heartbeats over it.
  *
+ * An exchange carries the heartbeats of both, so of two daemons only the one whose name sorts first calls.
  * A call that gets no answer closes the connection, so that the next one uses a new connection.
  *
  * @param state - The daemon.
@@ -41,17 +42,7 @@
     clients.set(node, client);
     try {
         while (!signal.aborted) {
-            try {
-                const heartbeat = composeHeartbeat(state);
-                const answer = await client.exchange({ heartbeat }, { timeoutMs: PEER_CALL_TIMEOUT_MS });
-                state.metrics.peerCalls.inc({ result: "done" });
-                if (answer.heartbeat !== undefined && receiveHeartbeat(state, answer.heartbeat)) {
-                    await fetchConfiguration(state, client);
-                }
-            }
-            catch (error) {
-                state.metrics.peerCalls.inc({ result: "failed" });
-                state.log.debug("A heartbeat gets no answer.", { peer: node, error: String(error) });
+            if (state.node < node && !await exchangeHeartbeats(state, client, node)) {
                 sessionManager.abort();
             }
             await pause(HEARTBEAT_MS * (0.9 + state.random() * 0.2), signal);
@@ -63,6 +54,23 @@
     }
 }
 
+async function exchangeHeartbeats(state: DaemonState, client: PeerClient, node: NodeId): Promise<boolean> {
+    try {
+        const heartbeat = composeHeartbeat(state);
+        const answer = await client.exchange({ heartbeat }, { timeoutMs: PEER_CALL_TIMEOUT_MS });
+        state.metrics.peerCalls.inc({ result: "done" });
+        if (answer.heartbeat !== undefined && receiveHeartbeat(state, answer.heartbeat)) {
+            await fetchConfiguration(state, client);
+        }
+        return true;
+    }
+    catch (error) {
+        state.metrics.peerCalls.inc({ result: "failed" });
+        state.log.debug("A heartbeat gets no answer.", { peer: node, error: String(error) });
+        return false;
+    }
+}
+
 /**
  * Takes a newer configuration from a peer.
  *
--- a/packages/placement/src/planPlacement.steps.ts
+++ b/packages/placement/src/planPlacement.steps.ts
@@ -222,7 +222,9 @@
         }
         case "end": {
             const jobs = [...cell.holdings.keys()];
-            jobs.length > 0 && releaseCell(cell, jobs[step.pick % jobs.length]!);
+            if (jobs.length > 0) {
+                releaseCell(cell, jobs[step.pick % jobs.length]!);
+            }
             return;
         }
         case "fail":
