Keep gangs whole and usage exact through owner deaths

Cause: a fault at every command of a gang's life, with a logical clock, found four faults. (1) A new owner took its own finishing of a gang for a step that the last owner left open, and ran the finished job again. (2) A new owner stopped reservations of a start that was not durable and lost their usage. (3) Workers were told to forget a reservation before its end was durable. (4) Two group commits could overlap in the moment after a write, conflict with each other and make the owner believe that it was fenced. Ruled out: late writes of the paused owner; the store refuses them. Change: only steps that were open when the state was loaded are resumed, and a finished gang ends; reservation names carry the epoch; the usage of unknown reservations is counted once, made durable, and then forgotten; a caller joins the waiting commit.

--- a/packages/admission/src/EndpointPool.ts
+++ b/packages/admission/src/EndpointPool.ts
@@ -110,9 +110,7 @@
                 }
             }
             for (const endpoint of endpoints) {
-                const known = entries.get(endpoint.id);
-                const fresh = { outstanding: 0, failures: 0, ejections: 0, ejectedUntil: 0, leaving: false };
-                const entry = known ?? { endpoint, ...fresh };
+                const entry = entries.get(endpoint.id) ?? createEntry(endpoint);
                 entry.endpoint = endpoint;
                 entry.leaving ||= endpoint.leaving;
                 entries.set(endpoint.id, entry);
@@ -147,6 +145,10 @@
     };
 }
 
+function createEntry(endpoint: Endpoint): Entry {
+    return { endpoint, outstanding: 0, failures: 0, ejections: 0, ejectedUntil: 0, leaving: false };
+}
+
 function recordResult(entry: Entry, result: AttemptResult, eject: (entry: Entry) => void): void {
     switch (result) {
         case "succeeded":
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -53,6 +53,11 @@
             labelNames: ["event", "reason"] as const,
             registers,
         }),
+        unaccounted: new Counter({
+            name: "balsamward_unaccounted_accelerator_milliseconds_total",
+            help: "Accelerator-milliseconds of reservations that belong to no known job.",
+            registers,
+        }),
         peerCalls: new Counter({
             name: "balsamward_peer_calls_total",
             help: "Heartbeats to peers by result.",
--- a/packages/daemon/src/cells/CellBook.ts
+++ b/packages/daemon/src/cells/CellBook.ts
@@ -31,6 +31,8 @@
     readonly listWorkers: () => readonly Vm[];
     /** Returns the time in milliseconds since the epoch. */
     readonly clock: () => number;
+    /** Waits for a time in milliseconds, or until the signal aborts. */
+    readonly pause: (ms: number, signal?: AbortSignal) => Promise<void>;
     /** Tells whether the daemon's store lease is certain not to have ended. */
     readonly isLeaseValid: () => boolean;
 };
--- a/packages/daemon/src/cells/createGroupCommit.ts
+++ b/packages/daemon/src/cells/createGroupCommit.ts
@@ -21,27 +21,27 @@
     let waiting: Promise<Result<void, E>> | undefined;
 
     function begin(): Promise<Result<void, E>> {
-        const started = write().finally(() => {
-            if (running === started) {
-                running = undefined;
-            }
+        running = write().finally(() => {
+            running = undefined;
         });
-        running = started;
-        return started;
+        return running;
     }
 
-    async function beginAfter(previous: Promise<Result<void, E>>): Promise<Result<void, E>> {
-        await previous.catch(() => undefined);
+    async function beginAfterRunning(): Promise<Result<void, E>> {
+        while (running !== undefined) {
+            await running.catch(() => undefined);
+        }
         waiting = undefined;
         return begin();
     }
 
     return {
         commit: () => {
-            if (running === undefined) {
+            // A caller joins the next write even when the last one has just ended, so that two never overlap.
+            if (waiting === undefined && running === undefined) {
                 return begin();
             }
-            waiting ??= beginAfter(running);
+            waiting ??= beginAfterRunning();
             return waiting;
         },
     };
--- a/packages/daemon/src/cells/renewWorkers.ts
+++ b/packages/daemon/src/cells/renewWorkers.ts
@@ -1,4 +1,4 @@
-import type { Job, JobId } from "@balsamward/schema";
+import type { Job, JobId, WorkerId } from "@balsamward/schema";
 import { JobStage, Outcome, Reason } from "@balsamward/schema";
 import { RESERVATION_TTL_MS } from "../constants.js";
 import type { ReservationReport } from "../fleet/WorkerClient.js";
@@ -19,7 +19,8 @@
  * await renewWorkers(book);
  */
 export async function renewWorkers(book: CellBook): Promise<void> {
-    await Promise.all([...book.workers.values()].map(worker => renewWorker(book, worker)));
+    const unknown = await Promise.all([...book.workers.values()].map(worker => renewWorker(book, worker)));
+    await settleUnknown(book, unknown.flat());
     for (const job of book.jobs.values()) {
         if (job.stage === JobStage.RUNNING) {
             checkGang(book, job);
@@ -29,24 +30,62 @@
 
 const memberStates = new WeakMap<Job, Map<string, ReservationReport["state"]>>();
 
-async function renewWorker(book: CellBook, worker: WorkerRecord): Promise<void> {
+/** A reservation at a worker that no grant of the book stands for. */
+type UnknownReservation = { readonly worker: WorkerRecord; readonly report: ReservationReport };
+
+/** Renews one worker and returns the reservations that the book does not know. */
+async function renewWorker(book: CellBook, worker: WorkerRecord): Promise<readonly UnknownReservation[]> {
     const settled = worker.settled;
     const sentAt = book.context.clock();
     const renewed = await book.context.workers.renew(worker.address, book.by, settled, RESERVATION_TTL_MS);
     if (renewed.isErr()) {
         if (renewed.error.kind === "refused") {
             book.fenced ||= renewed.error.reason === "stale-epoch";
-            return;
+            return [];
         }
         setHealth(book, worker, false);
-        return;
+        return [];
     }
     worker.confirmedAt = sentAt;
     worker.settled = worker.settled.filter(id => !settled.includes(id));
     const unknown = renewed.value.filter(report => !recordReport(book, worker, report));
-    await Promise.all(unknown.map(report => stopUnknown(book, worker, report)));
     const ejected = worker.ejectedUntil > book.context.clock();
     setHealth(book, worker, !ejected && !worker.leaving);
+    return unknown.map(report => ({ worker, report }));
+}
+
+/**
+ * Stops reservations that no grant stands for, counts their usage once, makes that durable, and only
+ * then lets the workers forget them.
+ */
+async function settleUnknown(book: CellBook, unknown: readonly UnknownReservation[]): Promise<void> {
+    const ended = await Promise.all(unknown.map(entry => stopUnknown(book, entry)));
+    const settled = ended.filter(entry => entry !== undefined);
+    settled.forEach(entry => countUnknown(book, entry));
+    if (settled.length === 0 || (await book.commits.commit()).isErr()) {
+        return;
+    }
+    for (const { worker, report } of settled) {
+        worker.settled.push(report.id);
+    }
+}
+
+/** Adds the usage of a reservation to its job, unless it is counted already. */
+function countUnknown(book: CellBook, { worker, report }: UnknownReservation): void {
+    const job = book.jobs.get(report.job as JobId);
+    const member = `${report.id}@${worker.id}`;
+    if (job === undefined) {
+        book.context.metrics.unaccounted.inc(report.heldMs);
+        book.context.log.warn("A reservation belongs to no job of the cell.", {
+            job: report.job,
+            held: report.heldMs,
+        });
+        return;
+    }
+    if (!job.counted.includes(report.id) && !job.counted.includes(member)) {
+        job.counted.push(member);
+        job.borrowedHeldMs += BigInt(report.heldMs);
+    }
 }
 
 /** Enters a report into its job; false if no job of the book has the reservation. */
@@ -67,25 +106,46 @@
     return true;
 }
 
-async function stopUnknown(book: CellBook, worker: WorkerRecord, report: ReservationReport): Promise<void> {
-    const active = report.state === "reserved" || report.state === "running";
-    const stopped = !active || (await book.context.workers.stop(worker.address, book.by, report.id)).isOk();
-    if (stopped && !worker.settled.includes(report.id)) {
-        worker.settled.push(report.id);
+/** Returns the reservation with its final report, or `undefined` if its worker does not answer. */
+async function stopUnknown(
+    book: CellBook,
+    { worker, report }: UnknownReservation,
+): Promise<UnknownReservation | undefined> {
+    if (report.state !== "reserved" && report.state !== "running") {
+        return { worker, report };
     }
+    const stopped = await book.context.workers.stop(worker.address, book.by, report.id);
+    return stopped.isOk() ? { worker, report: stopped.value } : undefined;
 }
 
-function checkGang(book: CellBook, job: Job): void {
+/**
+ * Tells whether every member of a gang has finished, by the workers' last reports.
+ *
+ * @param job - The job.
+ * @returns Whether it holds something and all of it has finished.
+ *
+ * @example
+ * isFinished(job);
+ */
+export function isFinished(job: Job): boolean {
+    return job.grants.length > 0 && memberStatesOf(job).every(state => state === "finished");
+}
+
+function memberStatesOf(job: Job): readonly (ReservationReport["state"] | undefined)[] {
     const states = memberStates.get(job);
-    const seen = job.grants.map(grant => states?.get(`${grant.worker} ${grant.reservation}`));
-    if (seen.every(state => state === "finished")) {
+    return job.grants.map(grant => states?.get(`${grant.worker} ${grant.reservation}`));
+}
+
+function checkGang(book: CellBook, job: Job): void {
+    const seen = memberStatesOf(job);
+    if (isFinished(job)) {
         job.stage = JobStage.STOPPING;
         book.tasks.start(() => finishGang(book, job));
         return;
     }
     const failed = job.grants.filter((grant, index) => seen[index] === "failed");
     const lost = job.grants.some((grant, index) => {
-        const worker = [...book.workers.values()].find(entry => entry.id === grant.worker);
+        const worker = book.workers.get(grant.worker as WorkerId);
         const lapsed = book.context.clock() - (worker?.confirmedAt ?? 0) > RESERVATION_TTL_MS;
         return seen[index] === "failed" || seen[index] === "lapsed" || seen[index] === "stopped" || lapsed;
     });
@@ -93,7 +153,7 @@
         return;
     }
     for (const grant of failed) {
-        const worker = [...book.workers.values()].find(entry => entry.id === grant.worker);
+        const worker = book.workers.get(grant.worker as WorkerId);
         if (worker !== undefined) {
             recordStartFailure(book, worker, undefined);
         }
@@ -103,7 +163,16 @@
     book.tasks.start(() => requeueGang(book, job, Reason.MEMBER_LOST));
 }
 
-async function finishGang(book: CellBook, job: Job): Promise<void> {
+/**
+ * Ends a job whose members have all finished.
+ *
+ * @param book - The book.
+ * @param job - The job.
+ *
+ * @example
+ * await finishGang(book, job);
+ */
+export async function finishGang(book: CellBook, job: Job): Promise<void> {
     await stopGang(book, job);
     endJob(book, job, Outcome.COMPLETED, Reason.NONE);
     book.wake();
--- a/packages/daemon/src/cells/runCell.ts
+++ b/packages/daemon/src/cells/runCell.ts
@@ -23,13 +23,12 @@
 import type { Result } from "neverthrow";
 import { ok } from "neverthrow";
 import { createTaskGroup } from "../_lib/createTaskGroup.js";
-import { pause } from "../_lib/pause.js";
 import { SCHEDULE_PASS_MS, WORKER_RENEWAL_MS } from "../constants.js";
 import type { CellBook, CellContext } from "./CellBook.js";
 import { openCellBook } from "./CellBook.js";
 import { inspectCell } from "./inspectCell.js";
 import { isQueued, rebuildCell } from "./rebuildCell.js";
-import { renewWorkers } from "./renewWorkers.js";
+import { finishGang, isFinished, renewWorkers } from "./renewWorkers.js";
 import { candidateOf, scheduleJobs } from "./scheduleJobs.js";
 import { endJob, requeueGang, startMembers } from "./startGang.js";
 
@@ -65,8 +64,9 @@
     }
     const book = opened.value;
     rebuildCell(book);
+    const open = [...book.jobs.values()].filter(isBetweenSteps);
     await renewWorkers(book);
-    resumeGangs(book);
+    open.forEach(job => resumeGang(book, job));
     return ok({
         epoch: context.epoch,
         submit: job => submitJob(book, job),
@@ -78,15 +78,20 @@
     });
 }
 
-/** Takes up the steps that the last owner left open. */
-function resumeGangs(book: CellBook): void {
-    for (const job of book.jobs.values()) {
-        if (job.stage === JobStage.STARTING) {
-            book.tasks.start(() => startMembers(book, job));
-        }
-        else if (job.stage === JobStage.STOPPING) {
-            book.tasks.start(() => requeueGang(book, job, Reason.PREEMPTED));
-        }
+function isBetweenSteps(job: Job): boolean {
+    return job.stage === JobStage.STARTING || job.stage === JobStage.STOPPING;
+}
+
+/** Takes up the step that the last owner left open; a gang that has finished is not run again. */
+function resumeGang(book: CellBook, job: Job): void {
+    if (isFinished(job)) {
+        book.tasks.start(() => finishGang(book, job));
+    }
+    else if (job.stage === JobStage.STARTING) {
+        book.tasks.start(() => startMembers(book, job));
+    }
+    else {
+        book.tasks.start(() => requeueGang(book, job, Reason.PREEMPTED));
     }
 }
 
@@ -106,7 +111,7 @@
         const woken = new Promise<void>(resolve => {
             book.wake = resolve;
         });
-        await Promise.race([woken, pause(SCHEDULE_PASS_MS, signal)]);
+        await Promise.race([woken, book.context.pause(SCHEDULE_PASS_MS, signal)]);
     }
     await renewing;
     await book.tasks.settled();
--- a/packages/daemon/src/cells/runOwnership.ts
+++ b/packages/daemon/src/cells/runOwnership.ts
@@ -120,6 +120,7 @@
         configured: () => state.configured,
         listWorkers: () => state.vms.filter(vm => vm.role === "worker" && cellOf(state, vm) === cell),
         clock: () => Date.now(),
+        pause,
         isLeaseValid: () => state.lease?.isValid() ?? false,
     };
 }
--- a/packages/daemon/src/cells/startGang.ts
+++ b/packages/daemon/src/cells/startGang.ts
@@ -1,4 +1,4 @@
-import type { Plan } from "@balsamward/placement";
+import type { PlacedMembers, Plan } from "@balsamward/placement";
 import { occupyCell, releaseCell } from "@balsamward/placement";
 import type { Grant, Job, JobId, WorkerId } from "@balsamward/schema";
 import { GrantSchema, JobStage, Outcome, Reason, reasonText, Standing } from "@balsamward/schema";
@@ -33,10 +33,10 @@
     job.stage = JobStage.STARTING;
     job.standing = plan.standing.kind === "guaranteed" ? Standing.GUARANTEED : Standing.BORROWED;
     job.guarantee = plan.standing.kind === "guaranteed" ? plan.standing.guarantee : "";
-    job.slot = plan.standing.kind === "guaranteed"
-        ? plan.standing.slot.map(placed => toGrant(job, placed))
-        : [];
-    job.grants = plan.placement.map(placed => toGrant(job, placed));
+    const reservation = `${job.id}-${book.by.epoch}-${job.attempts}`;
+    const toGrant = (placed: PlacedMembers) => create(GrantSchema, { ...placed, reservation });
+    job.slot = plan.standing.kind === "guaranteed" ? plan.standing.slot.map(toGrant) : [];
+    job.grants = plan.placement.map(toGrant);
     occupyCell(book.cell, holdingOf(book, job));
     return victims;
 }
@@ -153,10 +153,6 @@
     book.context.metrics.gangs.inc({ event: "ended", reason: reasonText(reason) });
 }
 
-function toGrant(job: Job, placed: { worker: string; accelerators: number; members: number }): Grant {
-    return create(GrantSchema, { ...placed, reservation: `${job.id}-${job.attempts}` });
-}
-
 async function reserveMembers(book: CellBook, job: Job): Promise<boolean> {
     const results = await Promise.all(job.grants.map(async grant => {
         const worker = book.workers.get(grant.worker as WorkerId);
--- a/packages/daemon/src/cells/stopGang.ts
+++ b/packages/daemon/src/cells/stopGang.ts
@@ -1,7 +1,6 @@
 import { releaseCell } from "@balsamward/placement";
 import type { Grant, Job, JobId, WorkerId } from "@balsamward/schema";
 import { JobStage, Reason, Standing } from "@balsamward/schema";
-import { pause } from "../_lib/pause.js";
 import { CHECKPOINT_GRACE_MS, RESERVATION_TTL_MS, WORKER_RENEWAL_MS } from "../constants.js";
 import type { CellBook } from "./CellBook.js";
 import { requeueGang } from "./startGang.js";
@@ -28,9 +27,7 @@
     else {
         job.borrowedHeldMs += held;
     }
-    for (const grant of job.grants) {
-        book.workers.get(grant.worker as WorkerId)?.settled.push(grant.reservation);
-    }
+    job.counted.push(...new Set(job.grants.map(grant => grant.reservation)));
     job.grants = [];
     job.slot = [];
     book.displaced.delete(job.id as JobId);
@@ -81,7 +78,7 @@
         if (book.context.clock() > Math.min(deadline, lapseAt(worker))) {
             return;
         }
-        await pause(WORKER_RENEWAL_MS / 2);
+        await book.context.pause(WORKER_RENEWAL_MS / 2);
     }
 }
 
