Keep a gang that is being reserved apart from one that starts

Cause: a gang entered the stage 'starting' when it was planned; a commit made for another job could make that durable before the gang's members were reserved, and a new owner then started members of which others had no place. Ruled out: the workers' refusal is no cure, since a reserved member would run. Change: the stage 'reserving' comes first, and a new owner stops such a gang. Conclusion: no member starts before all are reserved and durable.

--- a/features/support/GangLab.ts
+++ b/features/support/GangLab.ts
@@ -1,7 +1,7 @@
 import type { StoreTransport } from "@balsamward/coordination";
-import { createStore } from "@balsamward/coordination";
+import { cellStateKey, createStore, openEnvelope } from "@balsamward/coordination";
 import type { CellId, Job } from "@balsamward/schema";
-import { Adjacency, ConfigurationSchema, JobSchema, JobStage } from "@balsamward/schema";
+import { Adjacency, CellStateSchema, ConfigurationSchema, JobSchema, JobStage } from "@balsamward/schema";
 import type { CommandResult, ReservationReport } from "@balsamward/stand-ins";
 import { WorkerModel } from "@balsamward/stand-ins";
 import { create } from "@bufbuild/protobuf";
@@ -210,6 +210,19 @@
         }
     }
 
+    /** Before any member starts, every member is reserved and the decision is durable. */
+    private checkStart(reservation: string): void {
+        const reserved = this.reports().filter(entry => entry.id === reservation).length;
+        const stored = this.memory.model.get(cellStateKey("production", CELL));
+        const state = openEnvelope(CellStateSchema, stored!.value)._unsafeUnwrap().message;
+        const durable = state.jobs.some(job => job.grants.some(grant => grant.reservation === reservation));
+        if (reserved !== 2 || !durable) {
+            this.violations.push(
+                `${reservation} starts with ${reserved} of 2 members reserved, durable: ${durable}`,
+            );
+        }
+    }
+
     private createClient(epoch: number): WorkerClient {
         const command = async (
             address: string,
@@ -235,7 +248,10 @@
         return {
             reserve: (address, by, request) =>
                 command(address, worker => worker.reserve({ ...by, ...request })),
-            start: (address, by, id, runMs) => command(address, worker => worker.start(by, id, runMs)),
+            start: (address, by, id, runMs) => {
+                this.checkStart(id);
+                return command(address, worker => worker.start(by, id, runMs));
+            },
             checkpoint: (address, by, id) => command(address, worker => worker.checkpoint(by, id)),
             stop: (address, by, id) => command(address, worker => worker.stop(by, id)),
             renew: async (address, by, settled, ttlMs) => {
--- a/packages/daemon/src/cells/runCell.ts
+++ b/packages/daemon/src/cells/runCell.ts
@@ -79,7 +79,8 @@
 }
 
 function isBetweenSteps(job: Job): boolean {
-    return job.stage === JobStage.STARTING || job.stage === JobStage.STOPPING;
+    return job.stage === JobStage.RESERVING || job.stage === JobStage.STARTING
+        || job.stage === JobStage.STOPPING;
 }
 
 /** Takes up the step that the last owner left open; a gang that has finished is not run again. */
--- a/packages/daemon/src/cells/startGang.ts
+++ b/packages/daemon/src/cells/startGang.ts
@@ -30,7 +30,7 @@
         victim.stage = JobStage.STOPPING;
     }
     job.attempts += 1;
-    job.stage = JobStage.STARTING;
+    job.stage = JobStage.RESERVING;
     job.standing = plan.standing.kind === "guaranteed" ? Standing.GUARANTEED : Standing.BORROWED;
     job.guarantee = plan.standing.kind === "guaranteed" ? plan.standing.guarantee : "";
     const reservation = `${job.id}-${book.by.epoch}-${job.attempts}`;
@@ -60,6 +60,7 @@
         await requeueGang(book, job, Reason.NO_ENDPOINT);
         return;
     }
+    job.stage = JobStage.STARTING;
     const durable = await book.commits.commit();
     if (durable.isErr()) {
         book.context.log.warn("A gang's start is not durable.", {
