Share limits anew when members change; sample the event loop less

Cause: a kind's limits were divided when a configuration came into force only, so a daemon that started first kept the share of a lone one. Change: shares follow the members; the default metrics sample the event loop's delay every 500 ms instead of every 10 ms.

--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -1,4 +1,5 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
+import { EVENT_LOOP_SAMPLE_MS } from "./constants.js";
 
 /** The daemon's metrics. */
 export type Metrics = ReturnType<typeof createMetrics>;
@@ -13,7 +14,7 @@
  */
 export function createMetrics() {
     const registry = new Registry();
-    collectDefaultMetrics({ register: registry });
+    collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS });
     const registers = [registry];
     return {
         registry,
--- /dev/null
+++ b/packages/daemon/src/callers/shareLimits.steps.ts
@@ -0,0 +1,42 @@
+import type { NodeId } from "@balsamward/schema";
+import { DocumentSchema, MemberSchema } from "@balsamward/schema";
+import { create } from "@bufbuild/protobuf";
+import { Given, Then } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import type { Configured } from "../_lib/Configured.js";
+import type { DaemonState } from "../DaemonState.js";
+import { createMembership } from "../peers/Membership.js";
+import { shareLimits } from "./shareLimits.js";
+
+Given(
+    "a kind with a concurrency of {int} and a rate of {int} a second",
+    function(this: TestWorld, concurrency: number, ratePerSecond: number) {
+        const document = create(DocumentSchema, { kind: { walk: { concurrency, ratePerSecond } } });
+        const state: Partial<DaemonState> = {
+            membership: createMembership(() => 0),
+            kinds: new Map(),
+            configured: { document } as Configured,
+        };
+        this.notes.set("state", state);
+    },
+);
+
+Then(
+    /^with (\d+) daemons? each admits (\d+) at once$/,
+    function(this: TestWorld, daemons: string, admitted: string) {
+        const state = this.note<DaemonState>("state");
+        state.membership.members.clear();
+        for (let index = 0; index < Number(daemons); index++) {
+            state.membership.members.set(`entry-${index}` as NodeId, create(MemberSchema));
+        }
+        state.kinds.clear();
+        shareLimits(state);
+        const { limiter } = state.kinds.get("walk")!;
+        let count = 0;
+        while (limiter.admit().isOk()) {
+            count += 1;
+        }
+        assert.equal(count, Number(admitted));
+    },
+);
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -96,3 +96,6 @@
 
 /** Good tokens whose customers are kept, so that their digests are not computed again. */
 export const MAX_SEEN_TOKENS = 20_000;
+
+/** Interval in milliseconds at which the delay of the event loop is sampled. */
+export const EVENT_LOOP_SAMPLE_MS = 500;
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -1,4 +1,4 @@
-import { createEndpointPool, createLimiter, createRetryBudget, FairQueue } from "@balsamward/admission";
+import { createEndpointPool, FairQueue } from "@balsamward/admission";
 import type { Environment, HeldLease } from "@balsamward/coordination";
 import {
     createConfigurationTracker,
@@ -17,6 +17,7 @@
 import { createTaskGroup } from "./_lib/createTaskGroup.js";
 import { pause } from "./_lib/pause.js";
 import type { Vm } from "./_lib/Vm.js";
+import { shareLimits } from "./callers/shareLimits.js";
 import { startCallersListener } from "./callers/startCallersListener.js";
 import { runOwnership } from "./cells/runOwnership.js";
 import { DRAIN_NOTICE_MS, DRAIN_TIMEOUT_MS } from "./constants.js";
@@ -54,7 +55,11 @@
     const peerListener = await startPeerListener(state, clients, listeners!.peers);
     const operations = await startOperationsListener(state, router, listeners!.operations, operators!);
     const callers = await startCallersListener(state, router, listeners!.callers);
-    state.tasks.start(() => runControlWatch(state, peers.reconcile, end.signal));
+    const onControl = () => {
+        peers.reconcile();
+        shareLimits(state);
+    };
+    state.tasks.start(() => runControlWatch(state, onControl, end.signal));
     state.tasks.start(() => holdLease(state.store.transport, lease => takeLease(state, lease), end.signal));
     state.tasks.start(() =>
         runVmList(
@@ -129,22 +134,7 @@
     }
     state.configured = applied.value;
     state.metrics.generation.set(Number(configuration.generation));
-    const members = Math.max(1, state.membership.members.size);
-    for (const [name, kind] of Object.entries(applied.value.document.kind)) {
-        const limits = {
-            ratePerSecond: kind.ratePerSecond / members,
-            concurrency: Math.ceil(kind.concurrency / members),
-        };
-        const control = state.kinds.get(name);
-        control?.limiter.adjust(limits);
-        state.kinds.set(
-            name,
-            control ?? {
-                limiter: createLimiter(limits, () => performance.now()),
-                retries: createRetryBudget(),
-            },
-        );
-    }
+    shareLimits(state);
     state.log.info("A configuration is in force.", { generation: String(configuration.generation) });
 }
 
