--- /dev/null
+++ b/packages/coordination/src/acceptDocument.steps.ts
@@ -0,0 +1,113 @@
+import type { Configuration } from "@balsamward/schema";
+import { ConfigurationSchema, hashText } from "@balsamward/schema";
+import { create } from "@bufbuild/protobuf";
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { Result } from "neverthrow";
+import assert from "node:assert/strict";
+import type { StoreFault } from "../../../features/support/MemoryStore.js";
+import { MemoryStore } from "../../../features/support/MemoryStore.js";
+import type { TestWorld } from "../../../features/support/TestWorld.js";
+import type { AcceptanceError, Environment, Store } from "./index.js";
+import {
+    acceptDocument,
+    configurationKey,
+    createConfigurationTracker,
+    createStore,
+    promoteDocument,
+} from "./index.js";
+
+type Acceptance = Result<Configuration, AcceptanceError>;
+
+const NOW_MS = 1_796_000_000_000;
+
+Given("a store for documents", function(this: TestWorld) {
+    const memory = new MemoryStore(() => 0);
+    this.notes.set("memory", memory);
+    this.notes.set("store", createStore(memory.transport(), { pause: () => Promise.resolve() }));
+});
+
+Given("the acceptance meets the fault {string}", function(this: TestWorld, fault: string) {
+    this.note<MemoryStore>("memory").faults = [fault as StoreFault];
+});
+
+When(
+    "{string} and {string} accept different documents at the same moment",
+    async function(this: TestWorld, first: string, second: string) {
+        this.notes.set("race", await Promise.all([accept(this, first, first), accept(this, second, second)]));
+    },
+);
+
+When("{string} accepts the document {string}", async function(this: TestWorld, author: string, text: string) {
+    this.notes.set("acceptance", await accept(this, author, text));
+});
+
+When(
+    "{string} promotes the digest of {string}",
+    async function(this: TestWorld, author: string, text: string) {
+        const proposal = { author, expectedGeneration: undefined, nowMs: NOW_MS };
+        this.notes.set(
+            "promotion",
+            await promoteDocument(this.note<Store>("store"), hashText(text), proposal),
+        );
+    },
+);
+
+When("a tracker is offered the generations {string}", function(this: TestWorld, generations: string) {
+    const seen: string[] = [];
+    const tracker = createConfigurationTracker(configuration => seen.push(String(configuration.generation)));
+    for (const generation of generations.split(" ")) {
+        tracker.offer(create(ConfigurationSchema, { generation: BigInt(generation) }));
+    }
+    this.notes.set("seen", seen);
+});
+
+Then("one is accepted and the other is told the winner", function(this: TestWorld) {
+    const race = this.note<readonly Acceptance[]>("race");
+    const winner = race.find(result => result.isOk());
+    const loser = race.find(result => result.isErr());
+    assert.equal(loser?._unsafeUnwrapErr().kind, "superseded");
+    const { author } = winner!._unsafeUnwrap();
+    assert.ok(loser!._unsafeUnwrapErr().message.includes(`by '${author}'`));
+});
+
+Then("the history of {string} is as in its snapshot", async function(this: TestWorld, environment: string) {
+    const { generation, author, digest, history } = (await read(this, environment))!;
+    this.expectSnapshot({ generation: Number(generation), author, digest, earlier: history.length });
+});
+
+Then("the acceptance is {string}", function(this: TestWorld, kind: string) {
+    assert.equal(kindOf(this.note<Acceptance>("acceptance")), kind);
+});
+
+Then("the promotion is {string}", function(this: TestWorld, kind: string) {
+    assert.equal(kindOf(this.note<Acceptance>("promotion")), kind);
+});
+
+Then(
+    "the generation of {string} is {int}",
+    async function(this: TestWorld, environment: string, generation: number) {
+        assert.equal(Number((await read(this, environment))?.generation ?? 0), generation);
+    },
+);
+
+Then("production holds the bytes of {string}", async function(this: TestWorld, text: string) {
+    assert.equal((await read(this, "production"))?.text, text);
+});
+
+Then("the generations {string} came into force", function(this: TestWorld, generations: string) {
+    assert.equal(this.note<readonly string[]>("seen").join(" "), generations);
+});
+
+function accept(world: TestWorld, author: string, text: string): Promise<Acceptance> {
+    const proposal = { author, text, expectedGeneration: undefined, nowMs: NOW_MS };
+    return acceptDocument(world.note<Store>("store"), "trial", proposal);
+}
+
+async function read(world: TestWorld, environment: string): Promise<Configuration | undefined> {
+    const key = configurationKey(environment as Environment);
+    return (await world.note<Store>("store").read(ConfigurationSchema, key))._unsafeUnwrap()?.message;
+}
+
+function kindOf(result: Acceptance): string {
+    return result.isOk() ? "accepted" : result.error.kind;
+}
--- a/packages/coordination/src/holdLease.ts
+++ b/packages/coordination/src/holdLease.ts
@@ -15,6 +15,8 @@
     readonly clock?: () => number;
     readonly ttlMs?: number;
     readonly renewalMs?: number;
+    /** Waits for a time in milliseconds, or until the signal aborts. */
+    readonly pause?: (ms: number, signal: AbortSignal) => Promise<void>;
 };
 
 /**
@@ -40,18 +42,19 @@
     const clock = options.clock ?? (() => performance.now());
     const ttlMs = options.ttlMs ?? LEASE_TTL_MS;
     const renewalMs = options.renewalMs ?? LEASE_RENEWAL_MS;
+    const pause = options.pause ?? sleepUntil;
     while (!signal.aborted) {
         let sentAt = clock();
         const granted = await transport.grantLease(ttlMs);
         if (granted.isErr()) {
-            await sleep(renewalMs / 2, undefined, { signal }).catch(() => undefined);
+            await pause(renewalMs / 2, signal);
             continue;
         }
         let ended = false;
         const isValid = () => !ended && clock() < sentAt + ttlMs - LEASE_MARGIN_MS;
         onLease({ id: granted.value, isValid });
         while (!signal.aborted && !ended) {
-            await sleep(renewalMs, undefined, { signal }).catch(() => undefined);
+            await pause(renewalMs, signal);
             const before = clock();
             const renewed = await transport.renewLease(granted.value);
             if (renewed.isOk()) {
@@ -64,3 +67,7 @@
         }
     }
 }
+
+async function sleepUntil(ms: number, signal: AbortSignal): Promise<void> {
+    await sleep(ms, undefined, { signal }).catch(() => undefined);
+}
