Split grown files and drop what nothing uses

Cause: three files of the daemon had several jobs each; the demo wrote settings and started processes with its own copies of the measuring package's code; a counter was never fed, and two fields were never read.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,8 +1,9 @@
+import type { DaemonAddresses, StartedProcess } from "@balsamward/measure";
+import { writeCommandSettings } from "@balsamward/measure";
 import { setTimeout as sleep } from "node:timers/promises";
-import { PORTS, portsOf } from "./Ports.js";
 import { runCommand } from "./runCommand.js";
-import type { Part, Parts } from "./startParts.js";
-import { startParts, writeCommandSettings } from "./startParts.js";
+import type { Parts } from "./startParts.js";
+import { planDaemon, PORTS, startParts } from "./startParts.js";
 
 const DOCUMENT = "examples/boliche-nordeste.ini";
 const STEP_TIMEOUT_MS = 20_000;
@@ -16,7 +17,9 @@
 const failures: string[] = [];
 const startedAt = Date.now();
 const parts = startParts();
-const commands = [0, 1, 2].map(index => writeCommandSettings(parts.folder, index, "league-secretaries"));
+const commands = [0, 1, 2].map(index =>
+    writeCommandSettings(parts.folder, planDaemon(index, "recife"), "league-secretaries")
+);
 const daemons = ["recife", "recife", "fortaleza"].map((dataCentre, index) =>
     parts.startDaemon(index, dataCentre)
 );
@@ -38,7 +41,7 @@
 );
 process.exit(failures.length === 0 ? 0 : 1);
 
-async function showPath(all: Parts, running: readonly Part[]): Promise<void> {
+async function showPath(all: Parts, running: readonly StartedProcess[]): Promise<void> {
     await until(
         "the daemons answer",
         async () => (await run(0, ["status"])).code === 0 && (await run(2, ["status"])).code === 0,
@@ -87,7 +90,10 @@
     const batch = ["request", "--kind", "season-batch", "--payload", "{\"club\":7}", "--key", "batch-7"];
     const first = await runJson<{ answer: object }>(0, batch);
     const second = await runJson<{ answer: object; repeated: boolean }>(2, batch);
-    const executions = await fetchJson<readonly Execution[]>(PORTS.control, "/control/executions");
+    const executions = await fetchJson<readonly Execution[]>(
+        `127.0.0.1:${PORTS.control}`,
+        "/control/executions",
+    );
     check(
         "a repeated season batch has the first answer",
         second.repeated && same(first.answer, second.answer),
@@ -101,7 +107,7 @@
     const owner = (await cells(0)).find(row => row.cell === cell)?.owner ?? "";
     const victim = Number(owner.slice("entry-".length));
     const asked = (victim + 1) % 3;
-    running[victim]!.process.kill("SIGKILL");
+    running[victim]!.child.kill("SIGKILL");
     say(`${owner}, the owner of ${cell}, is killed`);
     await until("another daemon owns the cell", async () => {
         const next = (await cells(asked)).find(row => row.cell === cell)?.owner;
@@ -145,7 +151,7 @@
 
 async function readReservations(job: string): Promise<readonly Reservation[]> {
     const agents = await fetchJson<{ vms: readonly { role: string; address: string }[] }>(
-        PORTS.vmList,
+        `127.0.0.1:${PORTS.vmList}`,
         "/v1/vms",
     );
     const address = agents.vms.find(vm => vm.role === "worker")!.address;
@@ -174,13 +180,16 @@
 
 async function ready(): Promise<readonly number[]> {
     return Promise.all([0, 1, 2].map(async index => {
-        const { generation } = await fetchJson<{ generation: number }>(portsOf(index).operations, "/readyz");
+        const { generation } = await fetchJson<{ generation: number }>(
+            addressesOf(index).operations,
+            "/readyz",
+        );
         return generation;
     }));
 }
 
-async function fetchJson<T>(port: number, path: string): Promise<T> {
-    const response = await fetch(`http://127.0.0.1:${port}${path}`);
+async function fetchJson<T>(address: string, path: string): Promise<T> {
+    const response = await fetch(`http://${address}${path}`);
     return await response.json() as T;
 }
 
@@ -196,6 +205,10 @@
     check(what, false);
 }
 
+function addressesOf(index: number): DaemonAddresses {
+    return planDaemon(index, "recife").addresses;
+}
+
 function check(what: string, holds: boolean): void {
     process.stdout.write(`${seconds().padStart(5)} s  ${holds ? "ok    " : "FAILED"}  ${what}\n`);
     if (!holds) {
@@ -216,26 +229,26 @@
 }
 
 async function stay(): Promise<void> {
-    say(`callers: ${[0, 1, 2].map(index => `http://127.0.0.1:${portsOf(index).callers}`).join(", ")}`);
-    say(`operations: ${[0, 1, 2].map(index => `http://127.0.0.1:${portsOf(index).operations}`).join(", ")}`);
+    say(`callers: ${[0, 1, 2].map(index => `http://${addressesOf(index).callers}`).join(", ")}`);
+    say(`operations: ${[0, 1, 2].map(index => `http://${addressesOf(index).operations}`).join(", ")}`);
     say(`settings of the command: ${commands.join(", ")}`);
     say("Press Ctrl+C to stop.");
     await new Promise<void>(resolve => process.once("SIGINT", () => resolve()));
 }
 
 async function stopParts(): Promise<void> {
-    const live = parts.all.filter(part => part.process.exitCode === null && part.process.signalCode === null);
+    const live = parts.all.filter(part => part.child.exitCode === null && part.child.signalCode === null);
     const [daemonParts, platform] = [
         live.filter(part => part.name.startsWith("entry")),
         live.filter(part => !part.name.startsWith("entry")),
     ];
-    daemonParts.forEach(part => part.process.kill("SIGTERM"));
+    daemonParts.forEach(part => part.child.kill("SIGTERM"));
     const codes = await Promise.race([
         Promise.all(daemonParts.map(part => part.ended)),
         sleep(STOP_TIMEOUT_MS).then(() => [1]),
     ]);
     check("the daemons stop gracefully", codes.every(code => code === 0));
-    platform.forEach(part => part.process.kill("SIGTERM"));
+    platform.forEach(part => part.child.kill("SIGTERM"));
     await Promise.race([Promise.all(platform.map(part => part.ended)), sleep(STOP_TIMEOUT_MS)]);
-    live.filter(part => part.process.exitCode === null).forEach(part => part.process.kill("SIGKILL"));
+    live.filter(part => part.child.exitCode === null).forEach(part => part.child.kill("SIGKILL"));
 }
--- a/packages/coordination/src/assignCells.ts
+++ b/packages/coordination/src/assignCells.ts
@@ -32,17 +32,8 @@
     return owners;
 }
 
-/**
- * Ranks daemons for a cell by rendezvous hashing.
- *
- * @param cell - The cell.
- * @param members - The daemons.
- * @returns The daemons, the preferred one first.
- *
- * @example
- * rankMembers(cell, members)[0];
- */
-export function rankMembers(cell: CellId, members: readonly NodeId[]): readonly NodeId[] {
+/** Returns the daemons in the order in which a cell prefers them. */
+function rankMembers(cell: CellId, members: readonly NodeId[]): readonly NodeId[] {
     return members
         .map(member => ({ member, score: hashText(`${cell} ${member}`) }))
         .sort((left, right) => left.score < right.score ? 1 : -1)
--- a/packages/daemon/src/DaemonState.ts
+++ b/packages/daemon/src/DaemonState.ts
@@ -6,7 +6,7 @@
 import type { Configured } from "./_lib/Configured.js";
 import type { TaskGroup } from "./_lib/createTaskGroup.js";
 import type { Vm } from "./_lib/Vm.js";
-import type { OwnedCell } from "./cells/runCell.js";
+import type { OwnedCell } from "./cells/openCell.js";
 import type { WorkerClient } from "./fleet/WorkerClient.js";
 import type { Metrics } from "./Metrics.js";
 import type { Membership } from "./peers/Membership.js";
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -30,11 +30,6 @@
             labelNames: ["reason"] as const,
             registers,
         }),
-        lateAnswers: new Counter({
-            name: "balsamward_late_answers_total",
-            help: "Answers of endpoints that came after their attempt was given up.",
-            registers,
-        }),
         latency: new Histogram({
             name: "balsamward_request_seconds",
             help: "Time from a request's arrival to its answer in seconds.",
--- /dev/null
+++ b/packages/daemon/src/callers/findJob.ts
@@ -0,0 +1,52 @@
+import type { CellId, Job, JobId } from "@balsamward/schema";
+import { parseIdentifier, Reason } from "@balsamward/schema";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import type { IncomingMessage } from "node:http";
+import type { DaemonState } from "../DaemonState.js";
+import type { CellRouter } from "../peers/CellRouter.js";
+import { authenticate } from "./authenticate.js";
+import { cellOfJob } from "./cellOfJob.js";
+import { refuse } from "./refuse.js";
+import type { Reply } from "./Reply.js";
+
+/** A job of the customer that asks. */
+export type FoundJob = { readonly job: Job; readonly cell: CellId; readonly explanation: string };
+
+/**
+ * Finds a job of the customer that asks, at the owner of its cell.
+ *
+ * @param state - The daemon.
+ * @param router - Reaches the owners of cells.
+ * @param req - The request, for its token.
+ * @param id - The job's id as the caller wrote it.
+ * @returns The job, or the refusal to send; another customer's job is not found.
+ *
+ * @example
+ * const found = await findJob(state, router, req, id);
+ */
+export async function findJob(
+    state: DaemonState,
+    router: CellRouter,
+    req: IncomingMessage,
+    id: string,
+): Promise<Result<FoundJob, Reply>> {
+    const notFound = refuse(Reason.NOT_FOUND, "The customer has no such job. Check the id.");
+    const authenticated = authenticate(state, req);
+    if (authenticated.isErr()) {
+        return err(authenticated.error);
+    }
+    const parsed = parseIdentifier<JobId>(id);
+    if (parsed.isErr()) {
+        return err(notFound);
+    }
+    const cell = cellOfJob(parsed.value);
+    const answer = await router.get(cell, parsed.value);
+    if (answer === undefined) {
+        const message = "The owner of the job's cell cannot be reached. Try again.";
+        return err(refuse(Reason.OWNER_UNREACHABLE, message, { retryAfterMs: 1_000 }));
+    }
+    return answer.job === undefined || answer.job.customer !== authenticated.value.customer
+        ? err(notFound)
+        : ok({ job: answer.job, cell, explanation: answer.explanation });
+}
--- /dev/null
+++ b/packages/daemon/src/callers/handleCancellation.ts
@@ -0,0 +1,42 @@
+import type { JobId } from "@balsamward/schema";
+import { Outcome } from "@balsamward/schema";
+import type { IncomingMessage } from "node:http";
+import type { DaemonState } from "../DaemonState.js";
+import { describeJob } from "../operations/describeJob.js";
+import type { CellRouter } from "../peers/CellRouter.js";
+import { findJob } from "./findJob.js";
+import type { CountedReply } from "./handleRequest.js";
+import { refuse } from "./refuse.js";
+
+/**
+ * Handles `DELETE /v1/jobs/{id}`.
+ *
+ * @param state - The daemon.
+ * @param router - Reaches the owners of cells.
+ * @param req - The request.
+ * @param id - The job's id as the caller wrote it.
+ * @returns The answer; `completed` means that the cancellation is durable.
+ *
+ * @example
+ * const { reply } = await handleCancellation(state, router, req, id);
+ */
+export async function handleCancellation(
+    state: DaemonState,
+    router: CellRouter,
+    req: IncomingMessage,
+    id: string,
+): Promise<CountedReply> {
+    const found = await findJob(state, router, req, id);
+    if (found.isErr()) {
+        return { kind: "none", reply: found.error };
+    }
+    const { job, cell } = found.value;
+    const { outcome, reason, job: cancelled } = await router.cancel(cell, job.id as JobId);
+    if (outcome === Outcome.REFUSED) {
+        const message = "The cancellation did not reach the job's owner. Try again.";
+        return { kind: job.kind, reply: refuse(reason, message, { retryAfterMs: 1_000 }) };
+    }
+    const fields = cancelled === undefined ? {} : { job: describeJob(cancelled) };
+    const status = outcome === Outcome.COMPLETED ? 202 : 504;
+    return { kind: job.kind, reply: { outcome, reason, status, fields } };
+}
--- /dev/null
+++ b/packages/daemon/src/callers/handleInquiry.ts
@@ -0,0 +1,37 @@
+import { Outcome, Reason } from "@balsamward/schema";
+import type { IncomingMessage } from "node:http";
+import type { DaemonState } from "../DaemonState.js";
+import { describeJob } from "../operations/describeJob.js";
+import type { CellRouter } from "../peers/CellRouter.js";
+import { findJob } from "./findJob.js";
+import type { CountedReply } from "./handleRequest.js";
+
+/**
+ * Handles `GET /v1/jobs/{id}`.
+ *
+ * @param state - The daemon.
+ * @param router - Reaches the owners of cells.
+ * @param req - The request.
+ * @param id - The job's id as the caller wrote it.
+ * @returns The answer; another customer's job is not found.
+ *
+ * @example
+ * const { reply } = await handleInquiry(state, router, req, id);
+ */
+export async function handleInquiry(
+    state: DaemonState,
+    router: CellRouter,
+    req: IncomingMessage,
+    id: string,
+): Promise<CountedReply> {
+    const found = await findJob(state, router, req, id);
+    if (found.isErr()) {
+        return { kind: "none", reply: found.error };
+    }
+    const { job, explanation } = found.value;
+    const fields = { job: { ...describeJob(job), waits_for: explanation === "" ? undefined : explanation } };
+    return {
+        kind: job.kind,
+        reply: { outcome: Outcome.COMPLETED, reason: Reason.NONE, status: 200, fields },
+    };
+}
--- a/packages/daemon/src/callers/handleJobs.ts
+++ b/packages/daemon/src/callers/handleSubmission.ts
@@ -1,6 +1,6 @@
 import { claimKey, claimRequest } from "@balsamward/coordination";
 import type { CellId, Job, JobId } from "@balsamward/schema";
-import { hashText, JobSchema, JobStage, Outcome, parseIdentifier, Reason, Work } from "@balsamward/schema";
+import { hashText, JobSchema, JobStage, Outcome, Reason, Work } from "@balsamward/schema";
 import { create } from "@bufbuild/protobuf";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
@@ -11,6 +11,7 @@
 import type { CellRouter } from "../peers/CellRouter.js";
 import type { Authenticated } from "./authenticate.js";
 import { authenticate } from "./authenticate.js";
+import { cellOfJob } from "./cellOfJob.js";
 import { chooseCell } from "./chooseCell.js";
 import { ensureClaimLease } from "./ensureClaimLease.js";
 import type { CountedReply } from "./handleRequest.js";
@@ -74,69 +75,6 @@
     return { kind: kindName, reply: await forwardSubmission(router, claimed.value) };
 }
 
-/**
- * Handles `GET /v1/jobs/{id}`.
- *
- * @param state - The daemon.
- * @param router - Reaches the owners of cells.
- * @param req - The request.
- * @param id - The job's id as the caller wrote it.
- * @returns The answer; another customer's job is not found.
- *
- * @example
- * const { reply } = await handleInquiry(state, router, req, id);
- */
-export async function handleInquiry(
-    state: DaemonState,
-    router: CellRouter,
-    req: IncomingMessage,
-    id: string,
-): Promise<CountedReply> {
-    const found = await findJob(state, router, req, id);
-    if (found.isErr()) {
-        return { kind: "none", reply: found.error };
-    }
-    const { job, explanation } = found.value;
-    const fields = { job: { ...describeJob(job), waits_for: explanation === "" ? undefined : explanation } };
-    return {
-        kind: job.kind,
-        reply: { outcome: Outcome.COMPLETED, reason: Reason.NONE, status: 200, fields },
-    };
-}
-
-/**
- * Handles `DELETE /v1/jobs/{id}`.
- *
- * @param state - The daemon.
- * @param router - Reaches the owners of cells.
- * @param req - The request.
- * @param id - The job's id as the caller wrote it.
- * @returns The answer; `completed` means that the cancellation is durable.
- *
- * @example
- * const { reply } = await handleCancellation(state, router, req, id);
- */
-export async function handleCancellation(
-    state: DaemonState,
-    router: CellRouter,
-    req: IncomingMessage,
-    id: string,
-): Promise<CountedReply> {
-    const found = await findJob(state, router, req, id);
-    if (found.isErr()) {
-        return { kind: "none", reply: found.error };
-    }
-    const { job, cell } = found.value;
-    const { outcome, reason, job: cancelled } = await router.cancel(cell, job.id as JobId);
-    if (outcome === Outcome.REFUSED) {
-        const message = "The cancellation did not reach the job's owner. Try again.";
-        return { kind: job.kind, reply: refuse(reason, message, { retryAfterMs: 1_000 }) };
-    }
-    const fields = cancelled === undefined ? {} : { job: describeJob(cancelled) };
-    const status = outcome === Outcome.COMPLETED ? 202 : 504;
-    return { kind: job.kind, reply: { outcome, reason, status, fields } };
-}
-
 function planSubmission(
     state: DaemonState,
     authenticated: Authenticated,
@@ -237,10 +175,6 @@
     return { cell: cellOfJob(id), job: { ...submission.job, id } };
 }
 
-function cellOfJob(id: string): CellId {
-    return id.slice(0, id.lastIndexOf("-")) as CellId;
-}
-
 async function forwardSubmission(router: CellRouter, submission: Submission): Promise<Reply> {
     const { outcome, reason, job } = await router.submit(submission.cell, submission.job);
     switch (outcome) {
@@ -257,31 +191,3 @@
         }
     }
 }
-
-type FoundJob = { readonly job: Job; readonly cell: CellId; readonly explanation: string };
-
-async function findJob(
-    state: DaemonState,
-    router: CellRouter,
-    req: IncomingMessage,
-    id: string,
-): Promise<Result<FoundJob, Reply>> {
-    const notFound = refuse(Reason.NOT_FOUND, "The customer has no such job. Check the id.");
-    const authenticated = authenticate(state, req);
-    if (authenticated.isErr()) {
-        return err(authenticated.error);
-    }
-    const parsed = parseIdentifier<JobId>(id);
-    if (parsed.isErr()) {
-        return err(notFound);
-    }
-    const cell = cellOfJob(parsed.value);
-    const answer = await router.get(cell, parsed.value);
-    if (answer === undefined) {
-        const message = "The owner of the job's cell cannot be reached. Try again.";
-        return err(refuse(Reason.OWNER_UNREACHABLE, message, { retryAfterMs: 1_000 }));
-    }
-    return answer.job === undefined || answer.job.customer !== authenticated.value.customer
-        ? err(notFound)
-        : ok({ job: answer.job, cell, explanation: answer.explanation });
-}
--- a/packages/daemon/src/callers/startCallersListener.ts
+++ b/packages/daemon/src/callers/startCallersListener.ts
@@ -7,9 +7,11 @@
 import { CLIENT_REQUEST_TIMEOUT_MS, ENDPOINT_CONNECTIONS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import type { CellRouter } from "../peers/CellRouter.js";
-import { handleCancellation, handleInquiry, handleSubmission } from "./handleJobs.js";
+import { handleCancellation } from "./handleCancellation.js";
+import { handleInquiry } from "./handleInquiry.js";
 import type { CountedReply } from "./handleRequest.js";
 import { handleRequest } from "./handleRequest.js";
+import { handleSubmission } from "./handleSubmission.js";
 import { refuse } from "./refuse.js";
 import { sendReply } from "./Reply.js";
 
--- a/packages/daemon/src/cells/runCell.ts
+++ b/packages/daemon/src/cells/openCell.ts
@@ -1,5 +1,5 @@
 import type { StoreError } from "@balsamward/coordination";
-import { findShortfalls, measureFragmentation, planPlacement } from "@balsamward/placement";
+import { findShortfalls } from "@balsamward/placement";
 import type {
     CancelJobResponse,
     CellSummary,
@@ -10,27 +10,20 @@
     SubmitJobResponse,
     WorkerId,
 } from "@balsamward/schema";
-import {
-    CancelJobResponseSchema,
-    CellSummarySchema,
-    GetJobResponseSchema,
-    JobStage,
-    Outcome,
-    Reason,
-    SubmitJobResponseSchema,
-} from "@balsamward/schema";
-import { create } from "@bufbuild/protobuf";
+import { JobStage, Reason } from "@balsamward/schema";
 import type { Result } from "neverthrow";
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { createTaskGroup } from "../_lib/createTaskGroup.js";
 import { SCHEDULE_PASS_MS, WORKER_RENEWAL_MS } from "../constants.js";
 import type { CellBook, CellContext } from "./CellBook.js";
 import { openCellBook } from "./CellBook.js";
+import { cancelJob, getJob, submitJob } from "./handleCellCalls.js";
 import { inspectCell } from "./inspectCell.js";
-import { isQueued, rebuildCell } from "./rebuildCell.js";
+import { rebuildCell } from "./rebuildCell.js";
 import { finishGang, isFinished, renewWorkers } from "./renewWorkers.js";
-import { candidateOf, scheduleJobs } from "./scheduleJobs.js";
-import { endJob, requeueGang, startMembers } from "./startGang.js";
+import { scheduleJobs } from "./scheduleJobs.js";
+import { requeueGang, startMembers } from "./startGang.js";
+import { summarizeCell } from "./summarizeCell.js";
 
 /** A cell that this daemon owns. */
 export type OwnedCell = {
@@ -60,7 +53,7 @@
     );
     const opened = await openCellBook(context, tasks);
     if (opened.isErr()) {
-        return opened.map(() => undefined as never);
+        return err(opened.error);
     }
     const book = opened.value;
     rebuildCell(book);
@@ -135,89 +128,3 @@
         rebuildCell(book);
     }
 }
-
-async function submitJob(book: CellBook, job: Job): Promise<SubmitJobResponse> {
-    const known = book.jobs.get(job.id as JobId);
-    if (known === undefined) {
-        book.jobs.set(job.id as JobId, job);
-    }
-    const durable = await book.commits.commit();
-    if (durable.isErr()) {
-        return refuseSubmission(book, job, durable.error);
-    }
-    book.wake();
-    return create(SubmitJobResponseSchema, {
-        outcome: Outcome.COMPLETED,
-        reason: Reason.NONE,
-        job: known ?? job,
-    });
-}
-
-/** A submission that is not durable is taken back while it holds nothing, so that it cannot run. */
-function refuseSubmission(book: CellBook, job: Job, error: StoreError): SubmitJobResponse {
-    const current = book.jobs.get(job.id as JobId);
-    const clear = error.kind === "unavailable" && current?.attempts === 0;
-    if (clear) {
-        book.jobs.delete(job.id as JobId);
-    }
-    return create(
-        SubmitJobResponseSchema,
-        clear
-            ? { outcome: Outcome.REFUSED, reason: Reason.STORE_UNAVAILABLE }
-            : { outcome: Outcome.UNKNOWN, reason: Reason.STORE_UNCLEAR },
-    );
-}
-
-function getJob(book: CellBook, id: JobId): GetJobResponse {
-    const job = book.jobs.get(id);
-    if (job === undefined) {
-        return create(GetJobResponseSchema);
-    }
-    const plan = isQueued(job) ? planPlacement(book.cell, candidateOf(book, job)) : undefined;
-    const explanation = plan === undefined
-        ? ""
-        : plan.isOk()
-        ? "The job starts in the next pass."
-        : plan.error.message;
-    return create(GetJobResponseSchema, { job, explanation });
-}
-
-async function cancelJob(book: CellBook, id: JobId): Promise<CancelJobResponse> {
-    const job = book.jobs.get(id);
-    if (job === undefined) {
-        return create(CancelJobResponseSchema, { outcome: Outcome.REFUSED, reason: Reason.NOT_FOUND });
-    }
-    if (job.stage !== JobStage.ENDED) {
-        job.cancelled = true;
-    }
-    if (job.stage === JobStage.QUEUED) {
-        endJob(book, job, Outcome.FAILED, Reason.CANCELLED);
-    }
-    else if (job.stage === JobStage.RUNNING) {
-        job.stage = JobStage.STOPPING;
-        book.tasks.start(() => requeueGang(book, job, Reason.CANCELLED));
-    }
-    const durable = await book.commits.commit();
-    return create(CancelJobResponseSchema, {
-        outcome: durable.isOk() ? Outcome.COMPLETED : Outcome.UNKNOWN,
-        reason: durable.isOk() ? Reason.NONE : Reason.STORE_UNCLEAR,
-        job,
-    });
-}
-
-function summarizeCell(book: CellBook): CellSummary {
-    const unused = new Map<string, { customer: string; guarantee: string; gangs: number }>();
-    for (const { unit, user, slot } of book.cell.bindings) {
-        if (user === undefined && slot !== undefined) {
-            const key = `${unit.customer} ${unit.guarantee}`;
-            const gangs = (unused.get(key)?.gangs ?? 0) + 1;
-            unused.set(key, { customer: unit.customer, guarantee: unit.guarantee, gangs });
-        }
-    }
-    return create(CellSummarySchema, {
-        cell: book.context.id,
-        freeAccelerators: measureFragmentation(book.cell).freeAccelerators,
-        queuedJobs: [...book.jobs.values()].filter(isQueued).length,
-        unused: [...unused.values()],
-    });
-}
--- a/packages/daemon/src/cells/runOwnership.ts
+++ b/packages/daemon/src/cells/runOwnership.ts
@@ -8,7 +8,7 @@
 import { OWNERSHIP_PASS_MS, REBALANCE_DELAY_MS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import type { CellContext } from "./CellBook.js";
-import { openCell } from "./runCell.js";
+import { openCell } from "./openCell.js";
 
 type RunningCell = { readonly end: AbortController; readonly lease: string; readonly done: Promise<void> };
 
--- /dev/null
+++ b/packages/daemon/src/operations/handleDocuments.ts
@@ -0,0 +1,128 @@
+import type { AcceptanceError, Environment } from "@balsamward/coordination";
+import { acceptDocument, configurationKey, promoteDocument } from "@balsamward/coordination";
+import { checkDocument } from "@balsamward/placement";
+import type { Configuration } from "@balsamward/schema";
+import { ConfigurationSchema, Outcome, Reason } from "@balsamward/schema";
+import { refuse } from "../callers/refuse.js";
+import type { Reply } from "../callers/Reply.js";
+import type { DaemonState } from "../DaemonState.js";
+import { succeed } from "./succeed.js";
+
+/** What an operator sends with a document or a promotion. */
+export type OperatorFields = {
+    readonly text?: string;
+    readonly author?: string;
+    readonly digest?: string;
+    readonly expected_generation?: number;
+};
+
+/**
+ * Checks a document and puts it into the trial environment.
+ *
+ * @param state - The daemon.
+ * @param fields - The document's text and its author.
+ * @returns The answer with the accepted generation.
+ *
+ * @example
+ * await tryDocument(state, { text, author: "ana" });
+ */
+export async function tryDocument(state: DaemonState, fields: OperatorFields): Promise<Reply> {
+    const text = fields.text ?? "";
+    const checked = checkDocument(text);
+    if (checked.isErr()) {
+        return refuse(Reason.BAD_DOCUMENT, checked.error.map(error => error.message).join("\n"));
+    }
+    const accepted = await acceptDocument(state.store, "trial", { text, ...proposalOf(fields) });
+    return accepted.isOk()
+        ? describeAccepted(state, "trial", accepted.value)
+        : describeRejected(accepted.error);
+}
+
+/**
+ * Promotes the trial's document, byte for byte, to production.
+ *
+ * @param state - The daemon.
+ * @param fields - The digest that was tried and the author.
+ * @returns The answer with the accepted generation.
+ *
+ * @example
+ * await promote(state, { digest, author: "ana" });
+ */
+export async function promote(state: DaemonState, fields: OperatorFields): Promise<Reply> {
+    const promoted = await promoteDocument(state.store, fields.digest, proposalOf(fields));
+    return promoted.isOk()
+        ? describeAccepted(state, "production", promoted.value)
+        : describeRejected(promoted.error);
+}
+
+/**
+ * Returns the configuration of an environment with its history.
+ *
+ * @param state - The daemon.
+ * @param environment - The environment.
+ * @returns The answer.
+ *
+ * @example
+ * await showConfiguration(state, "production");
+ */
+export async function showConfiguration(state: DaemonState, environment: Environment): Promise<Reply> {
+    const read = await state.store.read(ConfigurationSchema, configurationKey(environment));
+    if (read.isErr()) {
+        return refuse(Reason.STORE_UNAVAILABLE, read.error.message, { retryAfterMs: 2_000 });
+    }
+    if (read.value === undefined) {
+        return refuse(
+            Reason.NOT_FOUND,
+            `No document is in force in '${environment}'. Run 'balsamward try FILE'.`,
+        );
+    }
+    const { generation, digest, text, author, acceptedAtMs, history } = read.value.message;
+    const entries = [{ generation, digest, author, acceptedAtMs }, ...history];
+    return succeed({
+        environment,
+        generation: Number(generation),
+        digest,
+        text,
+        history: entries.map(entry => ({
+            generation: Number(entry.generation),
+            digest: entry.digest,
+            author: entry.author,
+            accepted_at_ms: Number(entry.acceptedAtMs),
+        })),
+    });
+}
+
+function proposalOf(fields: OperatorFields) {
+    return {
+        author: fields.author ?? "unknown",
+        expectedGeneration: fields.expected_generation === undefined
+            ? undefined
+            : BigInt(fields.expected_generation),
+        nowMs: Date.now(),
+    };
+}
+
+function describeAccepted(state: DaemonState, environment: Environment, configuration: Configuration): Reply {
+    if (environment === state.environment) {
+        state.tracker.offer(configuration);
+    }
+    const { generation, digest } = configuration;
+    return succeed({ environment, generation: Number(generation), digest });
+}
+
+function describeRejected(error: AcceptanceError): Reply {
+    switch (error.kind) {
+        case "superseded":
+        case "conflict":
+            return refuse(Reason.CONFLICT, error.message);
+        case "nothing-tried":
+            return refuse(Reason.NOT_FOUND, error.message);
+        case "unclear": {
+            const message =
+                `${error.message} Run 'balsamward history' to see whether the document is in force.`;
+            return { outcome: Outcome.UNKNOWN, reason: Reason.STORE_UNCLEAR, status: 504, message };
+        }
+        default:
+            return refuse(Reason.STORE_UNAVAILABLE, error.message, { retryAfterMs: 2_000 });
+    }
+}
--- a/packages/daemon/src/operations/startOperationsListener.ts
+++ b/packages/daemon/src/operations/startOperationsListener.ts
@@ -10,15 +10,9 @@
 import { sendReply } from "../callers/Reply.js";
 import type { DaemonState } from "../DaemonState.js";
 import type { CellRouter } from "../peers/CellRouter.js";
-import type { OperatorFields } from "./handleOperations.js";
-import {
-    promote,
-    showConfiguration,
-    showFleet,
-    showStatus,
-    showUsage,
-    tryDocument,
-} from "./handleOperations.js";
+import type { OperatorFields } from "./handleDocuments.js";
+import { promote, showConfiguration, tryDocument } from "./handleDocuments.js";
+import { showFleet, showStatus, showUsage } from "./handleInspections.js";
 import { isReady } from "./isReady.js";
 
 /** The listener for operators. */
--- /dev/null
+++ b/packages/daemon/src/operations/succeed.ts
@@ -0,0 +1,15 @@
+import { Outcome, Reason } from "@balsamward/schema";
+import type { Reply } from "../callers/Reply.js";
+
+/**
+ * Returns the answer to an operator whose request is done.
+ *
+ * @param fields - The fields of the answer.
+ * @returns The answer.
+ *
+ * @example
+ * succeed({ generation: 7 });
+ */
+export function succeed(fields: object): Reply {
+    return { outcome: Outcome.COMPLETED, reason: Reason.NONE, status: 200, fields };
+}
--- a/packages/daemon/src/peers/Membership.ts
+++ b/packages/daemon/src/peers/Membership.ts
@@ -45,10 +45,7 @@
         },
         heartbeats: () =>
             [...heard.values()].filter(entry => isFresh(entry.at)).map(entry => entry.heartbeat),
-        assignable: () =>
-            [...members].filter(([node, member]) =>
-                !member.leaving && heard.get(node)?.heartbeat.leaving !== true
-            ).map(([node]) => node),
+        assignable: () => [...members.keys()].filter(node => heard.get(node)?.heartbeat.leaving !== true),
     };
 }
 
--- a/packages/daemon/src/peers/composeHeartbeat.ts
+++ b/packages/daemon/src/peers/composeHeartbeat.ts
@@ -20,7 +20,6 @@
         leaving: state.stopping,
         cells: [...state.owned.values()].map(cell => cell.summarize()),
         leavingEndpoints: [...state.pool.leaving()],
-        demands: [...state.kinds].map(([kind, { limiter }]) => ({ kind, inFlight: limiter.inFlight() })),
     });
 }
 
--- a/packages/daemon/src/peers/startPeerListener.ts
+++ b/packages/daemon/src/peers/startPeerListener.ts
@@ -7,7 +7,7 @@
 import { createServer } from "node:http2";
 import type { Http2Server, ServerHttp2Session } from "node:http2";
 import { listenOn } from "../_lib/listenOn.js";
-import type { OwnedCell } from "../cells/runCell.js";
+import type { OwnedCell } from "../cells/openCell.js";
 import { BYTE_COUNT_MS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import { composeHeartbeat, receiveHeartbeat } from "./composeHeartbeat.js";
--- a/packages/measure/src/_lib/LabBench.ts
+++ b/packages/measure/src/_lib/LabBench.ts
@@ -2,11 +2,11 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
+import type { StartedProcess } from "../startProcess.js";
+import { startProcess } from "../startProcess.js";
+import type { DaemonAddresses } from "../writeSettings.js";
+import { loopbackAddresses, writeDaemonSettings } from "../writeSettings.js";
 import { callOperations, promoteText, waitUntil } from "./callOperations.js";
-import type { StartedProcess } from "./startProcess.js";
-import { startProcess } from "./startProcess.js";
-import type { DaemonAddresses } from "./writeSettings.js";
-import { loopbackAddresses, writeDaemonSettings } from "./writeSettings.js";
 
 const FIRST_PORT = 7_800;
 const PORTS_EACH = 3;
@@ -94,19 +94,13 @@
 }
 
 /** What a daemon tells of members and cells. */
-export type StatusView = {
+type StatusView = {
     readonly generation: number;
     readonly members: readonly { readonly node: string; readonly heard: boolean }[];
     readonly cells: readonly { readonly cell: string; readonly owner?: string }[];
 };
 
-/**
- * Reads the status of a daemon.
- *
- * @param daemon - The daemon.
- * @returns Its view of members and cells.
- */
-export async function readStatus(daemon: LabDaemon): Promise<StatusView> {
+async function readStatus(daemon: LabDaemon): Promise<StatusView> {
     return await callOperations(daemon.addresses.operations, "/v1/operator/status") as unknown as StatusView;
 }
 
--- a/packages/measure/src/index.ts
+++ b/packages/measure/src/index.ts
@@ -1,3 +1,3 @@
-export * from "./_lib/startProcess.js";
-export * from "./_lib/writeSettings.js";
 export * from "./constants.js";
+export * from "./startProcess.js";
+export * from "./writeSettings.js";
--- a/packages/measure/src/measurePath.ts
+++ b/packages/measure/src/measurePath.ts
@@ -5,11 +5,11 @@
 import { cpuMs, residentMb } from "./_lib/readProcess.js";
 import type { Load } from "./_lib/runLoad.js";
 import { runLoad } from "./_lib/runLoad.js";
-import type { StartedProcess } from "./_lib/startProcess.js";
-import { startProcess } from "./_lib/startProcess.js";
-import { loopbackAddresses, writeDaemonSettings } from "./_lib/writeSettings.js";
 import { LOAD_MS, ROUNDS, WARM_UP_MS } from "./constants.js";
 import type { Report } from "./Report.js";
+import type { StartedProcess } from "./startProcess.js";
+import { startProcess } from "./startProcess.js";
+import { loopbackAddresses, writeDaemonSettings } from "./writeSettings.js";
 
 const FIRST_PORT = 7_700;
 const ENDPOINT_PROCESSES = 4;
--- a/packages/measure/src/_lib/writeSettings.ts
+++ b/packages/measure/src/writeSettings.ts
@@ -1,7 +1,7 @@
 import { hashText } from "@balsamward/schema";
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { OPERATOR_TOKEN } from "../constants.js";
+import { OPERATOR_TOKEN } from "./constants.js";
 
 /** Addresses of one daemon, as `IP:port`. */
 export type DaemonAddresses = {
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -3,7 +3,6 @@
 export * from "./Cell.js";
 export * from "./CellWorker.js";
 export * from "./checkDocument.js";
-export * from "./constants.js";
 export * from "./divideGuarantees.js";
 export * from "./findPlacement.js";
 export * from "./GangShape.js";
