Look for waiting requests without building lists

Cause: a profile of the path shows the count of a caller's waiting requests, made for each request, in lists over all five urgency classes. Ruled out: a smaller young generation of the heap for the memory (162 MB resident with 2 MB, against 143 to 156 MB without). Change: only classes with waiting requests are looked at, and an empty set is made once.

--- a/packages/admission/src/FairQueue.ts
+++ b/packages/admission/src/FairQueue.ts
@@ -97,9 +97,13 @@
      */
     filter(options: Readonly<Partial<FairQueueOptions>> = {}): RunFunction[] {
         const { customer, caller } = options;
-        return this.classes.flatMap(flow =>
-            select(flow.customers, customer).flatMap(found => select(found.callers, caller).flat())
-        );
+        let found: RunFunction[] = [];
+        for (const flow of this.classes) {
+            for (const entry of flow.size > 0 ? select(flow.customers, customer) : []) {
+                found = found.concat(...select(entry.callers, caller));
+            }
+        }
+        return found;
     }
 
     /** Does nothing: the order of a request follows from its class, customer and caller alone. */
--- a/packages/daemon/src/callers/serveWork.ts
+++ b/packages/daemon/src/callers/serveWork.ts
@@ -11,6 +11,8 @@
 import { refuse } from "./refuse.js";
 import type { Reply } from "./Reply.js";
 
+const NONE: ReadonlySet<EndpointId> = new Set();
+
 /** What one request needs to be served. */
 export type Service = {
     readonly state: DaemonState;
@@ -67,9 +69,8 @@
     service: Service,
     avoid: ReadonlySet<EndpointId>,
 ): Promise<Endpoint | undefined> {
-    const none = new Set<EndpointId>();
     while (remaining(service) > 0) {
-        const endpoint = service.state.pool.acquire(avoid) ?? service.state.pool.acquire(none);
+        const endpoint = service.state.pool.acquire(avoid) ?? service.state.pool.acquire(NONE);
         if (endpoint !== undefined) {
             return endpoint;
         }
