Derive the stated cells once for each configuration

Cause: a reading of the whole change. Each submission and inspection built the list of all stated workers anew; the list of settled reservations that a renewal had sent was the one that others appended to meanwhile, so that names added in flight were dropped unsent and settled again a renewal later. Ruled out: merging the handlers of inquiry and cancellation, which share only their signature and the look-up that 'findJob' already is; merging the two types of a VM, since product code never imports the stand-ins. Change: the cells are part of what follows from a configuration; a renewal copies the list it sends. Conclusion: behaviour is unchanged but for one needless settling; the cost of a submission at the target's size was not measured.

--- a/packages/daemon/src/callers/chooseCell.ts
+++ b/packages/daemon/src/callers/chooseCell.ts
@@ -1,5 +1,5 @@
 import type { NominalCell } from "@balsamward/placement";
-import { createCell, findPlacement, nominalCells, shapeFits } from "@balsamward/placement";
+import { createCell, findPlacement, shapeFits } from "@balsamward/placement";
 import type { GangShape, GuaranteeUnit } from "@balsamward/placement";
 import type { CellId, CellSummary, CustomerId, Kind } from "@balsamward/schema";
 import type { Configured } from "../_lib/Configured.js";
@@ -31,7 +31,7 @@
     summaries: readonly CellSummary[],
     request: CellRequest,
 ): CellId | undefined {
-    const able = nominalCells(configured.document).filter(cell => canHold(configured, cell, request));
+    const able = configured.cells.filter(cell => canHold(configured, cell, request));
     const ranked = able
         .map(cell => ({ id: cell.id, score: scoreCell(configured, summaries, request, cell.id) }))
         .sort((left, right) => right.score - left.score);
--- a/packages/daemon/src/cells/renewWorkers.ts
+++ b/packages/daemon/src/cells/renewWorkers.ts
@@ -35,7 +35,7 @@
 
 /** Renews one worker and returns the reservations that the book does not know. */
 async function renewWorker(book: CellBook, worker: WorkerRecord): Promise<readonly UnknownReservation[]> {
-    const settled = worker.settled;
+    const settled = [...worker.settled];
     const sentAt = book.context.clock();
     const renewed = await book.context.workers.renew(worker.address, book.by, settled, RESERVATION_TTL_MS);
     if (renewed.isErr()) {
--- a/packages/daemon/src/operations/handleInspections.ts
+++ b/packages/daemon/src/operations/handleInspections.ts
@@ -1,5 +1,4 @@
 import { ledgerKey } from "@balsamward/coordination";
-import { nominalCells } from "@balsamward/placement";
 import type { CellId, InspectCellResponse, Job, NodeId } from "@balsamward/schema";
 import { LedgerPageSchema } from "@balsamward/schema";
 import type { Reply } from "../callers/Reply.js";
@@ -120,7 +119,7 @@
 }
 
 function listNominal(state: DaemonState): readonly CellId[] {
-    return state.configured === undefined ? [] : nominalCells(state.configured.document).map(cell => cell.id);
+    return (state.configured?.cells ?? []).map(cell => cell.id);
 }
 
 function generationOf(state: DaemonState, node: string): bigint {
