--- /dev/null
+++ b/packages/scheduler/src/Metrics.ts
@@ -0,0 +1,48 @@
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Metrics of a daemon that schedules. */
+export type Metrics = ReturnType<typeof createMetrics>;
+
+/**
+ * Creates the metrics in a registry of their own.
+ *
+ * @returns The registry and its metrics.
+ */
+export function createMetrics() {
+    const registry = new Registry();
+    collectDefaultMetrics({ register: registry });
+    const registers = [registry];
+    const counter = <Label extends string>(name: string, help: string, labelNames: readonly Label[]) =>
+        new Counter<Label>({ name: `balsamward_${name}_total`, help, labelNames, registers });
+    return {
+        registry,
+        answers: counter("caller_answers", "Answers to callers by call, status and reason.", [
+            "call",
+            "status",
+            "reason",
+        ]),
+        latency: new Histogram({
+            name: "balsamward_caller_seconds",
+            help: "Time from a call's arrival to its answer in seconds.",
+            labelNames: ["call"] as const,
+            buckets: [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5],
+            registers,
+        }),
+        jobs: counter("job_events", "Jobs by event.", ["event"]),
+        starts: counter("starts", "Sent starts by outcome.", ["outcome"]),
+        stops: counter("stops", "Stopped runs by reason.", ["reason"]),
+        ends: counter("run_ends", "Ends that workers listed, by kind.", ["how"]),
+        orderFaults: counter("order_faults", "Orders without success by order and reason.", ["order", "reason"]),
+        storeCalls: counter("store_calls", "Calls of the store by operation and result.", ["operation", "result"]),
+        relays: counter("relayed_store_calls", "Store calls relayed through peers by result.", ["result"]),
+        peerCalls: counter("peer_calls", "Calls of peers by call and result.", ["call", "result"]),
+        terms: counter("ownership_changes", "Begun and ended terms of ownership by reason.", ["reason"]),
+        droppedLogLines: counter("dropped_log_lines", "Log lines dropped because the output was full.", []),
+        configurationVersion: new Gauge({
+            name: "balsamward_configuration_version",
+            help: "Version of the configuration in force.",
+            registers,
+        }),
+        owner: new Gauge({ name: "balsamward_owner", help: "1 while the daemon schedules.", registers }),
+    };
+}
--- /dev/null
+++ b/packages/scheduler/src/callers/Desk.ts
@@ -0,0 +1,12 @@
+import type { QueueDepth } from "@balsamward/schema/scheduling";
+import type { Cluster } from "../cluster/Cluster.js";
+import type { OwnerDesk } from "../cluster/serveCluster.js";
+import type { FleetStore } from "../ports/FleetStore.js";
+
+/** What answering callers needs. */
+export type Desk = {
+    readonly cluster: Cluster;
+    readonly store: FleetStore;
+    /** The owner's knowledge; `undefined` while this daemon does not schedule. */
+    readonly ownerDesk: () => (OwnerDesk & { readonly depths: () => readonly QueueDepth[] }) | undefined;
+};
--- /dev/null
+++ b/packages/scheduler/src/callers/submitJob.ts
@@ -0,0 +1,99 @@
+import type { Job } from "@balsamward/schema/scheduling";
+import { JobSchema } from "@balsamward/schema/scheduling";
+import { fromBinary, toBinary } from "@bufbuild/protobuf";
+import { pause } from "../_lib/pause.js";
+import { PEER_CALL_TIMEOUT_MS } from "../constants.js";
+import { keys } from "../keys.js";
+import type { StoreItem } from "../ports/FleetStore.js";
+import type { Desk } from "./Desk.js";
+import type { Reply } from "./Reply.js";
+import { refuse } from "./Reply.js";
+
+/** Pause before a write whose outcome is unclear is sent again, in milliseconds. */
+const UNCLEAR_PAUSE_MS = 50;
+
+/**
+ * Stores a submitted job, once for each id.
+ *
+ * The write expects the job to be absent, so that sending it again after a lost answer is safe: it
+ * conflicts with the first one if that took effect.
+ *
+ * @param desk - What answering needs.
+ * @param job - The job.
+ * @param deadline - Steady time at which the caller stops waiting, in milliseconds.
+ * @returns `accepted` once the job is stored; a refusal other than `unclear` means that it is not.
+ */
+export async function submitJob(desk: Desk, job: Job, deadline: number): Promise<Reply> {
+    const transaction = {
+        expect: [{ key: keys.job(job.id), revision: 0 }],
+        puts: [{ key: keys.job(job.id), value: toBinary(JobSchema, job) }],
+        removals: [],
+    };
+    let isUnclear = false;
+    while (true) {
+        const stored = await desk.store.commit(transaction);
+        if (stored.isOk()) {
+            announce(desk, job, stored.value, false);
+            return { kind: "accepted" };
+        }
+        const { error } = stored;
+        switch (error.kind) {
+            case "conflict":
+                return judgePresent(desk, job, error.items[0]);
+            case "unclear":
+                isUnclear = true;
+                break;
+            case "unavailable":
+            case "compacted":
+            case "lease-ended":
+                if (!isUnclear) {
+                    return refuse("store-unavailable", "The job is not stored and will not run. Come back later.");
+                }
+                break;
+            case "invalid":
+                return refuse("bad-job", "The store does not take the job. Make it smaller.");
+        }
+        if (desk.cluster.clock() + UNCLEAR_PAUSE_MS >= deadline) {
+            return refuse("unclear", "The job may be stored or not. Send it again under the same id.");
+        }
+        await pause(UNCLEAR_PAUSE_MS);
+    }
+}
+
+function judgePresent(desk: Desk, job: Job, item: StoreItem | undefined): Reply {
+    if (item === undefined) {
+        return refuse("unclear", "The job may be stored or not. Send it again under the same id.");
+    }
+    const present = fromBinary(JobSchema, item.value);
+    if (present.customer !== job.customer || present.digest !== job.digest) {
+        return refuse("other-job", "Another job has this id. Choose a new id.");
+    }
+    announce(desk, present, item.revision, false);
+    return { kind: "accepted" };
+}
+
+/**
+ * Tells the owner of a stored job or cancellation; if it is not reached, its watch shows the change.
+ *
+ * @param desk - What answering needs.
+ * @param job - The job.
+ * @param revision - Revision of the job.
+ * @param cancelled - Whether the job was cancelled.
+ */
+export function announce(desk: Desk, job: Job, revision: number, cancelled: boolean): void {
+    const own = desk.ownerDesk();
+    if (own !== undefined) {
+        if (cancelled) {
+            own.cancel(job.id);
+        }
+        else {
+            own.take(job, revision);
+        }
+        return;
+    }
+    const owner = desk.cluster.peers.get(desk.cluster.owner?.address ?? "");
+    owner?.client.calls.announceJob({ job, revision, cancelled }, { timeoutMs: PEER_CALL_TIMEOUT_MS }).catch(error => {
+        desk.cluster.metrics.peerCalls.inc({ call: "announce", result: "failed" });
+        desk.cluster.log.debug("The owner is not told of a job.", { job: job.id, error: String(error) });
+    });
+}
--- /dev/null
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -0,0 +1,125 @@
+import type { Heartbeat, QueueDepth } from "@balsamward/schema/scheduling";
+import type { Logger } from "winston";
+import type { Metrics } from "../Metrics.js";
+import type { ConfigurationKeeper } from "./createConfigurationKeeper.js";
+import type { PeerClient } from "./createPeerClient.js";
+
+/** The daemon that schedules, as this daemon believes. */
+export type OwnerBelief = {
+    readonly node: string;
+    readonly address: string;
+    /** Revision at which its term began; the highest one is the newest. */
+    readonly revision: number;
+};
+
+/** Another daemon. */
+export type Peer = {
+    readonly address: string;
+    node: string;
+    readonly client: PeerClient;
+    /** Steady time of its last answer or call. */
+    heardAt: number;
+    /** Refused connections in a row. */
+    refusals: number;
+    /** Whether its last store call was answered. */
+    reachesStore: boolean;
+    /** Its time of day minus this daemon's, in milliseconds. */
+    wallOffsetMs: number;
+    leaving: boolean;
+    /** Ends the peer's task. */
+    readonly end: AbortController;
+};
+
+/** What a daemon knows of the others. */
+export type Cluster = {
+    readonly node: string;
+    readonly address: string;
+    readonly peers: Map<string, Peer>;
+    readonly configuration: ConfigurationKeeper;
+    readonly log: Logger;
+    readonly metrics: Metrics;
+    readonly clock: () => number;
+    owner: OwnerBelief | undefined;
+    /** Waiting jobs by queue, as the owner last told. */
+    depths: readonly QueueDepth[];
+    /** Counts the waiting jobs while this daemon schedules. */
+    ownDepths: () => readonly QueueDepth[] | undefined;
+    /** Whether this daemon's last direct store call was answered. */
+    reachesStore: boolean;
+    leaving: boolean;
+    /** Called when the owner's process is certainly dead. */
+    onOwnerDead: (owner: OwnerBelief) => void;
+    /** Called when a newer owner becomes known. */
+    onOwnerChanged: () => void;
+    /** Starts the task of a peer that has become known. */
+    meet: (address: string, node: string) => Peer | undefined;
+};
+
+/**
+ * Composes what this daemon tells its peers.
+ *
+ * @param cluster - The daemon's knowledge.
+ * @returns The heartbeat, without its type name.
+ */
+export function composeHeartbeat(cluster: Cluster): Omit<Heartbeat, "$typeName"> {
+    return {
+        sender: describe(cluster.node, cluster.address),
+        configurationVersion: cluster.configuration.current()?.version ?? 0,
+        ...(cluster.owner === undefined ? {} : { owner: describe(cluster.owner.node, cluster.owner.address) }),
+        ownerRevision: cluster.owner?.revision ?? 0,
+        depths: [...cluster.ownDepths() ?? []],
+        peers: [...cluster.peers.values()]
+            .filter(peer => !peer.leaving && peer.heardAt > Number.NEGATIVE_INFINITY)
+            .map(peer => describe(peer.node, peer.address)),
+        wallMs: Date.now(),
+        storeReachable: cluster.reachesStore,
+        leaving: cluster.leaving,
+    };
+}
+
+function describe(node: string, address: string): NonNullable<Heartbeat["sender"]> {
+    return { $typeName: "balsamward.scheduling.v1.PeerDescription", node, address };
+}
+
+/**
+ * Takes in what a peer tells.
+ *
+ * @param cluster - The daemon's knowledge.
+ * @param heartbeat - What the peer tells.
+ * @returns Whether the peer has a newer configuration.
+ */
+export function receiveHeartbeat(cluster: Cluster, heartbeat: Heartbeat): boolean {
+    const { sender } = heartbeat;
+    const peer = sender === undefined ? undefined : cluster.meet(sender.address, sender.node);
+    if (peer !== undefined) {
+        peer.node = sender!.node;
+        peer.heardAt = cluster.clock();
+        peer.refusals = 0;
+        peer.reachesStore = heartbeat.storeReachable;
+        peer.leaving = heartbeat.leaving;
+        peer.wallOffsetMs = heartbeat.wallMs - Date.now();
+    }
+    heartbeat.peers.forEach(({ address, node }) => cluster.meet(address, node));
+    if (heartbeat.owner !== undefined) {
+        const { node, address } = heartbeat.owner;
+        noteOwner(cluster, { node, address, revision: heartbeat.ownerRevision });
+        if (sender?.address === cluster.owner?.address) {
+            cluster.depths = heartbeat.depths;
+        }
+    }
+    return heartbeat.configurationVersion > (cluster.configuration.current()?.version ?? 0);
+}
+
+/**
+ * Takes in who schedules; an older owner than the known one is passed over.
+ *
+ * @param cluster - The daemon's knowledge.
+ * @param belief - The owner.
+ */
+export function noteOwner(cluster: Cluster, belief: OwnerBelief): void {
+    if (belief.revision > (cluster.owner?.revision ?? 0)) {
+        cluster.owner = belief;
+        cluster.log.info("A newer owner is known.", { owner: belief.node, revision: belief.revision });
+        cluster.onOwnerChanged();
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/cluster/createPeerClient.ts
@@ -0,0 +1,39 @@
+import { ClusterService } from "@balsamward/schema/scheduling";
+import type { Client } from "@connectrpc/connect";
+import { createClient } from "@connectrpc/connect";
+import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+
+/** The calls of one peer. */
+export type PeerClient = {
+    readonly calls: Client<typeof ClusterService>;
+    /** Closes the connection; the next call opens a new one. */
+    readonly reset: () => void;
+};
+
+/**
+ * Creates a client of a peer, which connects with its first call.
+ *
+ * @param address - The peer's address as `IP:port`.
+ * @returns The client.
+ */
+export function createPeerClient(address: string): PeerClient {
+    const baseUrl = `http://${address}`;
+    const sessionManager = new Http2SessionManager(baseUrl);
+    const transport = createConnectTransport({ baseUrl, httpVersion: "2", sessionManager });
+    return { calls: createClient(ClusterService, transport), reset: () => sessionManager.abort() };
+}
+
+/**
+ * Returns whether an error shows that no process listens at an address.
+ *
+ * @param error - What a call threw.
+ * @returns True for a refused connection.
+ */
+export function isConnectionRefused(error: unknown): boolean {
+    for (let cause = error; cause instanceof Error; cause = cause.cause) {
+        if ((cause as { code?: unknown }).code === "ECONNREFUSED" || cause.message.includes("ECONNREFUSED")) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/packages/scheduler/src/cluster/relayedCalls.ts
@@ -0,0 +1,103 @@
+import type { RelayStoreCallRequest, RelayStoreCallResponse, StoreRow } from "@balsamward/schema/scheduling";
+import {
+    RelayStoreCallResponseSchema,
+    StoreRowSchema,
+} from "@balsamward/schema/scheduling";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import { create } from "@bufbuild/protobuf";
+import type { ResultAsync } from "neverthrow";
+import type {
+    FleetStore,
+    LeaseId,
+    StoreError,
+    StoreEvent,
+    StoreItem,
+    StoreTransaction,
+} from "../ports/FleetStore.js";
+
+type Response = MessageInitShape<typeof RelayStoreCallResponseSchema>;
+
+/**
+ * Makes a store call for a peer that cannot reach the store.
+ *
+ * @param store - The store, reached directly.
+ * @param request - The call.
+ * @param signal - Ends a waiting watch.
+ * @returns The answer, or the kind of the error.
+ */
+export async function carryOutRelayedCall(
+    store: FleetStore,
+    { call }: RelayStoreCallRequest,
+    signal: AbortSignal,
+): Promise<RelayStoreCallResponse> {
+    switch (call.case) {
+        case "read":
+            return answer(store.read(call.value.key), item => ({ rows: item === undefined ? [] : [toRow(item)] }));
+        case "list":
+            return answer(
+                store.list(call.value.prefix, { stale: call.value.stale }),
+                ({ items, revision }) => ({ rows: items.map(toRow), revision }),
+            );
+        case "commit":
+            return answer(store.commit(toTransaction(call.value)), revision => ({ revision }));
+        case "watch":
+            return answer(
+                store.watch(call.value.prefix, call.value.after, call.value.waitMs, signal),
+                ({ events, revision }) => ({ rows: events.map(toRow), revision }),
+            );
+        case "grantLeaseMs":
+            return answer(store.grantLease(call.value), ({ id, ttlMs }) => ({ lease: id, leaseMs: ttlMs }));
+        case "renewLease":
+            return answer(store.renewLease(call.value as LeaseId), () => ({}));
+        case "endLease":
+            return answer(store.endLease(call.value as LeaseId), () => ({}));
+        case undefined:
+            return create(RelayStoreCallResponseSchema, { errorKind: "invalid", errorMessage: "The call is empty." });
+    }
+}
+
+async function answer<T>(
+    result: ResultAsync<T, StoreError>,
+    compose: (value: T) => Response,
+): Promise<RelayStoreCallResponse> {
+    const settled = await result;
+    if (settled.isOk()) {
+        return create(RelayStoreCallResponseSchema, compose(settled.value) as never);
+    }
+    const { error } = settled;
+    return create(RelayStoreCallResponseSchema, {
+        errorKind: error.kind,
+        errorMessage: error.message,
+        rows: error.kind === "conflict" ? error.items.map(toRow) : [],
+    });
+}
+
+/**
+ * Converts an item or event for the way between daemons.
+ *
+ * @param item - The item; its value is `undefined` if it was removed.
+ * @returns The row.
+ */
+export function toRow(item: StoreItem | StoreEvent): StoreRow {
+    return create(StoreRowSchema, {
+        key: item.key,
+        revision: item.revision,
+        ...(item.value === undefined ? {} : { value: item.value }),
+    });
+}
+
+function toTransaction(commit: {
+    readonly expect: readonly StoreRow[];
+    readonly puts: readonly StoreRow[];
+    readonly removals: readonly string[];
+}): StoreTransaction {
+    return {
+        expect: commit.expect.map(({ key, revision }) => ({ key, revision })),
+        puts: commit.puts.map(({ key, value, lease }) => ({
+            key,
+            value: value ?? new Uint8Array(),
+            ...(lease === "" ? {} : { lease: lease as LeaseId }),
+        })),
+        removals: commit.removals,
+    };
+}
--- /dev/null
+++ b/packages/scheduler/src/cluster/runMembership.ts
@@ -0,0 +1,64 @@
+import { MemberRecordSchema } from "@balsamward/schema/scheduling";
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { pause } from "../_lib/pause.js";
+import { MEMBER_LEASE_MS, STORE_RETRY_MS } from "../constants.js";
+import { keys } from "../keys.js";
+import type { FleetStore, LeaseId } from "../ports/FleetStore.js";
+import type { Cluster } from "./Cluster.js";
+
+/** Renewals of a member's lease within its time to live. */
+const RENEWALS_PER_LEASE = 3;
+
+/**
+ * Registers this daemon in the store, and learns of the others there.
+ *
+ * @param cluster - The daemon's knowledge.
+ * @param store - The store.
+ * @param signal - Ends the registration.
+ */
+export async function runMembership(cluster: Cluster, store: FleetStore, signal: AbortSignal): Promise<void> {
+    let lease: LeaseId | undefined;
+    while (!signal.aborted) {
+        lease = lease === undefined ? await register(cluster, store) : await renew(store, lease);
+        await meetMembers(cluster, store);
+        await pause(lease === undefined ? STORE_RETRY_MS : MEMBER_LEASE_MS / RENEWALS_PER_LEASE, signal);
+    }
+    if (lease !== undefined) {
+        await store.endLease(lease);
+    }
+}
+
+async function register(cluster: Cluster, store: FleetStore): Promise<LeaseId | undefined> {
+    const lease = await store.grantLease(MEMBER_LEASE_MS);
+    if (lease.isErr()) {
+        return undefined;
+    }
+    const record = create(MemberRecordSchema, { node: cluster.node, peerAddress: cluster.address });
+    const written = await store.commit({
+        expect: [],
+        puts: [{
+            key: keys.member(cluster.node),
+            value: toBinary(MemberRecordSchema, record),
+            lease: lease.value.id,
+        }],
+        removals: [],
+    });
+    return written.isOk() ? lease.value.id : undefined;
+}
+
+async function renew(store: FleetStore, lease: LeaseId): Promise<LeaseId | undefined> {
+    const renewed = await store.renewLease(lease);
+    return renewed.isErr() && renewed.error.kind === "lease-ended" ? undefined : lease;
+}
+
+async function meetMembers(cluster: Cluster, store: FleetStore): Promise<void> {
+    const members = await store.list(keys.members, { stale: true });
+    if (members.isErr()) {
+        cluster.log.debug("The members cannot be listed.", { reason: members.error.kind });
+        return;
+    }
+    for (const item of members.value.items) {
+        const record = fromBinary(MemberRecordSchema, item.value);
+        cluster.meet(record.peerAddress, record.node);
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/cluster/serveCluster.ts
@@ -0,0 +1,103 @@
+import { ClusterService } from "@balsamward/schema/scheduling";
+import type { Job, JobState, RelayStoreCallRequest } from "@balsamward/schema/scheduling";
+import type { ConnectRouter } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { createServer } from "node:http2";
+import type { ServerHttp2Session } from "node:http2";
+import type { FleetStore } from "../ports/FleetStore.js";
+import type { Cluster } from "./Cluster.js";
+import { composeHeartbeat, receiveHeartbeat } from "./Cluster.js";
+import { carryOutRelayedCall } from "./relayedCalls.js";
+import { fetchConfiguration } from "./runPeers.js";
+
+/** A job as the owner knows it. */
+export type KnownJob = { readonly state: JobState; readonly customer: string };
+
+/** What the owner answers about jobs; `undefined` while this daemon does not schedule. */
+export type OwnerDesk = {
+    /** Returns what is known of a job, or `undefined` if it is not known. */
+    readonly describe: (id: string) => KnownJob | undefined;
+    /** Takes a job that was just stored. */
+    readonly take: (job: Job, revision: number) => void;
+    /** Takes a cancellation that was just stored. */
+    readonly cancel: (id: string) => void;
+};
+
+/** What serving peers needs. */
+export type ClusterServices = {
+    readonly cluster: Cluster;
+    /** The store, reached directly. */
+    readonly store: FleetStore;
+    readonly desk: () => OwnerDesk | undefined;
+};
+
+/** A listener that can be closed. */
+export type Listener = { readonly close: () => Promise<void> };
+
+/**
+ * Serves the calls of other daemons over HTTP/2.
+ *
+ * @param services - What the calls work on.
+ * @param address - The address as `IP:port`.
+ * @returns The listener.
+ */
+export async function serveCluster(services: ClusterServices, address: string): Promise<Listener> {
+    const sessions = new Set<ServerHttp2Session>();
+    const server = createServer(connectNodeAdapter({ routes: router => addRoutes(router, services) }));
+    server.on("session", session => {
+        sessions.add(session);
+        session.once("close", () => sessions.delete(session));
+    });
+    const [host, port] = address.split(":");
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(Number(port), host, () => resolve());
+    });
+    return {
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                sessions.forEach(session => session.close());
+            }),
+    };
+}
+
+function addRoutes(router: ConnectRouter, services: ClusterServices): void {
+    const { cluster } = services;
+    router.service(ClusterService, {
+        exchange: ({ heartbeat }) => {
+            if (heartbeat !== undefined && receiveHeartbeat(cluster, heartbeat)) {
+                const peer = cluster.peers.get(heartbeat.sender?.address ?? "");
+                void (peer === undefined ? undefined : fetchConfiguration(cluster, peer));
+            }
+            return { heartbeat: composeHeartbeat(cluster) as never };
+        },
+        fetchConfiguration: () => ({
+            text: cluster.configuration.text(),
+            version: cluster.configuration.current()?.version ?? 0,
+        }),
+        describeJob: ({ job }) => {
+            const desk = services.desk();
+            const known = desk?.describe(job);
+            return {
+                owner: desk !== undefined,
+                known: known !== undefined,
+                ...(known === undefined ? {} : { state: known.state, customer: known.customer }),
+            };
+        },
+        announceJob: ({ job, revision, cancelled }) => {
+            const desk = services.desk();
+            if (desk !== undefined && job !== undefined) {
+                if (cancelled) {
+                    desk.cancel(job.id);
+                }
+                else {
+                    desk.take(job, revision);
+                }
+            }
+            return { owner: desk !== undefined };
+        },
+        relayStoreCall: (request: RelayStoreCallRequest, context) =>
+            carryOutRelayedCall(services.store, request, context.signal),
+    });
+}
--- /dev/null
+++ b/packages/scheduler/src/cluster/watchConfiguration.ts
@@ -0,0 +1,53 @@
+import { pause } from "../_lib/pause.js";
+import { STORE_RETRY_MS, WATCH_WAIT_MS } from "../constants.js";
+import type { FleetStore } from "../ports/FleetStore.js";
+import type { Cluster } from "./Cluster.js";
+
+/**
+ * Follows the operator's configuration in the store.
+ *
+ * @param cluster - The daemon's knowledge, which keeps the configuration.
+ * @param store - The store.
+ * @param key - Key of the configuration.
+ * @param signal - Ends the watch.
+ */
+export async function watchConfiguration(
+    cluster: Cluster,
+    store: FleetStore,
+    key: string,
+    signal: AbortSignal,
+): Promise<void> {
+    let revision: number | undefined;
+    while (!signal.aborted) {
+        if (revision === undefined) {
+            revision = await readConfiguration(cluster, store, key);
+        }
+        const seen = revision === undefined ? undefined : await store.watch(key, revision, WATCH_WAIT_MS, signal);
+        if (seen?.isOk()) {
+            seen.value.events
+                .filter(event => event.key === key && event.value !== undefined)
+                .forEach(event => cluster.configuration.offer(event.value!, "store"));
+            revision = seen.value.revision;
+            continue;
+        }
+        // Whatever ended the watch, the present value is read anew.
+        revision = undefined;
+        const isCompacted = seen?.isErr() === true && seen.error.kind === "compacted";
+        if (!signal.aborted && !isCompacted) {
+            await pause(STORE_RETRY_MS, signal);
+        }
+    }
+}
+
+async function readConfiguration(
+    cluster: Cluster,
+    store: FleetStore,
+    key: string,
+): Promise<number | undefined> {
+    const item = await store.read(key);
+    if (item.isErr() || item.value === undefined) {
+        return undefined;
+    }
+    cluster.configuration.offer(item.value.value, "store");
+    return item.value.revision;
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/applyEnd.ts
@@ -0,0 +1,126 @@
+import { JobState } from "@balsamward/schema/scheduling";
+import type { EndedRow } from "../ports/WorkerPort.js";
+import type { StepEntry, TaskEntry } from "../state/JobEntry.js";
+import { hasEnded } from "../state/jobStates.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { endIfComplete, endJob, markDirty } from "./endJob.js";
+import { findTask } from "./findTask.js";
+import { releaseRun } from "./runs.js";
+import type { Scheduler } from "./Scheduler.js";
+import { pauseWorker } from "./startRun.js";
+import { stopGang, stopRun } from "./stopRun.js";
+
+/** Failures of a task after which its job fails, where its queue is not configured any more. */
+const DEFAULT_ATTEMPTS = 2;
+
+/**
+ * Applies the end of a run that a worker lists.
+ *
+ * @param scheduler - The scheduler.
+ * @param worker - The worker.
+ * @param row - The end.
+ */
+export function applyEnd(scheduler: Scheduler, worker: WorkerEntry, row: EndedRow): void {
+    scheduler.metrics.ends.inc({ how: row.how });
+    scheduler.log.info("A run ends.", {
+        ...row.task,
+        run: row.run,
+        worker: worker.id,
+        end: row.number,
+        how: row.how,
+    });
+    const task = findTask(scheduler, row.task);
+    if (task === undefined) {
+        return;
+    }
+    const run = task.runs.find(candidate => candidate.worker === worker && candidate.number === row.run);
+    const wasStopping = run?.phase === "stopping";
+    if (run !== undefined) {
+        releaseRun(run);
+    }
+    task.lastRun = Math.max(task.lastRun, row.run);
+    if (row.checkpoint !== "") {
+        keepCheckpoint(task, row.checkpoint);
+    }
+    if (!hasEnded(task.step.job.state)) {
+        applyOutcome(scheduler, worker, task, row, wasStopping);
+    }
+    scheduler.wake();
+}
+
+function applyOutcome(
+    scheduler: Scheduler,
+    worker: WorkerEntry,
+    task: TaskEntry,
+    row: EndedRow,
+    wasStopping: boolean,
+): void {
+    const { step } = task;
+    switch (row.how) {
+        case "done":
+            worker.faults = 0;
+            finishTasks(scheduler, step.spec.gang ? step.tasks : [task]);
+            return;
+        case "failed":
+            task.avoid.add(worker.id);
+            if (!wasStopping) {
+                pauseWorker(scheduler, worker);
+            }
+            countFailure(scheduler, task, row.run);
+            if (step.spec.gang) {
+                stopGang(scheduler, step, row.run);
+            }
+            return;
+        case "stopped":
+        case "lapsed":
+        case "broken":
+        case "alone":
+            if (step.spec.gang) {
+                stopGang(scheduler, step, row.run);
+            }
+    }
+}
+
+/** A checkpoint of any member of a gang resumes the whole gang. */
+function keepCheckpoint(task: TaskEntry, checkpoint: string): void {
+    const tasks = task.step.spec.gang ? task.step.tasks : [task];
+    tasks.forEach(member => {
+        member.checkpoint = checkpoint;
+    });
+}
+
+function finishTasks(scheduler: Scheduler, tasks: readonly TaskEntry[]): void {
+    for (const task of tasks) {
+        if (task.done || task.step.spec.lasting) {
+            continue;
+        }
+        task.done = true;
+        task.step.doneCount += 1;
+        markDirty(scheduler, task.step.job);
+        if (!task.step.spec.gang) {
+            task.runs.forEach(run => stopRun(scheduler, run, "copy-done"));
+        }
+    }
+    const job = tasks[0]?.step.job;
+    if (job !== undefined) {
+        endIfComplete(scheduler, job);
+    }
+}
+
+function countFailure(scheduler: Scheduler, task: TaskEntry, run: number): void {
+    const { step } = task;
+    if (task.countedRun >= run || task.done) {
+        return;
+    }
+    const members: StepEntry["tasks"] = step.spec.gang ? step.tasks : [task];
+    for (const member of members) {
+        member.countedRun = run;
+        member.failures += 1;
+    }
+    markDirty(scheduler, step.job);
+    const queue = scheduler.configuration()?.queues.find(candidate => candidate.name === step.job.queue);
+    const attempts = queue?.attempts ?? DEFAULT_ATTEMPTS;
+    if (!step.spec.lasting && task.failures >= attempts) {
+        endJob(scheduler, step.job, JobState.FAILED, "attempts-used-up");
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/applyHold.ts
@@ -0,0 +1,137 @@
+import type { HoldAnswer, RunningRow } from "../ports/WorkerPort.js";
+import type { Run } from "../state/JobEntry.js";
+import { hasEnded } from "../state/jobStates.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { applyEnd } from "./applyEnd.js";
+import { findTask } from "./findTask.js";
+import { createRun, releaseRun } from "./runs.js";
+import type { Scheduler } from "./Scheduler.js";
+import { confirmRun } from "./startRun.js";
+import { stopGang, stopRun } from "./stopRun.js";
+import { noteClock } from "./workerClock.js";
+
+/**
+ * Applies what a worker lists: ends, runs that are there, and runs that are not.
+ *
+ * @param scheduler - The scheduler.
+ * @param worker - The worker.
+ * @param answer - What it lists.
+ * @param sentAt - Steady time at which the hold was sent, in milliseconds.
+ */
+export function applyHold(
+    scheduler: Scheduler,
+    worker: WorkerEntry,
+    answer: HoldAnswer,
+    sentAt: number,
+): void {
+    const now = scheduler.clock();
+    noteClock(worker, answer.clockMs, now);
+    for (const row of answer.ended) {
+        if (row.number > worker.endsApplied) {
+            worker.endsApplied = row.number;
+            applyEnd(scheduler, worker, row);
+        }
+    }
+    const listed = new Set<Run>();
+    for (const row of answer.running) {
+        const run = noteRunning(scheduler, worker, row, now);
+        if (run !== undefined) {
+            listed.add(run);
+        }
+    }
+    for (const run of [...worker.runs]) {
+        if (!listed.has(run) && isCertainlyGone(run, sentAt)) {
+            loseRun(scheduler, run, "not-listed");
+        }
+    }
+}
+
+/**
+ * Releases a run that ended without its worker listing the end.
+ *
+ * @param scheduler - The scheduler.
+ * @param run - The run.
+ * @param reason - Why it is known to have ended.
+ */
+export function loseRun(scheduler: Scheduler, run: Run, reason: string): void {
+    scheduler.log.info("A run is gone.", {
+        ...run.task.name,
+        run: run.number,
+        worker: run.worker.id,
+        phase: run.phase,
+        reason,
+    });
+    releaseRun(run);
+    if (run.task.step.spec.gang) {
+        stopGang(scheduler, run.task.step, run.number);
+    }
+    scheduler.wake();
+}
+
+/** Only a hold that was sent after the worker's last word about a run speaks of that run. */
+function isCertainlyGone(run: Run, sentAt: number): boolean {
+    if (run.phase === "stopping") {
+        return run.stopAnsweredAt !== undefined && run.stopAnsweredAt <= sentAt;
+    }
+    return run.confirmed && run.confirmedAt <= sentAt;
+}
+
+function noteRunning(
+    scheduler: Scheduler,
+    worker: WorkerEntry,
+    row: RunningRow,
+    now: number,
+): Run | undefined {
+    const task = findTask(scheduler, row.task);
+    if (task === undefined) {
+        stopUnknown(scheduler, worker, row);
+        return undefined;
+    }
+    const known = task.runs.find(run => run.worker === worker && run.number === row.run);
+    const run = known ?? createRun(task, worker, row.run, now);
+    confirmRun(run, now);
+    if (row.percent > run.percent) {
+        run.percent = row.percent;
+        run.progressedAt = now;
+    }
+    run.load = row.load;
+    if (row.checkpoint !== "") {
+        task.checkpoint = row.checkpoint;
+    }
+    if (known === undefined) {
+        judgeAdopted(scheduler, run);
+    }
+    return run;
+}
+
+/** Decides about a run that an earlier owner, or a start that was carried out late, has begun. */
+function judgeAdopted(scheduler: Scheduler, run: Run): void {
+    const { task } = run;
+    const isNewest = task.runs.every(other => other === run || other.number < run.number);
+    const isWanted = !task.done && !hasEnded(task.step.job.state) && task.runs.length === 1 && isNewest;
+    scheduler.log.info("A run is adopted.", {
+        ...task.name,
+        run: run.number,
+        worker: run.worker.id,
+        wanted: isWanted,
+    });
+    if (!isWanted) {
+        stopRun(scheduler, run, "unknown-run");
+    }
+}
+
+function stopUnknown(scheduler: Scheduler, worker: WorkerEntry, row: RunningRow): void {
+    if (!scheduler.loaded) {
+        return;
+    }
+    scheduler.log.warn("A worker runs a task of no known job; it is stopped.", {
+        ...row.task,
+        run: row.run,
+        worker: worker.id,
+    });
+    const order = { task: row.task, run: row.run, fence: scheduler.ownership.revision };
+    scheduler.spawn(async () => {
+        const outcome = await scheduler.workers.stop(worker, order);
+        scheduler.metrics.orderFaults.inc({ order: "stop-unknown", reason: outcome.kind });
+    });
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/beginDueOccurrences.ts
@@ -0,0 +1,23 @@
+import { addOccurrence } from "../state/createJobEntry.js";
+import type { JobEntry } from "../state/JobEntry.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/**
+ * Adds the occurrences of a scheduled job that are due.
+ *
+ * @param scheduler - The scheduler.
+ * @param entry - The job; one without a schedule stays as it is.
+ */
+export function beginDueOccurrences(scheduler: Scheduler, entry: JobEntry): void {
+    const { schedule } = entry.job;
+    if (schedule === undefined) {
+        return;
+    }
+    const now = scheduler.wallClock();
+    for (let next = 0; next < schedule.times; next++) {
+        if (schedule.firstRunMs + next * schedule.intervalMs > now) {
+            return;
+        }
+        addOccurrence(entry, next);
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/createOwnerDesk.ts
@@ -0,0 +1,42 @@
+import type { QueueDepth } from "@balsamward/schema/scheduling";
+import { JobState, QueueDepthSchema } from "@balsamward/schema/scheduling";
+import { create } from "@bufbuild/protobuf";
+import type { OwnerDesk } from "../cluster/serveCluster.js";
+import type { JobId } from "../ids.js";
+import { hasEnded } from "../state/jobStates.js";
+import type { Scheduler } from "./Scheduler.js";
+import { cancelJob, takeJob } from "./takeJob.js";
+
+/**
+ * Creates what an owner answers about its jobs.
+ *
+ * @param scheduler - The scheduler of the term.
+ * @returns The desk. An end is shown only after it is stored.
+ */
+export function createOwnerDesk(
+    scheduler: Scheduler,
+): OwnerDesk & { readonly depths: () => readonly QueueDepth[] } {
+    return {
+        describe: id => {
+            const entry = scheduler.jobs.get(id as JobId);
+            if (entry === undefined) {
+                return undefined;
+            }
+            const isShown = !hasEnded(entry.state) || entry.durableState === entry.state || entry.cancelled;
+            return { state: isShown ? entry.state : JobState.RUNNING, customer: entry.job.customer };
+        },
+        take: (job, revision) => {
+            takeJob(scheduler, job, revision);
+        },
+        cancel: id => cancelJob(scheduler, id as JobId),
+        depths: () => {
+            const counts = new Map<string, number>();
+            for (const entry of scheduler.active) {
+                if (!entry.begun && entry.job.schedule === undefined) {
+                    counts.set(entry.queue, (counts.get(entry.queue) ?? 0) + 1);
+                }
+            }
+            return [...counts].map(([queue, jobs]) => create(QueueDepthSchema, { queue, jobs }));
+        },
+    };
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/endJob.ts
@@ -0,0 +1,61 @@
+import { JobState } from "@balsamward/schema/scheduling";
+import type { JobEntry } from "../state/JobEntry.js";
+import { hasEnded } from "../state/jobStates.js";
+import type { Scheduler } from "./Scheduler.js";
+import { stopRun } from "./stopRun.js";
+
+/**
+ * Marks a job's progress to be stored.
+ *
+ * @param scheduler - The scheduler.
+ * @param entry - The job.
+ */
+export function markDirty(scheduler: Scheduler, entry: JobEntry): void {
+    entry.dirty = true;
+    scheduler.wakeFlush();
+}
+
+/**
+ * Ends a job and stops what runs of it.
+ *
+ * @param scheduler - The scheduler.
+ * @param entry - The job; nothing happens if it has ended.
+ * @param state - The final state.
+ * @param reason - Why it ends, for the log.
+ */
+export function endJob(scheduler: Scheduler, entry: JobEntry, state: JobState, reason: string): void {
+    if (hasEnded(entry.state)) {
+        return;
+    }
+    entry.state = state;
+    entry.endedAtMs = scheduler.wallClock();
+    scheduler.active.delete(entry);
+    scheduler.metrics.jobs.inc({ event: JobState[state].toLowerCase() });
+    scheduler.log.info("A job ends.", {
+        job: entry.id,
+        state: JobState[state],
+        reason,
+        ageMs: Math.round(scheduler.clock() - entry.arrivedAt),
+    });
+    for (const step of [...entry.occurrences.values()].flat()) {
+        for (const task of step.tasks) {
+            task.runs.forEach(run => stopRun(scheduler, run, "job-ended"));
+        }
+    }
+    markDirty(scheduler, entry);
+    scheduler.wake();
+}
+
+/**
+ * Ends a job whose tasks are all done.
+ *
+ * @param scheduler - The scheduler.
+ * @param entry - The job.
+ */
+export function endIfComplete(scheduler: Scheduler, entry: JobEntry): void {
+    const times = entry.job.schedule?.times ?? 1;
+    const steps = [...entry.occurrences.values()].flat();
+    if (entry.occurrences.size === times && steps.every(step => step.doneCount === step.tasks.length)) {
+        endJob(scheduler, entry, JobState.COMPLETED, "all-tasks-done");
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/findTask.ts
@@ -0,0 +1,22 @@
+import type { TaskName } from "../ids.js";
+import { addOccurrence } from "../state/createJobEntry.js";
+import type { TaskEntry } from "../state/JobEntry.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/**
+ * Finds a task by the name that a worker lists.
+ *
+ * @param scheduler - The scheduler.
+ * @param name - The task's name.
+ * @returns The task, or `undefined` if no known job has it.
+ */
+export function findTask(scheduler: Scheduler, name: TaskName): TaskEntry | undefined {
+    const entry = scheduler.jobs.get(name.job);
+    if (entry === undefined) {
+        return undefined;
+    }
+    const times = entry.job.schedule?.times ?? 1;
+    return name.occurrence < times
+        ? addOccurrence(entry, name.occurrence)[name.step]?.tasks[name.index]
+        : undefined;
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/flushProgress.ts
@@ -0,0 +1,114 @@
+import { ProgressSchema } from "@balsamward/schema/scheduling";
+import { toBinary } from "@bufbuild/protobuf";
+import type { Bell } from "../_lib/createBell.js";
+import { pause } from "../_lib/pause.js";
+import { IDLE_PASS_MS, STORE_RETRY_MS, TRANSACTION_ENTRIES } from "../constants.js";
+import { keys } from "../keys.js";
+import type { StoreError, StoreItem } from "../ports/FleetStore.js";
+import { composeProgress } from "../state/composeProgress.js";
+import type { JobEntry } from "../state/JobEntry.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/** Each job takes an expectation and a write; the owner's key takes one more expectation. */
+const JOBS_PER_TRANSACTION = Math.floor((TRANSACTION_ENTRIES - 1) / 2);
+
+type Snapshot = { readonly entry: JobEntry; readonly state: JobEntry["state"]; readonly value: Uint8Array };
+
+/**
+ * Stores changed progress during a term. Ends that a worker listed are only forgotten there after
+ * every job that they changed is stored.
+ *
+ * @param scheduler - The scheduler.
+ * @param bell - Rung when a job's progress has changed.
+ */
+export async function flushProgress(scheduler: Scheduler, bell: Bell): Promise<void> {
+    const { signal } = scheduler.ownership;
+    while (!signal.aborted) {
+        const ends = [...scheduler.fleet.values()]
+            .filter(worker => worker.endsApplied > worker.endsKept)
+            .map(worker => ({ worker, number: worker.endsApplied }));
+        const dirty = [...scheduler.jobs.values()].filter(entry => entry.dirty);
+        if (await storeAll(scheduler, dirty)) {
+            ends.forEach(({ worker, number }) => keepEnds(worker, number));
+            await bell.wait(IDLE_PASS_MS, signal);
+        }
+        else {
+            await pause(STORE_RETRY_MS, signal);
+        }
+    }
+}
+
+function keepEnds(worker: WorkerEntry, number: number): void {
+    worker.endsKept = Math.max(worker.endsKept, number);
+    worker.bell.ring();
+}
+
+async function storeAll(scheduler: Scheduler, dirty: readonly JobEntry[]): Promise<boolean> {
+    for (let begin = 0; begin < dirty.length; begin += JOBS_PER_TRANSACTION) {
+        const stored = await storeGroup(scheduler, dirty.slice(begin, begin + JOBS_PER_TRANSACTION));
+        if (!stored) {
+            return false;
+        }
+    }
+    return true;
+}
+
+async function storeGroup(scheduler: Scheduler, entries: readonly JobEntry[]): Promise<boolean> {
+    const { ownership } = scheduler;
+    const snapshots = entries.map((entry): Snapshot => {
+        entry.dirty = false;
+        return { entry, state: entry.state, value: toBinary(ProgressSchema, composeProgress(entry)) };
+    });
+    const committed = await scheduler.store.commit({
+        expect: [
+            { key: ownership.key, revision: ownership.revision },
+            ...entries.map(entry => ({ key: keys.progress(entry.id), revision: entry.progressRevision })),
+        ],
+        puts: snapshots.map(({ entry, value }) => ({ key: keys.progress(entry.id), value })),
+        removals: [],
+    });
+    if (committed.isOk()) {
+        snapshots.forEach(snapshot => noteStored(snapshot, committed.value));
+        return true;
+    }
+    return resolveFailure(scheduler, snapshots, committed.error);
+}
+
+function noteStored({ entry, state }: Snapshot, revision: number): void {
+    entry.progressRevision = revision;
+    entry.durableState = state;
+}
+
+/**
+ * An earlier write whose answer was lost may have taken effect. What the conflict shows is either
+ * that write, or a newer owner.
+ */
+function resolveFailure(scheduler: Scheduler, snapshots: readonly Snapshot[], error: StoreError): boolean {
+    scheduler.log.warn("Progress is not stored.", { reason: error.kind, jobs: snapshots.length });
+    if (error.kind !== "conflict") {
+        snapshots.forEach(({ entry }) => {
+            entry.dirty = true;
+        });
+        return false;
+    }
+    const present = new Map(error.items.map(item => [item.key, item]));
+    if (present.get(scheduler.ownership.key)?.revision !== scheduler.ownership.revision) {
+        scheduler.ownership.resign("The store shows another owner.");
+        return false;
+    }
+    return snapshots.map(snapshot => adopt(snapshot, present.get(keys.progress(snapshot.entry.id)))).every(
+        Boolean,
+    );
+}
+
+function adopt(snapshot: Snapshot, item: StoreItem | undefined): boolean {
+    const { entry } = snapshot;
+    entry.progressRevision = item?.revision ?? 0;
+    if (item !== undefined && Buffer.compare(item.value, snapshot.value) === 0) {
+        noteStored(snapshot, item.revision);
+        return true;
+    }
+    entry.dirty = true;
+    return false;
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -0,0 +1,117 @@
+import { JobSchema, ProgressSchema, RosterRecordSchema } from "@balsamward/schema/scheduling";
+import { fromBinary } from "@bufbuild/protobuf";
+import type { DescMessage, MessageShape } from "@bufbuild/protobuf";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import {
+    LEASE_MARGIN_MS,
+    OWNER_LEASE_MS,
+    WORKER_CLOCK_DRIFT,
+    WORKER_LEASE_MS,
+} from "../constants.js";
+import type { JobId, WorkerId } from "../ids.js";
+import { keys } from "../keys.js";
+import type { StoreError, StoreItem } from "../ports/FleetStore.js";
+import { createWorkerEntry } from "../state/WorkerEntry.js";
+import type { Scheduler } from "./Scheduler.js";
+import { cancelJob, takeJob } from "./takeJob.js";
+import { addWorker, applyReports } from "./watchFleet.js";
+
+/**
+ * Loads what earlier owners left: jobs, progress, cancellations and the workers they used.
+ *
+ * @param scheduler - The scheduler of a term that has just begun.
+ * @returns The revision from which the jobs can be watched, or the store's error.
+ */
+export async function loadState(scheduler: Scheduler): Promise<Result<number, StoreError>> {
+    const [jobs, progresses, roster, reports] = await Promise.all([
+        scheduler.store.list(keys.jobs),
+        scheduler.store.list(keys.progresses),
+        scheduler.store.read(keys.roster),
+        scheduler.listWorkers(),
+    ]);
+    if (jobs.isErr()) {
+        return err(jobs.error);
+    }
+    if (progresses.isErr()) {
+        return err(progresses.error);
+    }
+    if (roster.isErr()) {
+        return err(roster.error);
+    }
+    if (reports === undefined) {
+        return err({ kind: "unavailable", message: "The list of workers cannot be read. Try again later." });
+    }
+    takeJobs(scheduler, jobs.value.items, progresses.value.items);
+    takeRoster(scheduler, roster.value);
+    applyReports(scheduler, reports);
+    return ok(jobs.value.revision);
+}
+
+/** Decodes a stored record; one that cannot be read is logged and left out. */
+export function decodeRecord<Desc extends DescMessage>(
+    scheduler: Pick<Scheduler, "log">,
+    desc: Desc,
+    item: { readonly key: string; readonly value: Uint8Array },
+): MessageShape<Desc> | undefined {
+    try {
+        return fromBinary(desc, item.value);
+    }
+    catch (error) {
+        scheduler.log.error("A stored record cannot be read. Remove it.", { key: item.key, error: String(error) });
+        return undefined;
+    }
+}
+
+function takeJobs(
+    scheduler: Scheduler,
+    items: readonly StoreItem[],
+    progressItems: readonly StoreItem[],
+): void {
+    const progresses = new Map(progressItems.map(item => [item.key, item]));
+    const cancelled: JobId[] = [];
+    for (const item of items) {
+        const id = cancelledJob(item.key);
+        if (id !== undefined) {
+            cancelled.push(id);
+            continue;
+        }
+        const job = decodeRecord(scheduler, JobSchema, item);
+        if (job === undefined) {
+            continue;
+        }
+        const stored = progresses.get(keys.progress(job.id));
+        const message = stored === undefined ? undefined : decodeRecord(scheduler, ProgressSchema, stored);
+        takeJob(scheduler, job, item.revision, {
+            ...(message === undefined ? {} : { progress: { message, revision: stored!.revision } }),
+        });
+    }
+    cancelled.forEach(id => cancelJob(scheduler, id));
+}
+
+/**
+ * Returns the job that a key cancels.
+ *
+ * @param key - A key of the jobs' prefix.
+ * @returns The job's id, or `undefined` if the key holds a job.
+ */
+export function cancelledJob(key: string): JobId | undefined {
+    const [id, kind] = key.slice(keys.jobs.length).split("/");
+    return kind === undefined ? undefined : id as JobId;
+}
+
+function takeRoster(scheduler: Scheduler, item: StoreItem | undefined): void {
+    if (item === undefined) {
+        return;
+    }
+    scheduler.rosterRevision = item.revision;
+    const record = decodeRecord(scheduler, RosterRecordSchema, item);
+    for (const { worker, address } of record?.workers ?? []) {
+        const id = worker as WorkerId;
+        scheduler.roster.add(id);
+        scheduler.unreconciled.add(id);
+        addWorker(scheduler, createWorkerEntry(id, address, 0));
+    }
+    const leaseMs = Math.min(WORKER_LEASE_MS, scheduler.bounds.maxHoldMs) / (1 - WORKER_CLOCK_DRIFT);
+    scheduler.unknownRunsEndAt = scheduler.clock() + OWNER_LEASE_MS + leaseMs + LEASE_MARGIN_MS;
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/removeEndedJobs.ts
@@ -0,0 +1,46 @@
+import { pause } from "../_lib/pause.js";
+import { TRANSACTION_ENTRIES } from "../constants.js";
+import { keys } from "../keys.js";
+import type { JobEntry } from "../state/JobEntry.js";
+import { hasEnded } from "../state/jobStates.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/** Interval at which ended jobs are looked for, in milliseconds. */
+const REMOVAL_INTERVAL_MS = 10_000;
+
+/** Keys of a job in the store. */
+const KEYS_PER_JOB = 3;
+
+/**
+ * Removes jobs from the store after their state was kept for the time that callers are promised.
+ *
+ * @param scheduler - The scheduler.
+ */
+export async function removeEndedJobs(scheduler: Scheduler): Promise<void> {
+    const { signal } = scheduler.ownership;
+    while (!signal.aborted) {
+        await pause(REMOVAL_INTERVAL_MS, signal);
+        const before = scheduler.wallClock() - 2 * scheduler.bounds.stateRetentionMs;
+        const old = [...scheduler.jobs.values()].filter(entry =>
+            hasEnded(entry.durableState) && !entry.dirty && entry.endedAtMs < before
+        );
+        await removeSome(scheduler, old.slice(0, Math.floor((TRANSACTION_ENTRIES - 1) / KEYS_PER_JOB)));
+    }
+}
+
+async function removeSome(scheduler: Scheduler, entries: readonly JobEntry[]): Promise<void> {
+    if (entries.length === 0) {
+        return;
+    }
+    const removed = await scheduler.store.commit({
+        expect: [{ key: scheduler.ownership.key, revision: scheduler.ownership.revision }],
+        puts: [],
+        removals: entries.flatMap(({ id }) => [keys.job(id), keys.cancellation(id), keys.progress(id)]),
+    });
+    if (removed.isErr()) {
+        scheduler.log.warn("Ended jobs are not removed.", { reason: removed.error.kind });
+        return;
+    }
+    entries.forEach(({ id }) => scheduler.jobs.delete(id));
+    scheduler.log.info("Ended jobs are removed.", { jobs: entries.length });
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/runWorker.ts
@@ -0,0 +1,124 @@
+import { pause } from "../_lib/pause.js";
+import { HOLD_DURABILITY_PAUSE_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_PASS_MS } from "../constants.js";
+import type { HoldOutcome } from "../ports/WorkerPort.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { applyHold, loseRun } from "./applyHold.js";
+import type { Scheduler } from "./Scheduler.js";
+import { extendLease } from "./workerClock.js";
+
+/**
+ * Keeps in touch with one worker while it is known: renews its lease, takes in ends, and tells it
+ * which ends are durable. A worker on which nothing runs is left alone.
+ *
+ * @param scheduler - The scheduler.
+ * @param worker - The worker.
+ */
+export async function runWorker(scheduler: Scheduler, worker: WorkerEntry): Promise<void> {
+    const { signal } = scheduler.ownership;
+    while (!signal.aborted && scheduler.fleet.get(worker.id) === worker) {
+        if (worker.reached && worker.runs.size === 0 && worker.endsForgotten === worker.endsApplied) {
+            await worker.bell.wait(IDLE_PASS_MS, signal);
+            continue;
+        }
+        if (worker.endsApplied > worker.endsKept) {
+            await worker.bell.wait(HOLD_DURABILITY_PAUSE_MS, signal);
+        }
+        await holdOnce(scheduler, worker, signal);
+    }
+    for (const run of [...worker.runs]) {
+        if (!signal.aborted) {
+            loseRun(scheduler, run, "worker-gone");
+        }
+    }
+}
+
+async function holdOnce(scheduler: Scheduler, worker: WorkerEntry, signal: AbortSignal): Promise<void> {
+    const sentAt = scheduler.clock();
+    const endsKept = worker.endsKept;
+    const order = {
+        fence: scheduler.ownership.revision,
+        endsKept,
+        // The first call reads the worker's clock; the lease that runs there is not touched by it.
+        leaseUntilMs: worker.reached ? extendLease(worker, sentAt, scheduler.bounds.maxHoldMs) : undefined,
+        waitMs: worker.reached && worker.runs.size > 0 && worker.endsApplied === endsKept ? HOLD_WAIT_MS : 0,
+    };
+    const outcome = await scheduler.workers.hold(worker, order, signal);
+    if (signal.aborted || scheduler.fleet.get(worker.id) !== worker) {
+        return;
+    }
+    await takeOutcome(scheduler, worker, outcome, { sentAt, endsKept });
+}
+
+async function takeOutcome(
+    scheduler: Scheduler,
+    worker: WorkerEntry,
+    outcome: HoldOutcome,
+    sent: { readonly sentAt: number; readonly endsKept: number },
+): Promise<void> {
+    switch (outcome.kind) {
+        case "held":
+            if (worker.bornMs !== 0 && outcome.answer.bornMs !== 0 && worker.bornMs !== outcome.answer.bornMs) {
+                dropWorker(scheduler, worker, "reborn");
+                return;
+            }
+            worker.endsForgotten = Math.max(worker.endsForgotten, sent.endsKept);
+            applyHold(scheduler, worker, outcome.answer, sent.sentAt);
+            noteReached(scheduler, worker);
+            return;
+        case "fenced":
+            scheduler.ownership.resign("A worker knows a newer owner.");
+            return;
+        case "other-life":
+            dropWorker(scheduler, worker, "other-life");
+            return;
+        case "unhealthy":
+        case "old-run":
+        case "late":
+        case "no-room":
+        case "bad-ticket":
+        case "invalid":
+        case "unreachable":
+        case "unclear":
+            scheduler.metrics.orderFaults.inc({ order: "hold", reason: outcome.kind });
+            scheduler.log.debug("A worker does not answer.", { worker: worker.id, reason: outcome.kind });
+            expireRuns(scheduler, worker);
+            await pause(HOLD_RETRY_MS, scheduler.ownership.signal);
+    }
+}
+
+function noteReached(scheduler: Scheduler, worker: WorkerEntry): void {
+    if (worker.reached) {
+        return;
+    }
+    worker.reached = true;
+    scheduler.unreconciled.delete(worker.id);
+    scheduler.log.info("A worker is reached.", { worker: worker.id, runs: worker.runs.size });
+    scheduler.wake();
+}
+
+/** A worker that stays silent ends everything when its lease does. */
+function expireRuns(scheduler: Scheduler, worker: WorkerEntry): void {
+    if (scheduler.clock() < worker.leaseEndsAt) {
+        return;
+    }
+    for (const run of [...worker.runs]) {
+        loseRun(scheduler, run, "lease-ended");
+    }
+}
+
+/**
+ * Forgets a life of a worker.
+ *
+ * @param scheduler - The scheduler.
+ * @param worker - The life; its runs have ended with it.
+ * @param reason - How that is known.
+ */
+export function dropWorker(scheduler: Scheduler, worker: WorkerEntry, reason: string): void {
+    scheduler.log.info("A worker is gone.", { worker: worker.id, runs: worker.runs.size, reason });
+    scheduler.fleet.delete(worker.id);
+    scheduler.unreconciled.delete(worker.id);
+    for (const run of [...worker.runs]) {
+        loseRun(scheduler, run, reason);
+    }
+    worker.bell.ring();
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/runs.ts
@@ -0,0 +1,55 @@
+import type { Run, TaskEntry } from "../state/JobEntry.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+
+/**
+ * Creates a run and takes up its resources on the worker.
+ *
+ * @param task - The task.
+ * @param worker - The worker.
+ * @param number - The run's number.
+ * @param now - Steady time in milliseconds.
+ * @returns The run, not confirmed.
+ */
+export function createRun(task: TaskEntry, worker: WorkerEntry, number: number, now: number): Run {
+    const run: Run = {
+        task,
+        worker,
+        number,
+        phase: "starting",
+        confirmed: false,
+        orderedAt: now,
+        confirmedAt: now,
+        stopAnsweredAt: undefined,
+        percent: 0,
+        progressedAt: now,
+        load: 0,
+        pacedTo: 100,
+    };
+    task.runs.push(run);
+    task.lastRun = Math.max(task.lastRun, number);
+    task.step.job.begun = true;
+    worker.runs.add(run);
+    occupy(run, 1);
+    return run;
+}
+
+/**
+ * Removes a run that has certainly ended and frees its resources.
+ *
+ * @param run - The run.
+ */
+export function releaseRun(run: Run): void {
+    if (!run.worker.runs.delete(run)) {
+        return;
+    }
+    run.task.runs.splice(run.task.runs.indexOf(run), 1);
+    occupy(run, -1);
+}
+
+function occupy(run: Run, sign: number): void {
+    const { request, fillsIdle } = run.task.step.spec;
+    const { free } = run.worker;
+    free.cpuMillis -= fillsIdle ? 0 : sign * (request?.cpuMillis ?? 0);
+    free.memoryMb -= sign * (request?.memoryMb ?? 0);
+    free.accelerators -= sign * (request?.accelerators ?? 0);
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/startRun.ts
@@ -0,0 +1,114 @@
+import { START_SENDS, WORKER_PAUSE_MAX_MS, WORKER_PAUSE_MS } from "../constants.js";
+import type { OrderOutcome } from "../ports/WorkerPort.js";
+import type { Run } from "../state/JobEntry.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { releaseRun } from "./runs.js";
+import type { Scheduler } from "./Scheduler.js";
+import { stopGang, stopRun } from "./stopRun.js";
+import { extendLease, noteClock } from "./workerClock.js";
+
+/**
+ * Orders a run. A start without an answer is sent again; if it stays unclear, the run is stopped,
+ * which outlaws it, and counts as running until its worker says otherwise.
+ *
+ * @param scheduler - The scheduler.
+ * @param run - The run, not yet ordered.
+ * @param ticket - Permission of the advice service; empty if none is needed.
+ */
+export async function startRun(scheduler: Scheduler, run: Run, ticket: string): Promise<void> {
+    const { worker, task } = run;
+    let mayBeThere = false;
+    for (let send = 0; send < START_SENDS && run.phase === "starting"; send++) {
+        const outcome = await scheduler.workers.start(worker, {
+            task: task.name,
+            run: run.number,
+            spec: task.step.job.job.spec,
+            leaseUntilMs: extendLease(worker, scheduler.clock(), scheduler.bounds.maxHoldMs),
+            fence: scheduler.ownership.revision,
+            checkpoint: task.checkpoint,
+            ticket,
+        });
+        logStart(scheduler, run, send, outcome);
+        if (outcome.kind === "done") {
+            confirmRun(run, scheduler.clock());
+            noteClock(worker, outcome.clockMs, scheduler.clock());
+            return;
+        }
+        if (outcome.kind === "fenced") {
+            scheduler.ownership.resign("A worker knows a newer owner.");
+            return;
+        }
+        scheduler.metrics.orderFaults.inc({ order: "start", reason: outcome.kind });
+        if (outcome.kind !== "unclear") {
+            pauseWorker(scheduler, worker);
+            abandonRun(scheduler, run, mayBeThere);
+            return;
+        }
+        mayBeThere = true;
+    }
+    if (!run.confirmed) {
+        pauseWorker(scheduler, worker);
+        stopRun(scheduler, run, "unclear-start");
+        breakGang(scheduler, run);
+    }
+}
+
+/**
+ * Notes that a worker has said that a run is there.
+ *
+ * @param run - The run.
+ * @param now - Steady time in milliseconds.
+ */
+export function confirmRun(run: Run, now: number): void {
+    if (run.confirmed) {
+        return;
+    }
+    run.confirmed = true;
+    run.confirmedAt = now;
+    run.progressedAt = now;
+    if (run.phase === "starting") {
+        run.phase = "running";
+    }
+}
+
+/**
+ * Gives a worker no starts for a while, longer with each fault in a row.
+ *
+ * @param scheduler - The scheduler.
+ * @param worker - The worker.
+ */
+export function pauseWorker(scheduler: Scheduler, worker: WorkerEntry): void {
+    const pauseMs = Math.min(WORKER_PAUSE_MAX_MS, WORKER_PAUSE_MS * 2 ** worker.faults);
+    worker.faults += 1;
+    worker.pausedUntil = scheduler.clock() + pauseMs;
+    scheduler.log.info("A worker is paused.", { worker: worker.id, faults: worker.faults, pauseMs });
+}
+
+function abandonRun(scheduler: Scheduler, run: Run, mayBeThere: boolean): void {
+    if (mayBeThere) {
+        stopRun(scheduler, run, "unclear-start");
+    }
+    else {
+        releaseRun(run);
+    }
+    breakGang(scheduler, run);
+    scheduler.wake();
+}
+
+function breakGang(scheduler: Scheduler, run: Run): void {
+    if (run.task.step.spec.gang) {
+        stopGang(scheduler, run.task.step, run.number);
+    }
+}
+
+function logStart(scheduler: Scheduler, run: Run, send: number, outcome: OrderOutcome): void {
+    scheduler.metrics.starts.inc({ outcome: outcome.kind });
+    scheduler.log.info("A start is ordered.", {
+        ...run.task.name,
+        run: run.number,
+        worker: run.worker.id,
+        send,
+        outcome: outcome.kind,
+        ...("cause" in outcome ? { cause: outcome.cause } : {}),
+    });
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/takeJob.ts
@@ -0,0 +1,53 @@
+import type { Job } from "@balsamward/schema/scheduling";
+import { JobState } from "@balsamward/schema/scheduling";
+import type { JobId } from "../ids.js";
+import type { CreateJobEntryOptions } from "../state/createJobEntry.js";
+import { createJobEntry } from "../state/createJobEntry.js";
+import type { JobEntry } from "../state/JobEntry.js";
+import { hasEnded } from "../state/jobStates.js";
+import { endJob } from "./endJob.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/**
+ * Takes a stored job over; one that is known stays as it is.
+ *
+ * @param scheduler - The scheduler.
+ * @param job - The job.
+ * @param revision - Revision at which it was stored.
+ * @param options - Stored progress.
+ * @returns The job's entry.
+ */
+export function takeJob(
+    scheduler: Scheduler,
+    job: Job,
+    revision: number,
+    options: CreateJobEntryOptions = {},
+): JobEntry {
+    const known = scheduler.jobs.get(job.id as JobId);
+    if (known !== undefined) {
+        return known;
+    }
+    const entry = createJobEntry(job, revision, scheduler.clock(), options);
+    scheduler.jobs.set(entry.id, entry);
+    if (!hasEnded(entry.state)) {
+        scheduler.active.add(entry);
+    }
+    scheduler.metrics.jobs.inc({ event: "taken" });
+    scheduler.log.info("A job is taken over.", { job: entry.id, queue: entry.queue, revision, state: entry.state });
+    scheduler.wake();
+    return entry;
+}
+
+/**
+ * Cancels a job.
+ *
+ * @param scheduler - The scheduler.
+ * @param id - The job; nothing happens if it is not known or has ended.
+ */
+export function cancelJob(scheduler: Scheduler, id: JobId): void {
+    const entry = scheduler.jobs.get(id);
+    if (entry !== undefined && !hasEnded(entry.state)) {
+        entry.cancelled = true;
+        endJob(scheduler, entry, JobState.CANCELLED, "cancelled-by-caller");
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/watchFleet.ts
@@ -0,0 +1,142 @@
+import { RosterRecordSchema } from "@balsamward/schema/scheduling";
+import { create, toBinary } from "@bufbuild/protobuf";
+import { pause } from "../_lib/pause.js";
+import { WORKER_LIST_MS } from "../constants.js";
+import type { WorkerId } from "../ids.js";
+import { keys } from "../keys.js";
+import type { WorkerReport } from "../ports/WorkerPort.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { createWorkerEntry } from "../state/WorkerEntry.js";
+import { dropWorker, runWorker } from "./runWorker.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/**
+ * Follows the platform's list of workers during a term.
+ *
+ * @param scheduler - The scheduler.
+ */
+export async function watchFleet(scheduler: Scheduler): Promise<void> {
+    const { signal } = scheduler.ownership;
+    while (!signal.aborted) {
+        await pause(WORKER_LIST_MS, signal);
+        const reports = await scheduler.listWorkers();
+        if (reports !== undefined && !signal.aborted) {
+            applyReports(scheduler, reports);
+            await keepRoster(scheduler);
+        }
+    }
+}
+
+/**
+ * Takes over what the workers say of themselves.
+ *
+ * @param scheduler - The scheduler.
+ * @param reports - All workers that the platform lists.
+ */
+export function applyReports(scheduler: Scheduler, reports: readonly WorkerReport[]): void {
+    const listed = new Set(reports.map(report => report.id));
+    for (const report of reports) {
+        applyReport(scheduler, report);
+    }
+    for (const worker of [...scheduler.fleet.values()]) {
+        worker.listed = listed.has(worker.id);
+        if (!worker.listed && isForgettable(scheduler, worker)) {
+            dropWorker(scheduler, worker, "not-listed");
+        }
+    }
+    scheduler.wake();
+}
+
+/**
+ * Adds a worker and starts its task.
+ *
+ * @param scheduler - The scheduler.
+ * @param entry - The worker.
+ */
+export function addWorker(scheduler: Scheduler, entry: WorkerEntry): void {
+    scheduler.fleet.set(entry.id, entry);
+    scheduler.spawn(() => runWorker(scheduler, entry));
+}
+
+function applyReport(scheduler: Scheduler, report: WorkerReport): void {
+    let entry = scheduler.fleet.get(report.id);
+    if (entry !== undefined && isOtherLife(entry, report)) {
+        dropWorker(scheduler, entry, "reborn");
+        entry = undefined;
+    }
+    if (entry === undefined) {
+        entry = createWorkerEntry(report.id, report.address, report.bornMs);
+        addWorker(scheduler, entry);
+        scheduler.log.info("A worker is listed.", { worker: report.id, address: report.address });
+    }
+    if (report.draining && !entry.draining) {
+        scheduler.log.info("A worker drains.", { worker: report.id });
+    }
+    entry.bornMs = entry.bornMs === 0 ? report.bornMs : entry.bornMs;
+    entry.service = report.service;
+    entry.dataCentre = report.dataCentre;
+    entry.labels = report.labels;
+    entry.rack = report.rack;
+    entry.machine = report.machine;
+    entry.draining = report.draining;
+    takeCapacity(entry, report);
+}
+
+function isOtherLife(entry: WorkerEntry, report: WorkerReport): boolean {
+    return entry.address !== report.address
+        || entry.bornMs !== 0 && report.bornMs !== 0 && entry.bornMs !== report.bornMs;
+}
+
+function takeCapacity(entry: WorkerEntry, report: WorkerReport): void {
+    entry.free.cpuMillis += report.capacity.cpuMillis - entry.capacity.cpuMillis;
+    entry.free.memoryMb += report.capacity.memoryMb - entry.capacity.memoryMb;
+    entry.free.accelerators += report.capacity.accelerators - entry.capacity.accelerators;
+    entry.capacity = report.capacity;
+}
+
+function isForgettable(scheduler: Scheduler, worker: WorkerEntry): boolean {
+    const isSilent = scheduler.clock() - worker.answeredAt > WORKER_LIST_MS;
+    return isSilent && scheduler.clock() >= worker.leaseEndsAt && !scheduler.unreconciled.has(worker.id);
+}
+
+/**
+ * Stores which workers may hold runs, so that a later owner asks each of them.
+ *
+ * @param scheduler - The scheduler.
+ */
+export async function keepRoster(scheduler: Scheduler): Promise<void> {
+    const wanted = [...scheduler.fleet.values()];
+    const isCurrent = wanted.length === scheduler.roster.size
+        && wanted.every(worker => scheduler.roster.has(worker.id));
+    if (isCurrent) {
+        return;
+    }
+    const message = create(RosterRecordSchema, {
+        workers: wanted.map(worker => ({ worker: worker.id, address: worker.address })),
+    });
+    const written = await scheduler.store.commit({
+        expect: [
+            { key: scheduler.ownership.key, revision: scheduler.ownership.revision },
+            { key: keys.roster, revision: scheduler.rosterRevision },
+        ],
+        puts: [{ key: keys.roster, value: toBinary(RosterRecordSchema, message) }],
+        removals: [],
+    });
+    if (written.isOk()) {
+        scheduler.rosterRevision = written.value;
+        scheduler.roster.clear();
+        wanted.forEach(worker => scheduler.roster.add(worker.id));
+        scheduler.wake();
+        return;
+    }
+    await resolveRoster(scheduler, written.error.kind, wanted.map(worker => worker.id));
+}
+
+/** A write whose answer was lost may have taken effect: the next write must expect its revision. */
+async function resolveRoster(scheduler: Scheduler, kind: string, wanted: readonly WorkerId[]): Promise<void> {
+    scheduler.log.warn("The roster of workers is not stored.", { reason: kind, workers: wanted.length });
+    const stored = await scheduler.store.read(keys.roster);
+    if (stored.isOk()) {
+        scheduler.rosterRevision = stored.value?.revision ?? 0;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/workerClock.ts
@@ -0,0 +1,31 @@
+import { LEASE_MARGIN_MS, WORKER_CLOCK_DRIFT, WORKER_LEASE_MS } from "../constants.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+
+/**
+ * Notes the clock that a worker stated in an answer.
+ *
+ * @param worker - The worker.
+ * @param clockMs - The worker's clock in milliseconds.
+ * @param now - Steady time of the answer in milliseconds.
+ */
+export function noteClock(worker: WorkerEntry, clockMs: number, now: number): void {
+    worker.clockMs = clockMs;
+    worker.clockReadAt = now;
+    worker.answeredAt = now;
+}
+
+/**
+ * Extends the lease of what runs on a worker.
+ *
+ * @param worker - The worker; the latest time at which the lease may end is noted on it.
+ * @param now - Steady time in milliseconds.
+ * @param maxHoldMs - Longest lease that the worker grants, in milliseconds.
+ * @returns The lease's end on the worker's clock, in whole milliseconds.
+ */
+export function extendLease(worker: WorkerEntry, now: number, maxHoldMs: number): number {
+    const leaseMs = Math.min(WORKER_LEASE_MS, maxHoldMs);
+    const sinceRead = now - worker.clockReadAt;
+    const latestEnd = worker.clockReadAt + (sinceRead + leaseMs) / (1 - WORKER_CLOCK_DRIFT) + LEASE_MARGIN_MS;
+    worker.leaseEndsAt = Math.max(worker.leaseEndsAt, latestEnd);
+    return Math.floor(worker.clockMs + sinceRead + leaseMs);
+}
--- /dev/null
+++ b/packages/scheduler/src/placement/Candidates.ts
@@ -0,0 +1,46 @@
+import type { Step } from "@balsamward/schema/scheduling";
+import type { TaskEntry } from "../state/JobEntry.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+
+/** A chosen worker for a task. */
+export type Assignment = { readonly task: TaskEntry; readonly worker: WorkerEntry };
+
+/** How many more tasks of a step each worker can take. */
+export type Room = { readonly worker: WorkerEntry; readonly tasks: number };
+
+/**
+ * Returns how many more tasks of a step fit on a worker.
+ *
+ * @param worker - The worker.
+ * @param step - The step.
+ * @param present - Tasks of the step that the worker holds.
+ * @returns The number of tasks, from 0.
+ */
+export function countRoom(worker: WorkerEntry, step: Step, present: number): number {
+    const { free } = worker;
+    const request = step.request;
+    const limits = [
+        step.maxPerWorker > 0 ? step.maxPerWorker - present : Number.POSITIVE_INFINITY,
+        step.fillsIdle ? Number.POSITIVE_INFINITY : divide(free.cpuMillis, request?.cpuMillis ?? 0),
+        divide(free.memoryMb, request?.memoryMb ?? 0),
+        divide(free.accelerators, request?.accelerators ?? 0),
+    ];
+    return Math.max(0, Math.min(step.taskCount, ...limits));
+}
+
+function divide(available: number, needed: number): number {
+    return needed > 0 ? Math.floor(available / needed) : available < 0 ? 0 : Number.POSITIVE_INFINITY;
+}
+
+/**
+ * Orders workers so that the tightest comes first: the one with the fewest accelerators left.
+ *
+ * @param left - A worker.
+ * @param right - Another worker.
+ * @returns A negative number if the first is tighter.
+ */
+export function compareTightness(left: WorkerEntry, right: WorkerEntry): number {
+    return left.free.accelerators - right.free.accelerators
+        || left.free.memoryMb - right.free.memoryMb
+        || left.free.cpuMillis - right.free.cpuMillis;
+}
--- /dev/null
+++ b/packages/scheduler/src/startNode.ts
@@ -0,0 +1,149 @@
+import type { Logger } from "winston";
+import type { Desk } from "./callers/Desk.js";
+import type { Cluster } from "./cluster/Cluster.js";
+import type { DecodeConfiguration } from "./cluster/createConfigurationKeeper.js";
+import { createConfigurationKeeper } from "./cluster/createConfigurationKeeper.js";
+import { createRelayingStore } from "./cluster/createRelayingStore.js";
+import { runMembership } from "./cluster/runMembership.js";
+import { runOwnership } from "./cluster/runOwnership.js";
+import { notifyPeers, runPeers } from "./cluster/runPeers.js";
+import type { Listener } from "./cluster/serveCluster.js";
+import { serveCluster } from "./cluster/serveCluster.js";
+import { agreeWallClock } from "./cluster/agreeWallClock.js";
+import { watchConfiguration } from "./cluster/watchConfiguration.js";
+import { createOwnerDesk } from "./engine/createOwnerDesk.js";
+import { createScheduler, runScheduler } from "./engine/runScheduler.js";
+import type { Ownership, Scheduler, SchedulerBounds } from "./engine/Scheduler.js";
+import type { Metrics } from "./Metrics.js";
+import type { FleetStore } from "./ports/FleetStore.js";
+import type { WorkerPort, WorkerReport } from "./ports/WorkerPort.js";
+
+/** What a daemon is made of. */
+export type NodeParts = {
+    readonly node: string;
+    /** Address for peers as `IP:port`. */
+    readonly peerAddress: string;
+    /** Addresses of peers that may be up. */
+    readonly seeds: readonly string[];
+    /** The platform's store, reached directly. */
+    readonly store: FleetStore;
+    readonly workers: WorkerPort;
+    /** Prefix of the store's keys under which workers register. */
+    readonly workersPrefix: string;
+    readonly decodeWorkerReport: (key: string, value: Uint8Array) => WorkerReport | undefined;
+    /** Key of the operator's configuration in the store. */
+    readonly configurationKey: string;
+    readonly decodeConfiguration: DecodeConfiguration;
+    readonly bounds: SchedulerBounds;
+    readonly log: Logger;
+    readonly metrics: Metrics;
+    readonly clock: () => number;
+};
+
+/** A running daemon. */
+export type Node = {
+    /** What answering callers needs. */
+    readonly desk: Desk;
+    /** Whether callers can be served now. */
+    readonly isReady: () => boolean;
+    /** Hands the schedule over and leaves the cluster; calls of callers are still answered. */
+    readonly leave: () => void;
+    readonly close: () => Promise<void>;
+};
+
+/**
+ * Starts a daemon: its peers, its watch of the configuration and its campaign for the schedule.
+ *
+ * @param parts - What the daemon is made of.
+ * @returns The running daemon.
+ */
+export async function startNode(parts: NodeParts): Promise<Node> {
+    const { log, metrics, clock } = parts;
+    const end = new AbortController();
+    const leaving = new AbortController();
+    const cluster = createCluster(parts);
+    const store = createRelayingStore(parts.store, cluster);
+    let scheduler: Scheduler | undefined;
+    const ownerDesk = (): ReturnType<Desk["ownerDesk"]> =>
+        scheduler?.loaded && !scheduler.ownership.signal.aborted ? createOwnerDesk(scheduler) : undefined;
+    cluster.ownDepths = () => ownerDesk()?.depths();
+    const schedule = async (ownership: Ownership): Promise<void> => {
+        scheduler = createScheduler({
+            store,
+            workers: parts.workers,
+            listWorkers: () => listWorkers(parts, store),
+            configuration: cluster.configuration.current,
+            log,
+            metrics,
+            clock,
+            wallClock: () => agreeWallClock(cluster),
+            bounds: parts.bounds,
+        }, ownership);
+        await runScheduler(scheduler);
+        scheduler = undefined;
+    };
+    cluster.configuration.onChange = () => {
+        notifyPeers(cluster);
+        scheduler?.wake();
+    };
+    runPeers(cluster, end.signal);
+    const listener: Listener = await serveCluster({ cluster, store: parts.store, desk: ownerDesk }, parts.peerAddress);
+    parts.seeds.forEach(seed => cluster.meet(seed, seed));
+    const tasks = [
+        runMembership(cluster, store, leaving.signal),
+        watchConfiguration(cluster, store, parts.configurationKey, end.signal),
+        runOwnership({ cluster, store, schedule }, leaving.signal),
+    ];
+    tasks.forEach(task =>
+        void task.catch(error => log.error("A task of the daemon meets a defect.", { error: String(error.stack) }))
+    );
+    return {
+        desk: { cluster, store, ownerDesk },
+        isReady: () => cluster.configuration.current() !== undefined && !leaving.signal.aborted,
+        leave: () => {
+            cluster.leaving = true;
+            leaving.abort();
+            notifyPeers(cluster);
+        },
+        close: async () => {
+            leaving.abort();
+            end.abort();
+            await listener.close();
+        },
+    };
+}
+
+function createCluster(parts: NodeParts): Cluster {
+    return {
+        node: parts.node,
+        address: parts.peerAddress,
+        peers: new Map(),
+        configuration: createConfigurationKeeper(parts.decodeConfiguration, parts),
+        log: parts.log,
+        metrics: parts.metrics,
+        clock: parts.clock,
+        owner: undefined,
+        depths: [],
+        ownDepths: () => undefined,
+        reachesStore: false,
+        leaving: false,
+        onOwnerDead: () => {},
+        onOwnerChanged: () => {},
+        meet: () => undefined,
+    };
+}
+
+async function listWorkers(parts: NodeParts, store: FleetStore): Promise<readonly WorkerReport[] | undefined> {
+    const listed = await store.list(parts.workersPrefix);
+    if (listed.isErr()) {
+        parts.log.warn("The workers cannot be listed.", { reason: listed.error.kind });
+        return undefined;
+    }
+    return listed.value.items.flatMap(({ key, value }) => {
+        const report = parts.decodeWorkerReport(key, value);
+        if (report === undefined) {
+            parts.log.debug("An entry names no worker.", { key });
+        }
+        return report === undefined ? [] : [report];
+    });
+}
--- /dev/null
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -0,0 +1,85 @@
+import type { Job, JobState, Step } from "@balsamward/schema/scheduling";
+import type { QueueName } from "../ids.js";
+import type { JobId, TaskName, WorkerId } from "../ids.js";
+import type { WorkerEntry } from "./WorkerEntry.js";
+
+/** Where a run stands: ordered, confirmed by its worker, or ordered to stop. */
+export type RunPhase = "starting" | "running" | "stopping";
+
+/** One run of a task on a worker, from before its order until its end is certain. */
+export type Run = {
+    readonly task: TaskEntry;
+    readonly worker: WorkerEntry;
+    readonly number: number;
+    phase: RunPhase;
+    /** Whether the worker has said that the run is there. */
+    confirmed: boolean;
+    /** Steady time of the order in milliseconds. */
+    readonly orderedAt: number;
+    /** Steady time at which the worker confirmed the run. */
+    confirmedAt: number;
+    /** Steady time at which the worker answered a stop; `undefined` before. */
+    stopAnsweredAt: number | undefined;
+    percent: number;
+    /** Steady time at which `percent` last rose. */
+    progressedAt: number;
+    load: number;
+    /** Share of its speed at which the run was last told to work. */
+    pacedTo: number;
+};
+
+/** One task of a step of an occurrence. */
+export type TaskEntry = {
+    readonly name: TaskName;
+    readonly step: StepEntry;
+    done: boolean;
+    failures: number;
+    /** Highest run number used. */
+    lastRun: number;
+    /** Last run that was counted as a failure. */
+    countedRun: number;
+    checkpoint: string;
+    readonly runs: Run[];
+    /** Workers on which the task failed. */
+    readonly avoid: Set<WorkerId>;
+};
+
+/** A step of an occurrence. */
+export type StepEntry = {
+    readonly job: JobEntry;
+    readonly occurrence: number;
+    readonly number: number;
+    readonly spec: Step;
+    readonly tasks: readonly TaskEntry[];
+    /** Number of tasks that are done. */
+    doneCount: number;
+    /** Steady time at which the step could first have begun; `undefined` before. */
+    readyAt: number | undefined;
+};
+
+/** A job as its owner knows it. */
+export type JobEntry = {
+    readonly id: JobId;
+    readonly job: Job;
+    readonly queue: QueueName;
+    /** Revision at which the job was stored. */
+    readonly revision: number;
+    /** Steady time at which the owner learnt of the job. */
+    readonly arrivedAt: number;
+    /** Steps by occurrence; scheduled occurrences are added when they are due. */
+    readonly occurrences: Map<number, readonly StepEntry[]>;
+    /** Occurrences that have been created. */
+    begunOccurrences: number;
+    state: JobState;
+    /** State that the store holds. */
+    durableState: JobState;
+    cancelled: boolean;
+    /** Whether any task was ever started. */
+    begun: boolean;
+    /** Revision of the stored progress; 0 if there is none. */
+    progressRevision: number;
+    /** Whether the progress must be stored. */
+    dirty: boolean;
+    /** Wall time of the end in milliseconds since 1970; 0 before it. */
+    endedAtMs: number;
+};
--- /dev/null
+++ b/packages/scheduler/src/state/composeProgress.ts
@@ -0,0 +1,33 @@
+import type { Progress, StepProgress } from "@balsamward/schema/scheduling";
+import { ProgressSchema, StepProgressSchema, TaskProgressSchema } from "@balsamward/schema/scheduling";
+import { create } from "@bufbuild/protobuf";
+import type { JobEntry, StepEntry } from "./JobEntry.js";
+import { hasEnded } from "./jobStates.js";
+
+/**
+ * Composes what has to last of a job's progress.
+ *
+ * @param entry - The job.
+ * @returns The progress; of an ended job the state only.
+ */
+export function composeProgress(entry: JobEntry): Progress {
+    const steps = hasEnded(entry.state)
+        ? []
+        : [...entry.occurrences.values()].flat().map(composeStep).filter(step => step.tasks.length > 0);
+    return create(ProgressSchema, { job: entry.id, state: entry.state, steps, endedAtMs: entry.endedAtMs });
+}
+
+function composeStep(step: StepEntry): StepProgress {
+    const tasks = step.tasks
+        .filter(task => task.lastRun > 0)
+        .map(task =>
+            create(TaskProgressSchema, {
+                index: task.name.index,
+                done: task.done,
+                failures: task.failures,
+                lastRun: task.lastRun,
+                checkpoint: task.done ? "" : task.checkpoint,
+            })
+        );
+    return create(StepProgressSchema, { step: step.number, occurrence: step.occurrence, tasks });
+}
--- /dev/null
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -0,0 +1,114 @@
+import type { Job, Progress } from "@balsamward/schema/scheduling";
+import { JobState } from "@balsamward/schema/scheduling";
+import type { JobId, QueueName } from "../ids.js";
+import type { JobEntry, StepEntry, TaskEntry } from "./JobEntry.js";
+
+/** Options of `createJobEntry`. */
+export type CreateJobEntryOptions = {
+    /** Stored progress with its revision. */
+    readonly progress?: { readonly message: Progress; readonly revision: number };
+};
+
+/**
+ * Creates the entry of a stored job, with the progress that is stored of it.
+ *
+ * @param job - The job.
+ * @param revision - Revision at which the job was stored.
+ * @param now - Steady time in milliseconds.
+ * @param options - Stored progress.
+ * @returns The entry. A job without a schedule has its one occurrence.
+ */
+export function createJobEntry(
+    job: Job,
+    revision: number,
+    now: number,
+    options: CreateJobEntryOptions = {},
+): JobEntry {
+    const stored = options.progress?.message;
+    const state = stored === undefined ? JobState.QUEUED : stored.state;
+    const entry: JobEntry = {
+        id: job.id as JobId,
+        job,
+        queue: job.queue as QueueName,
+        revision,
+        arrivedAt: now,
+        occurrences: new Map(),
+        begunOccurrences: 0,
+        state,
+        durableState: state,
+        cancelled: false,
+        begun: stored !== undefined,
+        progressRevision: options.progress?.revision ?? 0,
+        dirty: false,
+        endedAtMs: stored?.endedAtMs ?? 0,
+    };
+    if (job.schedule === undefined) {
+        addOccurrence(entry, 0);
+    }
+    for (const part of stored?.steps ?? []) {
+        restoreStep(entry, part);
+    }
+    return entry;
+}
+
+/**
+ * Adds an occurrence with its steps to a job.
+ *
+ * @param entry - The job.
+ * @param occurrence - Number of the occurrence.
+ * @returns The steps.
+ */
+export function addOccurrence(entry: JobEntry, occurrence: number): readonly StepEntry[] {
+    const existing = entry.occurrences.get(occurrence);
+    if (existing !== undefined) {
+        return existing;
+    }
+    const steps = entry.job.steps.map((spec, number): StepEntry => {
+        const tasks: TaskEntry[] = [];
+        const step: StepEntry = {
+            job: entry,
+            occurrence,
+            number,
+            spec,
+            tasks,
+            doneCount: 0,
+            readyAt: undefined,
+        };
+        for (let index = 0; index < spec.taskCount; index++) {
+            tasks.push(createTask(step, index));
+        }
+        return step;
+    });
+    entry.occurrences.set(occurrence, steps);
+    entry.begunOccurrences = Math.max(entry.begunOccurrences, occurrence + 1);
+    return steps;
+}
+
+function createTask(step: StepEntry, index: number): TaskEntry {
+    return {
+        name: { job: step.job.id, occurrence: step.occurrence, step: step.number, index },
+        step,
+        done: false,
+        failures: 0,
+        lastRun: 0,
+        countedRun: 0,
+        checkpoint: "",
+        runs: [],
+        avoid: new Set(),
+    };
+}
+
+function restoreStep(entry: JobEntry, part: Progress["steps"][number]): void {
+    const step = addOccurrence(entry, part.occurrence)[part.step];
+    for (const saved of part.tasks) {
+        const task = step?.tasks[saved.index];
+        if (step === undefined || task === undefined) {
+            continue;
+        }
+        task.done = saved.done;
+        task.failures = saved.failures;
+        task.lastRun = saved.lastRun;
+        task.checkpoint = saved.checkpoint;
+        step.doneCount += saved.done ? 1 : 0;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/state/jobStates.ts
@@ -0,0 +1,11 @@
+import { JobState } from "@balsamward/schema/scheduling";
+
+/**
+ * Returns whether a job in a state never changes again.
+ *
+ * @param state - The state.
+ * @returns True for completed, failed and cancelled jobs.
+ */
+export function hasEnded(state: JobState): boolean {
+    return state === JobState.COMPLETED || state === JobState.FAILED || state === JobState.CANCELLED;
+}
