Exchange heartbeats with one peer an interval beside the owner

Cause: a daemon spent most of its processor time on heartbeats with every peer. Change: besides the owner, one peer an interval is called.

--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -5,7 +5,10 @@
 import { createPeerClient, isConnectionRefused } from "./createPeerClient.js";
 
 /** Peers, beside the owner, with which a daemon exchanges heartbeats in each interval. */
-const PEERS_PER_INTERVAL = 4;
+const PEERS_PER_INTERVAL = 1;
+
+/** Peers that are told at once of a change. */
+const NOTIFIED_PEERS = 4;
 
 /** Time after which a silent peer is forgotten in milliseconds. */
 const PEER_MEMORY_MS = 60_000;
@@ -121,6 +124,6 @@
  * @param cluster - The daemon's knowledge.
  */
 export function notifyPeers(cluster: Cluster): void {
-    const peers = [...cluster.peers.values()].sort(() => Math.random() - 0.5).slice(0, PEERS_PER_INTERVAL);
+    const peers = [...cluster.peers.values()].sort(() => Math.random() - 0.5).slice(0, NOTIFIED_PEERS);
     peers.forEach(peer => void exchange(cluster, peer));
 }
