--- a/packages/scheduler/src/Metrics.ts
+++ b/packages/scheduler/src/Metrics.ts
@@ -1,5 +1,8 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
 
+/** Interval at which the event loop's delay is sampled, in milliseconds; each sample wakes the process. */
+const EVENT_LOOP_SAMPLE_MS = 1_000;
+
 /** Metrics of a daemon that schedules. */
 export type Metrics = ReturnType<typeof createMetrics>;
 
@@ -10,7 +13,7 @@
  */
 export function createMetrics() {
     const registry = new Registry();
-    collectDefaultMetrics({ register: registry });
+    collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS });
     const registers = [registry];
     const counter = <Label extends string>(name: string, help: string, labelNames: readonly Label[]) =>
         new Counter<Label>({ name: `balsamward_${name}_total`, help, labelNames, registers });
--- a/packages/scheduler/src/engine/takeJob.ts
+++ b/packages/scheduler/src/engine/takeJob.ts
@@ -1,4 +1,4 @@
-import type { Job } from "@balsamward/schema/scheduling";
+import type { Job, Step } from "@balsamward/schema/scheduling";
 import { JobState } from "@balsamward/schema/scheduling";
 import type { JobId } from "../ids.js";
 import type { CreateJobEntryOptions } from "../state/createJobEntry.js";
@@ -33,11 +33,36 @@
         scheduler.active.add(entry);
     }
     scheduler.metrics.jobs.inc({ event: "taken" });
-    scheduler.log.info("A job is taken over.", { job: entry.id, queue: entry.queue, revision, state: entry.state });
+    scheduler.log.info("A job is taken over.", {
+        job: entry.id,
+        queue: entry.queue,
+        customer: job.customer,
+        revision,
+        state: JobState[entry.state],
+        steps: job.steps.map(describeStep),
+        times: job.schedule?.times,
+    });
     scheduler.wake();
     return entry;
 }
 
+/** Returns the shape of a step for the log, such as '4x52000m/8a gang one-rack'. */
+function describeStep(step: Step): string {
+    const shape = `${step.taskCount}x${step.request?.cpuMillis}m/${step.request?.accelerators}a~${step.estimatedMs}ms`;
+    const traits = [
+        step.gang ? "gang" : "",
+        step.sameRack ? "one-rack" : "",
+        step.dataRack === "" ? "" : `data=${step.dataRack}`,
+        step.requiredLabel === "" ? "" : `label=${step.requiredLabel}`,
+        step.maxPerWorker > 0 ? `spread=${step.maxPerWorker}` : "",
+        step.checkpoints ? "checkpoints" : "",
+        step.copiesAllowed ? "copies" : "",
+        step.lasting ? "lasting" : "",
+        step.fillsIdle ? "fills" : "",
+    ];
+    return [shape, ...traits].filter(text => text !== "").join(" ");
+}
+
 /**
  * Cancels a job.
  *
