Reclaim guarantees by stopping other work; rank jobs by prospect and learnt run times

Ruled out: slow acceptance (first start within 52 ms at the median). Change: entitled jobs come first and stop what is not guaranteed; other urgent work stops less urgent runs where little is lost; workers being freed are held; run times are learnt by queue.

--- a/packages/scheduler/src/callers/submitJob.ts
+++ b/packages/scheduler/src/callers/submitJob.ts
@@ -2,6 +2,7 @@
 import { JobSchema } from "@balsamward/schema/scheduling";
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import { pause } from "../_lib/pause.js";
+import { agreeWallClock } from "../cluster/agreeWallClock.js";
 import { PEER_CALL_TIMEOUT_MS } from "../constants.js";
 import { keys } from "../keys.js";
 import type { StoreItem } from "../ports/FleetStore.js";
@@ -19,11 +20,12 @@
  * conflicts with the first one if that took effect.
  *
  * @param desk - What answering needs.
- * @param job - The job.
+ * @param submission - The job.
  * @param deadline - Steady time at which the caller stops waiting, in milliseconds.
  * @returns `accepted` once the job is stored; a refusal other than `unclear` means that it is not.
  */
-export async function submitJob(desk: Desk, job: Job, deadline: number): Promise<Reply> {
+export async function submitJob(desk: Desk, submission: Job, deadline: number): Promise<Reply> {
+    const job = { ...submission, acceptedAtMs: agreeWallClock(desk.cluster) };
     const transaction = {
         expect: [{ key: keys.job(job.id), revision: 0 }],
         puts: [{ key: keys.job(job.id), value: toBinary(JobSchema, job) }],
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -6,6 +6,7 @@
 import type { WorkerPort, WorkerReport } from "../ports/WorkerPort.js";
 import type { JobEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { RunTimes } from "./createRunTimes.js";
 
 /** Lists the workers that the platform knows; an entry that cannot be read is left out. */
 export type ListWorkers = () => Promise<readonly WorkerReport[] | undefined>;
@@ -65,6 +66,7 @@
     rosterRevision: number;
     /** Whether all stored state is loaded. */
     loaded: boolean;
+    readonly runTimes: RunTimes;
     /** Asks for a placement pass. */
     wake: () => void;
     /** Asks for a write of changed progress. */
--- a/packages/scheduler/src/engine/applyEnd.ts
+++ b/packages/scheduler/src/engine/applyEnd.ts
@@ -1,6 +1,6 @@
 import { JobState } from "@balsamward/schema/scheduling";
 import type { EndedRow } from "../ports/WorkerPort.js";
-import type { StepEntry, TaskEntry } from "../state/JobEntry.js";
+import type { Run, StepEntry, TaskEntry } from "../state/JobEntry.js";
 import { hasEnded } from "../state/jobStates.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { endIfComplete, endJob, markDirty } from "./endJob.js";
@@ -36,6 +36,7 @@
     const run = task.runs.find(candidate => candidate.worker === worker && candidate.number === row.run);
     const wasStopping = run?.phase === "stopping";
     if (run !== undefined) {
+        learnRunTime(scheduler, run, row);
         releaseRun(run);
     }
     task.lastRun = Math.max(task.lastRun, row.run);
@@ -81,6 +82,15 @@
     }
 }
 
+/** Only whole runs tell how long a task takes. */
+function learnRunTime(scheduler: Scheduler, run: Run, row: EndedRow): void {
+    const { step, name } = run.task;
+    const isFirstMember = !step.spec.gang || name.index === 0;
+    if (row.how === "done" && run.confirmed && run.isWhole && isFirstMember) {
+        scheduler.runTimes.observe(step.job.queue, step.spec.estimatedMs, scheduler.clock() - run.confirmedAt);
+    }
+}
+
 /** A checkpoint of any member of a gang resumes the whole gang. */
 function keepCheckpoint(task: TaskEntry, checkpoint: string): void {
     const tasks = task.step.spec.gang ? task.step.tasks : [task];
--- a/packages/scheduler/src/engine/applyHold.ts
+++ b/packages/scheduler/src/engine/applyHold.ts
@@ -88,7 +88,7 @@
         return undefined;
     }
     const known = task.runs.find(run => run.worker === worker && run.number === row.run);
-    const run = known ?? createRun(task, worker, row.run, now);
+    const run = known ?? createRun(task, worker, row.run, now, false);
     confirmRun(run, now);
     if (row.percent > run.percent) {
         run.percent = row.percent;
--- a/packages/scheduler/src/engine/endJob.ts
+++ b/packages/scheduler/src/engine/endJob.ts
@@ -35,7 +35,7 @@
         job: entry.id,
         state: JobState[state],
         reason,
-        ageMs: Math.round(scheduler.clock() - entry.arrivedAt),
+        ageMs: Math.round(scheduler.clock() - entry.acceptedAt),
     });
     for (const step of [...entry.occurrences.values()].flat()) {
         for (const task of step.tasks) {
--- /dev/null
+++ b/packages/scheduler/src/engine/findEntitledJobs.ts
@@ -0,0 +1,41 @@
+import type { FleetConfiguration, Queue } from "../FleetConfiguration.js";
+import type { QueueName } from "../ids.js";
+import type { JobEntry } from "../state/JobEntry.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/**
+ * Finds the urgent jobs that lie within their customers' guarantees.
+ *
+ * A customer's urgent jobs are counted from the oldest on, until their first steps need more
+ * accelerators than are guaranteed.
+ *
+ * @param scheduler - The scheduler.
+ * @param configuration - The configuration in force.
+ * @param queues - Its queues by name.
+ * @returns The jobs that may reclaim what others use.
+ */
+export function findEntitledJobs(
+    scheduler: Scheduler,
+    configuration: FleetConfiguration,
+    queues: ReadonlyMap<QueueName, Queue>,
+): ReadonlySet<JobEntry> {
+    const left = new Map(configuration.customers.map(customer => [customer.name, customer.guaranteedAccelerators]));
+    const entitled = new Set<JobEntry>();
+    const urgent = [...scheduler.active]
+        .filter(entry => queues.get(entry.queue)?.priority === 0)
+        .sort((one, other) => one.revision - other.revision);
+    for (const entry of urgent) {
+        const need = firstStepAccelerators(entry);
+        const remaining = left.get(entry.job.customer) ?? 0;
+        if (need <= remaining) {
+            entitled.add(entry);
+            left.set(entry.job.customer, remaining - need);
+        }
+    }
+    return entitled;
+}
+
+function firstStepAccelerators(entry: JobEntry): number {
+    const step = entry.job.steps[0];
+    return step === undefined ? 0 : step.taskCount * (step.request?.accelerators ?? 0);
+}
--- a/packages/scheduler/src/engine/orderJobs.ts
+++ b/packages/scheduler/src/engine/orderJobs.ts
@@ -1,45 +1,65 @@
-import type { Queue } from "../FleetConfiguration.js";
+import type { FleetConfiguration, Queue } from "../FleetConfiguration.js";
 import type { QueueName } from "../ids.js";
 import type { JobEntry } from "../state/JobEntry.js";
+import { findEntitledJobs } from "./findEntitledJobs.js";
+import type { JobTimes } from "./jobTimes.js";
+import { expectTimes, LATE_FACTOR } from "./jobTimes.js";
 import type { Scheduler } from "./Scheduler.js";
 
-/** A job with the queue that is configured for it. */
-export type QueuedJob = { readonly entry: JobEntry; readonly queue: Queue };
+/** How well a job can still meet its objective. */
+export type Prospect = "entitled" | "on-time" | "late" | "too-late";
+
+/** A job with the queue that is configured for it, and its prospect. */
+export type RankedJob = {
+    readonly entry: JobEntry;
+    readonly queue: Queue;
+    readonly times: JobTimes;
+    readonly prospect: Prospect;
+};
 
 /**
- * Orders the jobs for a placement pass: by priority, then the one with the least work left, then the
- * oldest.
+ * Orders the jobs for a placement pass: what is guaranteed first and what comes too late anyway last;
+ * between them by priority, by prospect, and the least work first.
  *
  * @param scheduler - The scheduler.
- * @param queues - Configured queues; a job of another one waits.
- * @returns The jobs with their queues.
+ * @param configuration - The configuration in force; a job of another queue waits.
+ * @returns The jobs in order.
  */
-export function orderJobs(
-    scheduler: Scheduler,
-    queues: ReadonlyMap<QueueName, Queue>,
-): readonly QueuedJob[] {
-    return [...scheduler.active]
-        .flatMap(entry => {
-            const queue = queues.get(entry.queue);
-            return queue === undefined ? [] : [{ entry, queue, work: remainingWork(entry) }];
-        })
-        .sort((left, right) =>
-            left.queue.priority - right.queue.priority
-            || left.work - right.work
-            || left.entry.revision - right.entry.revision
-        );
+export function orderJobs(scheduler: Scheduler, configuration: FleetConfiguration): readonly RankedJob[] {
+    const queues = new Map<QueueName, Queue>(configuration.queues.map(queue => [queue.name, queue]));
+    const entitled = findEntitledJobs(scheduler, configuration, queues);
+    const now = scheduler.clock();
+    const ranked: RankedJob[] = [];
+    for (const entry of scheduler.active) {
+        const queue = queues.get(entry.queue);
+        if (queue !== undefined) {
+            const times = expectTimes(entry, queue, scheduler.runTimes);
+            const prospect = entitled.has(entry) ? "entitled" : prospectOf(entry, times, now);
+            ranked.push({ entry, queue, times, prospect });
+        }
+    }
+    return ranked.sort(compareRanks);
 }
 
-/** Work left in accelerator- and core-milliseconds, after the estimates. */
-function remainingWork(entry: JobEntry): number {
-    let work = 0;
-    for (const step of [...entry.occurrences.values()].flat()) {
-        const { request, estimatedMs } = step.spec;
-        const weight = (request?.accelerators ?? 0) * CORES_PER_ACCELERATOR + (request?.cpuMillis ?? 0) / 1_000;
-        work += (step.tasks.length - step.doneCount) * estimatedMs * weight;
+function prospectOf(entry: JobEntry, times: JobTimes, now: number): Prospect {
+    const endMs = now - entry.acceptedAt + times.remainingChainMs;
+    if (entry.job.schedule !== undefined || endMs <= times.objectiveMs) {
+        return "on-time";
     }
-    return work;
+    return endMs <= LATE_FACTOR * times.objectiveMs ? "late" : "too-late";
+}
+
+const PROSPECT_RANKS: Readonly<Record<Prospect, number>> = { entitled: 0, "on-time": 1, late: 2, "too-late": 3 };
+
+function compareRanks(left: RankedJob, right: RankedJob): number {
+    return classOf(left) - classOf(right)
+        || left.queue.priority - right.queue.priority
+        || PROSPECT_RANKS[left.prospect] - PROSPECT_RANKS[right.prospect]
+        || left.times.remainingWork - right.times.remainingWork
+        || left.entry.revision - right.entry.revision;
 }
 
-/** Cores that an accelerator counts as when work is compared. */
-const CORES_PER_ACCELERATOR = 8;
+/** Guarantees come before everything, and hopeless jobs after everything. */
+function classOf({ prospect }: RankedJob): number {
+    return prospect === "entitled" ? 0 : prospect === "too-late" ? 2 : 1;
+}
--- a/packages/scheduler/src/engine/planPass.ts
+++ b/packages/scheduler/src/engine/planPass.ts
@@ -3,9 +3,11 @@
 import type { Assignment } from "../placement/Candidates.js";
 import { placeGang } from "../placement/placeGang.js";
 import { placeTasks } from "../placement/placeTasks.js";
-import type { JobEntry, StepEntry } from "../state/JobEntry.js";
+import type { JobEntry, StepEntry, TaskEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { RankedJob } from "./orderJobs.js";
 import { orderJobs } from "./orderJobs.js";
+import { reclaimFor } from "./reclaimFor.js";
 import { createRun } from "./runs.js";
 import type { Scheduler } from "./Scheduler.js";
 import { startRun } from "./startRun.js";
@@ -14,11 +16,19 @@
 /** Runs of different terms of ownership have numbers of different thousands. */
 const RUNS_PER_TERM = 1_000;
 
-/** Shapes of steps that found no room in this pass. */
-type FullShapes = Set<string>;
+/** What a pass has found out so far. */
+type Pass = {
+    readonly configuration: FleetConfiguration;
+    readonly workers: readonly WorkerEntry[];
+    /** Shapes of steps that found no room. */
+    readonly full: Set<string>;
+    /** Workers that are kept free for a step that waits for them. */
+    readonly held: Set<WorkerEntry>;
+};
 
 /**
- * Places what waits and fits, the most urgent first.
+ * Places what waits and fits, in the order of the jobs' ranks. A step that may stop others, or that
+ * waits for what is being stopped, holds its workers against those that come after it.
  *
  * @param scheduler - The scheduler.
  */
@@ -27,14 +37,14 @@
     if (configuration === undefined || !scheduler.loaded) {
         return;
     }
-    const queues = new Map(configuration.queues.map(queue => [queue.name, queue]));
-    const full: FullShapes = new Set();
     for (const entry of scheduler.active) {
         beginDueOccurrences(scheduler, entry);
     }
-    for (const { entry, queue } of orderJobs(scheduler, queues)) {
-        if (isPlaceable(scheduler, entry)) {
-            openSteps(entry).forEach(step => placeStep(scheduler, configuration, queue, step, full));
+    const workers = usableWorkers(scheduler);
+    const pass: Pass = { configuration, workers, full: new Set(), held: new Set() };
+    for (const ranked of orderJobs(scheduler, configuration)) {
+        if (isPlaceable(scheduler, ranked.entry)) {
+            openSteps(ranked.entry).forEach(step => placeStep(scheduler, pass, ranked, step));
         }
     }
 }
@@ -61,27 +71,41 @@
     return step !== undefined && step.doneCount === step.tasks.length;
 }
 
-function placeStep(
-    scheduler: Scheduler,
-    configuration: FleetConfiguration,
-    queue: Queue,
-    step: StepEntry,
-    full: FullShapes,
-): void {
+function placeStep(scheduler: Scheduler, pass: Pass, ranked: RankedJob, step: StepEntry): void {
     step.readyAt ??= scheduler.clock();
-    const shape = shapeOf(queue, step);
-    if (full.has(shape)) {
+    const shape = shapeOf(ranked.queue, step);
+    const mayReclaim = ranked.prospect === "entitled" || ranked.prospect === "on-time";
+    if (pass.full.has(shape) && !mayReclaim) {
         return;
     }
-    const workers = usableWorkers(scheduler, queue, step);
     const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
-    const assignments = step.spec.gang
-        ? waiting.length === step.tasks.length ? placeGang(step, workers) : []
-        : placeTasks(step, waiting, workers);
-    if (assignments === undefined || assignments.length < waiting.length) {
-        full.add(shape);
+    const suited = pass.workers.filter(worker => isSuited(worker, ranked.queue, step));
+    const workers = suited.filter(worker => !pass.held.has(worker));
+    const assignments = pass.full.has(shape) ? [] : assign(step, waiting, workers);
+    begin(scheduler, step, assignments);
+    if (assignments.length === waiting.length) {
+        return;
+    }
+    pass.full.add(shape);
+    const isWhole = !step.spec.gang || waiting.length === step.tasks.length;
+    if (mayReclaim && isWhole) {
+        reclaimFor(scheduler, ranked, step, {
+            workers,
+            taskCount: waiting.length - assignments.length,
+            configuration: pass.configuration,
+        }).forEach(worker => pass.held.add(worker));
     }
-    begin(scheduler, step, assignments ?? []);
+}
+
+function assign(
+    step: StepEntry,
+    waiting: readonly TaskEntry[],
+    workers: readonly WorkerEntry[],
+): readonly Assignment[] {
+    if (!step.spec.gang) {
+        return placeTasks(step, waiting, workers);
+    }
+    return waiting.length === step.tasks.length ? placeGang(step, workers) ?? [] : [];
 }
 
 /** Steps of one shape find room on the same workers. */
@@ -99,20 +123,22 @@
     ].join("|");
 }
 
-function usableWorkers(scheduler: Scheduler, queue: Queue, step: StepEntry): readonly WorkerEntry[] {
+function usableWorkers(scheduler: Scheduler): readonly WorkerEntry[] {
     const now = scheduler.clock();
-    const { requiredLabel } = step.spec;
     return [...scheduler.fleet.values()].filter(worker =>
-        worker.service === queue.service
-        && worker.reached
+        worker.reached
         && worker.listed
         && !worker.draining
         && worker.pausedUntil <= now
         && scheduler.roster.has(worker.id)
-        && (requiredLabel === "" || worker.labels.includes(requiredLabel))
     );
 }
 
+function isSuited(worker: WorkerEntry, queue: Queue, step: StepEntry): boolean {
+    const { requiredLabel } = step.spec;
+    return worker.service === queue.service && (requiredLabel === "" || worker.labels.includes(requiredLabel));
+}
+
 function begin(scheduler: Scheduler, step: StepEntry, assignments: readonly Assignment[]): void {
     if (assignments.length === 0) {
         return;
@@ -135,7 +161,7 @@
         workers: [...new Set(assignments.map(({ worker }) => worker.id))].slice(0, 8),
     });
     for (const { task, worker } of assignments) {
-        const run = createRun(task, worker, lastRun + 1, scheduler.clock());
+        const run = createRun(task, worker, lastRun + 1, scheduler.clock(), true);
         worker.bell.ring();
         scheduler.spawn(() => startRun(scheduler, run, ""));
     }
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -2,6 +2,7 @@
 import { createBell } from "../_lib/createBell.js";
 import { pause } from "../_lib/pause.js";
 import { IDLE_PASS_MS, PASS_INTERVAL_MS, RECONCILIATION_WAIT_MS, STORE_RETRY_MS } from "../constants.js";
+import { createRunTimes } from "./createRunTimes.js";
 import { flushProgress } from "./flushProgress.js";
 import { loadState } from "./loadState.js";
 import { planPass } from "./planPass.js";
@@ -33,6 +34,7 @@
         roster: new Set(),
         rosterRevision: 0,
         loaded: false,
+        runTimes: createRunTimes(),
         wake: () => {},
         wakeFlush: () => {},
         spawn: task => {
--- a/packages/scheduler/src/engine/runs.ts
+++ b/packages/scheduler/src/engine/runs.ts
@@ -8,14 +8,16 @@
  * @param worker - The worker.
  * @param number - The run's number.
  * @param now - Steady time in milliseconds.
+ * @param isOrdered - Whether this owner orders the run; otherwise it was found on the worker.
  * @returns The run, not confirmed.
  */
-export function createRun(task: TaskEntry, worker: WorkerEntry, number: number, now: number): Run {
+export function createRun(task: TaskEntry, worker: WorkerEntry, number: number, now: number, isOrdered: boolean): Run {
     const run: Run = {
         task,
         worker,
         number,
         phase: "starting",
+        isWhole: isOrdered && task.checkpoint === "",
         confirmed: false,
         orderedAt: now,
         confirmedAt: now,
--- a/packages/scheduler/src/engine/takeJob.ts
+++ b/packages/scheduler/src/engine/takeJob.ts
@@ -27,7 +27,8 @@
     if (known !== undefined) {
         return known;
     }
-    const entry = createJobEntry(job, revision, scheduler.clock(), options);
+    const ageMs = Math.max(0, scheduler.wallClock() - job.acceptedAtMs);
+    const entry = createJobEntry(job, revision, scheduler.clock() - ageMs, options);
     scheduler.jobs.set(entry.id, entry);
     if (!hasEnded(entry.state)) {
         scheduler.active.add(entry);
--- a/packages/scheduler/src/placement/Candidates.ts
+++ b/packages/scheduler/src/placement/Candidates.ts
@@ -1,4 +1,4 @@
-import type { Step } from "@balsamward/schema/scheduling";
+import type { Resources, Step } from "@balsamward/schema/scheduling";
 import type { TaskEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 
@@ -17,7 +17,18 @@
  * @returns The number of tasks, from 0.
  */
 export function countRoom(worker: WorkerEntry, step: Step, present: number): number {
-    const { free } = worker;
+    return countRoomIn(worker.free, step, present);
+}
+
+/**
+ * Returns how many more tasks of a step fit into free resources.
+ *
+ * @param free - The resources.
+ * @param step - The step.
+ * @param present - Tasks of the step that are on the same worker.
+ * @returns The number of tasks, from 0.
+ */
+export function countRoomIn(free: Resources, step: Step, present: number): number {
     const request = step.request;
     const limits = [
         step.maxPerWorker > 0 ? step.maxPerWorker - present : Number.POSITIVE_INFINITY,
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -12,6 +12,8 @@
     readonly worker: WorkerEntry;
     readonly number: number;
     phase: RunPhase;
+    /** Whether this owner ordered the run, from the task's beginning on. */
+    readonly isWhole: boolean;
     /** Whether the worker has said that the run is there. */
     confirmed: boolean;
     /** Steady time of the order in milliseconds. */
@@ -64,8 +66,8 @@
     readonly queue: QueueName;
     /** Revision at which the job was stored. */
     readonly revision: number;
-    /** Steady time at which the owner learnt of the job. */
-    readonly arrivedAt: number;
+    /** Steady time at which the job was accepted. */
+    readonly acceptedAt: number;
     /** Steps by occurrence; scheduled occurrences are added when they are due. */
     readonly occurrences: Map<number, readonly StepEntry[]>;
     /** Occurrences that have been created. */
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -14,14 +14,14 @@
  *
  * @param job - The job.
  * @param revision - Revision at which the job was stored.
- * @param now - Steady time in milliseconds.
+ * @param acceptedAt - Steady time at which the job was accepted, in milliseconds.
  * @param options - Stored progress.
  * @returns The entry. A job without a schedule has its one occurrence.
  */
 export function createJobEntry(
     job: Job,
     revision: number,
-    now: number,
+    acceptedAt: number,
     options: CreateJobEntryOptions = {},
 ): JobEntry {
     const stored = options.progress?.message;
@@ -31,7 +31,7 @@
         job,
         queue: job.queue as QueueName,
         revision,
-        arrivedAt: now,
+        acceptedAt,
         occurrences: new Map(),
         begunOccurrences: 0,
         state,
