Count a stored failure once, also for the next owner

Ruled out: a second failure (the logs show one). Change: the run whose failure is counted is stored with the count.

--- a/packages/scheduler/src/state/composeProgress.ts
+++ b/packages/scheduler/src/state/composeProgress.ts
@@ -26,6 +26,7 @@
                 done: task.done,
                 failures: task.failures,
                 lastRun: task.lastRun,
+                countedRun: task.countedRun,
                 checkpoint: task.done ? "" : task.checkpoint,
             })
         );
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -108,6 +108,7 @@
         task.done = saved.done;
         task.failures = saved.failures;
         task.lastRun = saved.lastRun;
+        task.countedRun = saved.countedRun;
         task.checkpoint = saved.checkpoint;
         step.doneCount += saved.done ? 1 : 0;
     }
