Test the scheduler on stand-ins; let the lease of a silent worker end

Cause: a test showed that each unanswered hold pushed the assumed end of a silent worker's lease on, so that its tasks never ran elsewhere, and that such a worker was never asked again once its runs were released. Change: a silent worker is asked without extending its lease, and until it answers; store, workers and clock in memory carry the scheduler's own loops.

--- a/packages/scheduler/src/_lib/createBell.ts
+++ b/packages/scheduler/src/_lib/createBell.ts
@@ -1,4 +1,6 @@
-/** Wakes one waiting task; rings while nobody waits are kept. */
+import type { Pause } from "./pause.js";
+
+/** Wakes one waiting task; a ring while nobody waits is kept. */
 export type Bell = {
     readonly ring: () => void;
     /** Waits for a ring, for `timeoutMs`, or until the signal aborts. */
@@ -8,36 +10,33 @@
 /**
  * Creates a bell.
  *
+ * @param pause - Waits for a time.
  * @returns The bell, not rung.
  *
  * @example
- * const bell = createBell();
+ * const bell = createBell(pause);
  * bell.ring();
  * await bell.wait(1_000, signal); // returns at once
  */
-export function createBell(): Bell {
-    let rung = false;
-    let release: (() => void) | undefined;
+export function createBell(pause: Pause): Bell {
+    let isRung = false;
+    let waiting: AbortController | undefined;
     return {
         ring: () => {
-            rung = true;
-            release?.();
+            isRung = true;
+            waiting?.abort();
         },
         wait: async (timeoutMs, signal) => {
-            if (!rung && !signal.aborted) {
-                await new Promise<void>(resolve => {
-                    const done = (): void => {
-                        clearTimeout(timer);
-                        signal.removeEventListener("abort", done);
-                        release = undefined;
-                        resolve();
-                    };
-                    const timer = setTimeout(done, timeoutMs);
-                    signal.addEventListener("abort", done);
-                    release = done;
-                });
+            if (!isRung && !signal.aborted) {
+                const end = new AbortController();
+                const endWait = (): void => end.abort();
+                signal.addEventListener("abort", endWait, { once: true });
+                waiting = end;
+                await pause(timeoutMs, end.signal);
+                waiting = undefined;
+                signal.removeEventListener("abort", endWait);
             }
-            rung = false;
+            isRung = false;
         },
     };
 }
--- a/packages/scheduler/src/cluster/runOwnership.ts
+++ b/packages/scheduler/src/cluster/runOwnership.ts
@@ -1,6 +1,7 @@
 import type { OwnerRecord } from "@balsamward/schema/scheduling";
 import { OwnerRecordSchema, TermRecordSchema } from "@balsamward/schema/scheduling";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { setMaxListeners } from "node:events";
 import { pause } from "../_lib/pause.js";
 import { LEASE_RENEWAL_MS, OWNER_LEASE_MS, STORE_RETRY_MS, WATCH_WAIT_MS } from "../constants.js";
 import type { Ownership } from "../engine/Scheduler.js";
@@ -127,6 +128,8 @@
 async function runTerm(parts: OwnershipParts, term: Term, signal: AbortSignal): Promise<void> {
     const { cluster, store } = parts;
     const end = new AbortController();
+    // Every worker and every running task of the term waits on the signal.
+    setMaxListeners(0, end.signal);
     const resign = (reason: string): void => {
         if (!end.signal.aborted) {
             cluster.metrics.terms.inc({ reason: "resigned" });
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "winston";
+import type { Pause } from "../_lib/pause.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { JobId, WorkerId } from "../ids.js";
 import type { Metrics } from "../Metrics.js";
@@ -19,6 +20,8 @@
     readonly configuration: () => FleetConfiguration | undefined;
     readonly log: Logger;
     readonly metrics: Metrics;
+    /** Waits for a steady time. */
+    readonly pause: Pause;
     /** Returns the steady time in milliseconds. */
     readonly clock: () => number;
     /** Returns the agreed time of day in milliseconds since 1970. */
--- a/packages/scheduler/src/engine/flushProgress.ts
+++ b/packages/scheduler/src/engine/flushProgress.ts
@@ -1,7 +1,6 @@
 import { ProgressSchema } from "@balsamward/schema/scheduling";
 import { toBinary } from "@bufbuild/protobuf";
 import type { Bell } from "../_lib/createBell.js";
-import { pause } from "../_lib/pause.js";
 import { IDLE_PASS_MS, STORE_RETRY_MS, TRANSACTION_ENTRIES } from "../constants.js";
 import { keys } from "../keys.js";
 import type { StoreError, StoreItem } from "../ports/FleetStore.js";
@@ -34,7 +33,7 @@
             await bell.wait(IDLE_PASS_MS, signal);
         }
         else {
-            await pause(STORE_RETRY_MS, signal);
+            await scheduler.pause(STORE_RETRY_MS, signal);
         }
     }
 }
--- /dev/null
+++ b/packages/scheduler/src/engine/gangs.feature
@@ -0,0 +1,46 @@
+Feature: Gangs run whole or not at all
+
+    Scenario: A gang waits until all of its members fit
+        Given a fleet of 2 workers with an owner
+        When ana submits the normal job J of "1 x 8"
+        And bob submits the normal job G of "2 x 8 gang"
+        Then 0 tasks of G run
+        When task 0.0.0 of J ends as done
+        Then 2 tasks of G run
+
+    Scenario: A gang that needs one rack gets one
+        Given a fleet of 8 workers with an owner
+        When bob submits the normal job J of "3 x 8"
+        And bob submits the normal job G of "4 x 8 gang one-rack"
+        Then the tasks of G run in one rack
+
+    Scenario: One end speaks for the whole gang
+        Given a fleet of 2 workers with an owner
+        When ana submits the normal job G of "2 x 8 gang"
+        And task 0.0.1 of G ends as done
+        And 1 seconds pass
+        Then the job G is completed
+
+    Scenario: A gang whose member breaks starts again as a whole, under one number
+        Given a fleet of 3 workers with an owner
+        When ana submits the normal job G of "2 x 8 gang"
+        And task 0.0.0 of G ends as lapsed
+        And 2 seconds pass
+        Then 2 tasks of G run
+        And task 0.0.0 of G has run 2
+        And task 0.0.1 of G has run 2
+
+    Scenario: A gang fails once, however many of its members fail
+        Given a fleet of 4 workers with an owner
+        When ana submits the normal job G of "2 x 8 gang"
+        And task 0.0.0 of G ends as failed
+        And 2 seconds pass
+        Then the job G is running
+
+    Scenario: A refused member takes the whole gang back
+        Given a fleet of 2 workers with an owner
+        When the next orders at w1 meet "refused"
+        And ana submits the normal job G of "2 x 8 gang"
+        And 3 seconds pass
+        Then 2 tasks of G run
+        And each task of G runs at most once
--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -9,6 +9,7 @@
     WORKER_CLOCK_DRIFT,
     WORKER_LEASE_MS,
 } from "../constants.js";
+import { createBell } from "../_lib/createBell.js";
 import type { JobId, WorkerId } from "../ids.js";
 import { keys } from "../keys.js";
 import type { StoreError, StoreItem } from "../ports/FleetStore.js";
@@ -110,7 +111,7 @@
         const id = worker as WorkerId;
         scheduler.roster.add(id);
         scheduler.unreconciled.add(id);
-        addWorker(scheduler, createWorkerEntry(id, address, 0));
+        addWorker(scheduler, createWorkerEntry(id, address, 0, createBell(scheduler.pause)));
     }
     const leaseMs = Math.min(WORKER_LEASE_MS, scheduler.bounds.maxHoldMs) / (1 - WORKER_CLOCK_DRIFT);
     scheduler.unknownRunsEndAt = scheduler.clock() + OWNER_LEASE_MS + leaseMs + LEASE_MARGIN_MS;
--- a/packages/scheduler/src/engine/planPass.ts
+++ b/packages/scheduler/src/engine/planPass.ts
@@ -127,6 +127,7 @@
     const now = scheduler.clock();
     return [...scheduler.fleet.values()].filter(worker =>
         worker.reached
+        && !worker.isSilent
         && worker.listed
         && !worker.draining
         && worker.pausedUntil <= now
--- /dev/null
+++ b/packages/scheduler/src/engine/progress.feature
@@ -0,0 +1,71 @@
+Feature: Ends are stored before workers forget them
+
+    Background:
+        Given a fleet of 2 workers with an owner
+
+    Scenario: A completed job is shown only after it is stored
+        When ana submits the normal job J of "1 x 2"
+        And the store goes down
+        And task 0.0.0 of J ends as done
+        And 1 seconds pass
+        Then the job J is running
+        And the workers have forgotten 0 ends
+        When the store is back
+        And 1 seconds pass
+        Then the job J is completed
+        And the workers have forgotten 1 end
+
+    Scenario: A write whose answer was lost is recognised
+        When ana submits the normal job J of "2 x 2"
+        And the next store writes meet "lost-answer"
+        And task 0.0.0 of J ends as done
+        And 1 seconds pass
+        And task 0.0.1 of J ends as done
+        And 1 seconds pass
+        Then the job J is completed
+
+    Scenario: A write that is carried out late does not undo newer progress
+        When ana submits the normal job J of "2 x 2"
+        And the next store writes meet "late"
+        And task 0.0.0 of J ends as done
+        And task 0.0.1 of J ends as done
+        And 1 seconds pass
+        And the late store writes are carried out
+        And the owner dies
+        And a new owner takes over
+        Then the job J is completed
+
+    Scenario: A later step begins only after all tasks of the earlier one are done
+        When ana submits the normal job J of "2 x 1;3 x 1 after 0"
+        And task 0.0.0 of J ends as done
+        Then 1 task of J runs
+        When task 0.0.1 of J ends as done
+        Then 3 tasks of J run
+
+    Scenario: A job fails when a task has failed as often as its queue allows
+        When ana submits the normal job J of "2 x 1"
+        And task 0.0.0 of J ends as failed
+        Then the job J is running
+        When task 0.0.0 of J ends as failed
+        And 1 seconds pass
+        Then the job J is failed
+        And 0 tasks of J run
+
+    Scenario: A cancelled job stops, and an ended one stays as it was
+        When ana submits the normal job J of "2 x 1"
+        And J is cancelled by its caller
+        And 1 seconds pass
+        Then the job J is cancelled
+        And 0 tasks of J run
+        When ana submits the normal job K of "1 x 1"
+        And task 0.0.0 of K ends as done
+        And 1 seconds pass
+        And K is cancelled by its caller
+        Then the job K is completed
+
+    Scenario: Jobs that were stored while the watch was silent are found after the history is dropped
+        When the watches fall silent
+        And ana submits the normal job J of "1 x 1"
+        Then 0 tasks of J run
+        When the store's history is dropped
+        Then 1 task of J runs
--- /dev/null
+++ b/packages/scheduler/src/engine/reclaim.feature
@@ -0,0 +1,39 @@
+Feature: Guarantees are reclaimed
+
+    Background:
+        Given a fleet of 4 workers with an owner
+
+    Scenario: A guaranteed job stops other work on a full fleet
+        When bob submits the bulk job B of "32 x 1"
+        And ana submits the urgent job G of "2 x 8 gang"
+        And 1 seconds pass
+        Then 2 tasks of G run
+
+    Scenario: A guaranteed gang reclaims a whole rack part
+        When bob submits the bulk job B of "8 x 4"
+        And ana submits the urgent job G of "2 x 8 gang one-rack"
+        And 1 seconds pass
+        Then 2 tasks of G run
+        And the tasks of G run in one rack
+
+    Scenario: Guaranteed work is not stopped for other guaranteed or urgent work
+        When ana submits the urgent job G of "2 x 8 gang"
+        And bob submits the urgent job H of "4 x 8 gang"
+        And 2 seconds pass
+        Then 2 tasks of G run
+        And 0 tasks of H run
+
+    Scenario: What is beyond the guarantee does not stop work of the same urgency
+        When bob submits the urgent job B of "4 x 8"
+        And ana submits the urgent job G of "4 x 8 gang"
+        And 2 seconds pass
+        Then 4 tasks of B run
+        And 0 tasks of G run
+
+    Scenario: Stopped work goes on once there is room, from its checkpoint
+        When bob submits the bulk job B of "32 x 1 checkpoints"
+        And ana submits the urgent job G of "2 x 8 gang"
+        And 1 seconds pass
+        And task 0.0.0 of G ends as done
+        And 1 seconds pass
+        Then 32 tasks of B run
--- a/packages/scheduler/src/engine/removeEndedJobs.ts
+++ b/packages/scheduler/src/engine/removeEndedJobs.ts
@@ -1,4 +1,3 @@
-import { pause } from "../_lib/pause.js";
 import { TRANSACTION_ENTRIES } from "../constants.js";
 import { keys } from "../keys.js";
 import type { JobEntry } from "../state/JobEntry.js";
@@ -19,7 +18,7 @@
 export async function removeEndedJobs(scheduler: Scheduler): Promise<void> {
     const { signal } = scheduler.ownership;
     while (!signal.aborted) {
-        await pause(REMOVAL_INTERVAL_MS, signal);
+        await scheduler.pause(REMOVAL_INTERVAL_MS, signal);
         const before = scheduler.wallClock() - 2 * scheduler.bounds.stateRetentionMs;
         const old = [...scheduler.jobs.values()].filter(entry =>
             hasEnded(entry.durableState) && !entry.dirty && entry.endedAtMs < before
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -1,6 +1,5 @@
 import PQueue from "p-queue";
 import { createBell } from "../_lib/createBell.js";
-import { pause } from "../_lib/pause.js";
 import { IDLE_PASS_MS, PASS_INTERVAL_MS, RECONCILIATION_WAIT_MS, STORE_RETRY_MS } from "../constants.js";
 import { createRunTimes } from "./createRunTimes.js";
 import { flushProgress } from "./flushProgress.js";
@@ -51,8 +50,8 @@
  * @param scheduler - The scheduler of the term.
  */
 export async function runScheduler(scheduler: Scheduler): Promise<void> {
-    const passBell = createBell();
-    const flushBell = createBell();
+    const passBell = createBell(scheduler.pause);
+    const flushBell = createBell(scheduler.pause);
     scheduler.wake = passBell.ring;
     scheduler.wakeFlush = flushBell.ring;
     const revision = await loadUntilDone(scheduler);
@@ -83,7 +82,7 @@
             return loaded.value;
         }
         scheduler.log.warn("The state cannot be loaded.", { reason: loaded.error.message });
-        await pause(STORE_RETRY_MS, signal);
+        await scheduler.pause(STORE_RETRY_MS, signal);
     }
     return undefined;
 }
@@ -99,7 +98,7 @@
         if (!isReconciling || scheduler.clock() - begunAt >= RECONCILIATION_WAIT_MS) {
             planPass(scheduler);
         }
-        await pause(PASS_INTERVAL_MS, signal);
+        await scheduler.pause(PASS_INTERVAL_MS, signal);
         await wait(IDLE_PASS_MS, signal);
     }
 }
--- a/packages/scheduler/src/engine/runWorker.ts
+++ b/packages/scheduler/src/engine/runWorker.ts
@@ -1,4 +1,3 @@
-import { pause } from "../_lib/pause.js";
 import { HOLD_DURABILITY_PAUSE_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, IDLE_PASS_MS } from "../constants.js";
 import type { HoldOutcome } from "../ports/WorkerPort.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
@@ -8,7 +7,7 @@
 
 /**
  * Keeps in touch with one worker while it is known: renews its lease, takes in ends, and tells it
- * which ends are durable. A worker on which nothing runs is left alone.
+ * which ends are durable. A worker that answers and runs nothing is left alone.
  *
  * @param scheduler - The scheduler.
  * @param worker - The worker.
@@ -16,7 +15,7 @@
 export async function runWorker(scheduler: Scheduler, worker: WorkerEntry): Promise<void> {
     const { signal } = scheduler.ownership;
     while (!signal.aborted && scheduler.fleet.get(worker.id) === worker) {
-        if (worker.reached && worker.runs.size === 0 && worker.endsForgotten === worker.endsApplied) {
+        if (isIdle(worker)) {
             await worker.bell.wait(IDLE_PASS_MS, signal);
             continue;
         }
@@ -32,15 +31,19 @@
     }
 }
 
+function isIdle(worker: WorkerEntry): boolean {
+    return worker.reached && !worker.isSilent && worker.runs.size === 0
+        && worker.endsForgotten === worker.endsApplied;
+}
+
 async function holdOnce(scheduler: Scheduler, worker: WorkerEntry, signal: AbortSignal): Promise<void> {
     const sentAt = scheduler.clock();
     const endsKept = worker.endsKept;
     const order = {
         fence: scheduler.ownership.revision,
         endsKept,
-        // The first call reads the worker's clock; the lease that runs there is not touched by it.
-        leaseUntilMs: worker.reached ? extendLease(worker, sentAt, scheduler.bounds.maxHoldMs) : undefined,
-        waitMs: worker.reached && worker.runs.size > 0 && worker.endsApplied === endsKept ? HOLD_WAIT_MS : 0,
+        leaseUntilMs: mayExtend(worker) ? extendLease(worker, sentAt, scheduler.bounds.maxHoldMs) : undefined,
+        waitMs: mayExtend(worker) && worker.runs.size > 0 && worker.endsApplied === endsKept ? HOLD_WAIT_MS : 0,
     };
     const outcome = await scheduler.workers.hold(worker, order, signal);
     if (signal.aborted || scheduler.fleet.get(worker.id) !== worker) {
@@ -49,6 +52,14 @@
     await takeOutcome(scheduler, worker, outcome, { sentAt, endsKept });
 }
 
+/**
+ * The first call reads the worker's clock. A worker that does not answer is only asked, since a call
+ * without an answer may extend the lease, and the lease's end tells when its runs have ended.
+ */
+function mayExtend(worker: WorkerEntry): boolean {
+    return worker.reached && !worker.isSilent;
+}
+
 async function takeOutcome(
     scheduler: Scheduler,
     worker: WorkerEntry,
@@ -61,6 +72,7 @@
                 dropWorker(scheduler, worker, "reborn");
                 return;
             }
+            worker.isSilent = false;
             worker.endsForgotten = Math.max(worker.endsForgotten, sent.endsKept);
             applyHold(scheduler, worker, outcome.answer, sent.sentAt);
             noteReached(scheduler, worker);
@@ -81,8 +93,9 @@
         case "unclear":
             scheduler.metrics.orderFaults.inc({ order: "hold", reason: outcome.kind });
             scheduler.log.debug("A worker does not answer.", { worker: worker.id, reason: outcome.kind });
+            worker.isSilent = true;
             expireRuns(scheduler, worker);
-            await pause(HOLD_RETRY_MS, scheduler.ownership.signal);
+            await scheduler.pause(HOLD_RETRY_MS, scheduler.ownership.signal);
     }
 }
 
--- a/packages/scheduler/src/engine/stopRun.ts
+++ b/packages/scheduler/src/engine/stopRun.ts
@@ -1,5 +1,4 @@
 import { STOP_RETRY_MS } from "../constants.js";
-import { pause } from "../_lib/pause.js";
 import type { Run, StepEntry } from "../state/JobEntry.js";
 import { releaseRun } from "./runs.js";
 import type { Scheduler } from "./Scheduler.js";
@@ -61,7 +60,7 @@
             case "unreachable":
             case "unclear":
                 scheduler.metrics.orderFaults.inc({ order: "stop", reason: outcome.kind });
-                await pause(STOP_RETRY_MS, scheduler.ownership.signal);
+                await scheduler.pause(STOP_RETRY_MS, scheduler.ownership.signal);
         }
     }
 }
--- a/packages/scheduler/src/engine/watchFleet.ts
+++ b/packages/scheduler/src/engine/watchFleet.ts
@@ -1,7 +1,7 @@
 import { RosterRecordSchema } from "@balsamward/schema/scheduling";
 import { create, toBinary } from "@bufbuild/protobuf";
-import { pause } from "../_lib/pause.js";
 import { WORKER_LIST_MS } from "../constants.js";
+import { createBell } from "../_lib/createBell.js";
 import type { WorkerId } from "../ids.js";
 import { keys } from "../keys.js";
 import type { WorkerReport } from "../ports/WorkerPort.js";
@@ -18,7 +18,7 @@
 export async function watchFleet(scheduler: Scheduler): Promise<void> {
     const { signal } = scheduler.ownership;
     while (!signal.aborted) {
-        await pause(WORKER_LIST_MS, signal);
+        await scheduler.pause(WORKER_LIST_MS, signal);
         const reports = await scheduler.listWorkers();
         if (reports !== undefined && !signal.aborted) {
             applyReports(scheduler, reports);
@@ -65,7 +65,7 @@
         entry = undefined;
     }
     if (entry === undefined) {
-        entry = createWorkerEntry(report.id, report.address, report.bornMs);
+        entry = createWorkerEntry(report.id, report.address, report.bornMs, createBell(scheduler.pause));
         addWorker(scheduler, entry);
         scheduler.log.info("A worker is listed.", { worker: report.id, address: report.address });
     }
--- a/packages/scheduler/src/engine/watchJobs.ts
+++ b/packages/scheduler/src/engine/watchJobs.ts
@@ -1,5 +1,4 @@
 import { JobSchema } from "@balsamward/schema/scheduling";
-import { pause } from "../_lib/pause.js";
 import { STORE_RETRY_MS, WATCH_WAIT_MS } from "../constants.js";
 import { keys } from "../keys.js";
 import { cancelledJob, decodeRecord } from "./loadState.js";
@@ -36,7 +35,7 @@
             revision = await listAgain(scheduler) ?? revision;
         }
         else {
-            await pause(STORE_RETRY_MS, signal);
+            await scheduler.pause(STORE_RETRY_MS, signal);
         }
     }
 }
@@ -44,7 +43,7 @@
 async function listAgain(scheduler: Scheduler): Promise<number | undefined> {
     const listed = await scheduler.store.list(keys.jobs);
     if (listed.isErr()) {
-        await pause(STORE_RETRY_MS, scheduler.ownership.signal);
+        await scheduler.pause(STORE_RETRY_MS, scheduler.ownership.signal);
         return undefined;
     }
     listed.value.items.forEach(item => takeItem(scheduler, item));
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "winston";
+import { pause } from "./_lib/pause.js";
 import type { Desk } from "./callers/Desk.js";
 import type { Cluster } from "./cluster/Cluster.js";
 import type { DecodeConfiguration } from "./cluster/createConfigurationKeeper.js";
@@ -75,6 +76,7 @@
             configuration: cluster.configuration.current,
             log,
             metrics,
+            pause,
             clock,
             wallClock: () => agreeWallClock(cluster),
             bounds: parts.bounds,
--- a/packages/scheduler/src/state/WorkerEntry.ts
+++ b/packages/scheduler/src/state/WorkerEntry.ts
@@ -1,6 +1,5 @@
 import type { Resources } from "@balsamward/schema/scheduling";
 import type { Bell } from "../_lib/createBell.js";
-import { createBell } from "../_lib/createBell.js";
 import type { WorkerId } from "../ids.js";
 import type { Run } from "./JobEntry.js";
 
@@ -26,6 +25,8 @@
     listed: boolean;
     /** Whether this life has answered a hold of this owner. */
     reached: boolean;
+    /** Whether the last hold was not answered. */
+    isSilent: boolean;
     /** Steady time of the last answer. */
     answeredAt: number;
     /** The worker's clock at `clockReadAt`, in milliseconds. */
@@ -51,9 +52,10 @@
  * @param id - The worker.
  * @param address - Its address as `IP:port`.
  * @param bornMs - Wall time at which this life began, in milliseconds since 1970.
+ * @param bell - Wakes the worker's task.
  * @returns The entry, with no capacity.
  */
-export function createWorkerEntry(id: WorkerId, address: string, bornMs: number): WorkerEntry {
+export function createWorkerEntry(id: WorkerId, address: string, bornMs: number, bell: Bell): WorkerEntry {
     return {
         id,
         address,
@@ -66,10 +68,11 @@
         capacity: emptyResources(),
         free: emptyResources(),
         runs: new Set(),
-        bell: createBell(),
+        bell,
         draining: false,
         listed: false,
         reached: false,
+        isSilent: false,
         answeredAt: Number.NEGATIVE_INFINITY,
         clockMs: 0,
         clockReadAt: 0,
--- /dev/null
+++ b/packages/stand-ins/src/fleet/MemoryFleetStore.ts
@@ -0,0 +1,208 @@
+import type {
+    FleetStore,
+    LeaseId,
+    StoreError,
+    StoreEvent,
+    StoreItem,
+    StoreTransaction,
+} from "@balsamward/scheduler";
+import type { Result } from "neverthrow";
+import { err, ok, ResultAsync } from "neverthrow";
+
+/** A fault that the next write meets. */
+export type WriteFault =
+    /** Nothing is done, and the caller is told so. */
+    | "refused"
+    /** The write is done, and its answer is lost. */
+    | "lost-answer"
+    /** The write is neither answered nor done yet; `releaseLate` does it. */
+    | "late";
+
+type Lease = { readonly ttlMs: number; expiresAt: number };
+type Row = StoreItem & { readonly lease: LeaseId | undefined };
+
+/**
+ * A stand-in for the platform's store, in memory: transactions over many rows, leases and watches.
+ *
+ * @example
+ * const store = new MemoryFleetStore(() => clock.now);
+ * store.writeFaults.push("lost-answer");
+ */
+export class MemoryFleetStore {
+    /** Faults that the next writes meet, the first one first. */
+    readonly writeFaults: WriteFault[] = [];
+    /** Whether every call is refused. */
+    isDown = false;
+    /** Whether watches show nothing. */
+    isWatchSilent = false;
+    /** Calls by operation. */
+    readonly calls = new Map<string, number>();
+    private readonly rows = new Map<string, Row>();
+    private readonly leases = new Map<LeaseId, Lease>();
+    private readonly history: StoreEvent[] = [];
+    private readonly late: StoreTransaction[] = [];
+    private revision = 100;
+    private leaseCount = 0;
+    private compactedTo = 0;
+    private waiters: (() => void)[] = [];
+
+    /**
+     * Creates an empty store.
+     *
+     * @param clock - Returns the time in milliseconds.
+     */
+    constructor(private readonly clock: () => number) {}
+
+    /** Returns the calls of the store as a daemon makes them. */
+    port(): FleetStore {
+        return {
+            read: key => this.call("read", () => ok(this.get(key))),
+            list: prefix => this.call("list", () => ok({ items: this.listItems(prefix), revision: this.revision })),
+            commit: transaction => this.call("commit", () => this.commit(transaction)),
+            watch: (prefix, after, _waitMs, signal) => new ResultAsync(this.watch(prefix, after, signal)),
+            grantLease: ttlMs => this.call("grant-lease", () => ok(this.grant(ttlMs))),
+            renewLease: lease => this.call("renew-lease", () => this.renew(lease)),
+            endLease: lease => this.call("end-lease", () => this.end(lease)),
+        };
+    }
+
+    /** Writes a value as another writer. */
+    put(key: string, value: Uint8Array): number {
+        return this.apply({ expect: [], puts: [{ key, value }], removals: [] });
+    }
+
+    /** Returns a value as it stands. */
+    get(key: string): StoreItem | undefined {
+        this.expireLeases();
+        return this.rows.get(key);
+    }
+
+    /** Carries out the writes that were kept back, if their expectations still hold. */
+    releaseLate(): void {
+        this.late.splice(0).forEach(transaction => {
+            if (this.conflicts(transaction).length === 0) {
+                this.apply(transaction);
+            }
+        });
+    }
+
+    /** Drops the history; watches from earlier revisions end. */
+    compact(): void {
+        this.compactedTo = this.revision;
+        this.ring();
+    }
+
+    private call<T>(operation: string, act: () => Result<T, StoreError>): ResultAsync<T, StoreError> {
+        this.calls.set(operation, (this.calls.get(operation) ?? 0) + 1);
+        this.expireLeases();
+        const result: Result<T, StoreError> = this.isDown
+            ? err({ kind: "unavailable", message: "The store is down. Try again later." })
+            : act();
+        return new ResultAsync(Promise.resolve(result));
+    }
+
+    private commit(transaction: StoreTransaction): Result<number, StoreError> {
+        const fault = this.writeFaults.shift();
+        if (fault === "refused") {
+            return err({ kind: "unavailable", message: "The store refuses calls. Try again later." });
+        }
+        if (fault === "late") {
+            this.late.push(transaction);
+            return err({ kind: "unclear", message: "The answer is lost. Read the value back." });
+        }
+        if (this.conflicts(transaction).length > 0) {
+            const items = transaction.expect.flatMap(({ key }) => this.rows.get(key) ?? []);
+            return err({ kind: "conflict", message: "A value has changed. Read it again.", items });
+        }
+        const revision = this.apply(transaction);
+        return fault === "lost-answer"
+            ? err({ kind: "unclear", message: "The answer is lost. Read the value back." })
+            : ok(revision);
+    }
+
+    private conflicts(transaction: StoreTransaction): readonly string[] {
+        return transaction.expect
+            .filter(({ key, revision }) => (this.rows.get(key)?.revision ?? 0) !== revision)
+            .map(({ key }) => key);
+    }
+
+    private apply({ puts, removals }: StoreTransaction): number {
+        this.revision += 1;
+        for (const { key, value, lease } of puts) {
+            this.rows.set(key, { key, value, revision: this.revision, lease });
+            this.history.push({ key, value, revision: this.revision });
+        }
+        removals.forEach(key => this.remove(key));
+        this.ring();
+        return this.revision;
+    }
+
+    private remove(key: string): void {
+        if (this.rows.delete(key)) {
+            this.history.push({ key, value: undefined, revision: this.revision });
+        }
+    }
+
+    private listItems(prefix: string): readonly StoreItem[] {
+        return [...this.rows.values()].filter(({ key }) => key.startsWith(prefix));
+    }
+
+    private async watch(
+        prefix: string,
+        after: number,
+        signal: AbortSignal,
+    ): Promise<Result<{ events: readonly StoreEvent[]; revision: number }, StoreError>> {
+        while (!signal.aborted && !this.isDown) {
+            if (after < this.compactedTo) {
+                return err({ kind: "compacted", message: "The events are no longer kept. List again." });
+            }
+            const events = this.history.filter(event => event.revision > after && event.key.startsWith(prefix));
+            if (events.length > 0 && !this.isWatchSilent) {
+                return ok({ events, revision: this.revision });
+            }
+            await new Promise<void>(resolve => {
+                this.waiters.push(resolve);
+                signal.addEventListener("abort", () => resolve(), { once: true });
+            });
+        }
+        return err({ kind: "unavailable", message: "The watch has ended. Watch again." });
+    }
+
+    private ring(): void {
+        this.waiters.splice(0).forEach(wake => wake());
+    }
+
+    private grant(ttlMs: number): { id: LeaseId; ttlMs: number } {
+        this.leaseCount += 1;
+        const id = String(this.leaseCount) as LeaseId;
+        this.leases.set(id, { ttlMs, expiresAt: this.clock() + ttlMs });
+        return { id, ttlMs };
+    }
+
+    private renew(id: LeaseId): Result<void, StoreError> {
+        const lease = this.leases.get(id);
+        if (lease === undefined) {
+            return err({ kind: "lease-ended", message: "The lease has ended. Take a new one." });
+        }
+        lease.expiresAt = this.clock() + lease.ttlMs;
+        return ok(undefined);
+    }
+
+    private end(id: LeaseId): Result<void, StoreError> {
+        if (!this.leases.delete(id)) {
+            return err({ kind: "lease-ended", message: "The lease has ended. Take a new one." });
+        }
+        this.revision += 1;
+        [...this.rows.values()].filter(row => row.lease === id).forEach(row => this.remove(row.key));
+        this.ring();
+        return ok(undefined);
+    }
+
+    private expireLeases(): void {
+        for (const [id, lease] of this.leases) {
+            if (lease.expiresAt <= this.clock()) {
+                this.end(id);
+            }
+        }
+    }
+}
