--- a/features/support/SchedulerLab.ts
+++ b/features/support/SchedulerLab.ts
@@ -1,6 +1,6 @@
-import { JobSchema, JobState, StepSchema } from "@balsamward/schema/scheduling";
-import type { Job, Step } from "@balsamward/schema/scheduling";
 import type {
+    AdviceOutcome,
+    AdvisedStep,
     FleetConfiguration,
     HoldOutcome,
     JobId,
@@ -11,6 +11,8 @@
     WorkerReport,
 } from "@balsamward/scheduler";
 import { createMetrics } from "@balsamward/scheduler";
+import { JobSchema, JobState, StepSchema } from "@balsamward/schema/scheduling";
+import type { Job, Step } from "@balsamward/schema/scheduling";
 import { MemoryFleetStore, MemoryWorker } from "@balsamward/stand-ins";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { create, toBinary } from "@bufbuild/protobuf";
@@ -38,10 +40,13 @@
     readonly workers = new Map<WorkerId, MemoryWorker>();
     /** Workers that the platform's list leaves out. */
     readonly unlisted = new Set<WorkerId>();
+    /** Workers that the advice service does not allow. */
+    readonly denied = new Set<WorkerId>();
+    readonly adviceCalls: { readonly step: AdvisedStep; readonly workers: readonly WorkerId[] }[] = [];
     readonly terms: Term[] = [];
     configuration: FleetConfiguration = {
         version: 1,
-        queues: [queueOf("urgent", 0), queueOf("normal", 1), queueOf("bulk", 2)],
+        queues: [queueOf("urgent", 0), queueOf("normal", 1), queueOf("bulk", 2), advisedQueue()],
         customers: [
             { name: "ana", keys: ["key-ana"], guaranteedAccelerators: 16 },
             { name: "bob", keys: ["key-bob"], guaranteedAccelerators: 0 },
@@ -61,6 +66,7 @@
                 service: "service",
                 dataCentre: "here",
                 draining: false,
+                remainingMs: 0,
                 bornMs: 1,
                 capacity: {
                     $typeName: "balsamward.scheduling.v1.Resources",
@@ -107,6 +113,7 @@
         const scheduler = createScheduler({
             store: this.store.port(),
             workers: this.workerPort(),
+            advice: { advise: (step, workers) => this.advise(step, workers) },
             listWorkers: async () => this.listWorkers(),
             configuration: () => this.configuration,
             log: winston.createLogger({ silent: true }),
@@ -146,10 +153,22 @@
     /** Tasks that run, with their workers. */
     running(): readonly string[] {
         return [...this.workers.values()]
-            .flatMap(worker => [...worker.running].map(([task, { run }]) => `${task} run ${run} on ${worker.id}`))
+            .flatMap(worker =>
+                [...worker.running].map(([task, { run }]) => `${task} run ${run} on ${worker.id}`)
+            )
             .sort();
     }
 
+    /** Allows every worker but those that are denied, and notes the call. */
+    private async advise(step: AdvisedStep, workers: readonly WorkerId[]): Promise<AdviceOutcome> {
+        this.adviceCalls.push({ step, workers });
+        const allowed = workers.filter(id => !this.denied.has(id)).map(worker => ({
+            worker,
+            ticket: `t-${worker}`,
+        }));
+        return { kind: "advised", allowed, validityMs: 3_000 };
+    }
+
     private jobOf(
         id: string,
         queue: string,
@@ -169,18 +188,25 @@
     private listWorkers(): readonly WorkerReport[] {
         return [...this.workers.values()]
             .filter(worker => !this.unlisted.has(worker.id))
-            .map(worker => ({ ...worker.report, draining: worker.isDraining }));
+            .map(worker => ({
+                ...worker.report,
+                draining: worker.isDraining,
+                remainingMs: worker.remainingMs,
+            }));
     }
 
     private workerPort(): WorkerPort {
-        const order = async (id: WorkerId, act: (worker: MemoryWorker) => OrderOutcome): Promise<OrderOutcome> => {
+        const order = async (
+            id: WorkerId,
+            act: (worker: MemoryWorker) => OrderOutcome,
+        ): Promise<OrderOutcome> => {
             const worker = this.workers.get(id);
             return worker === undefined ? { kind: "unreachable", cause: "gone" } : act(worker);
         };
         return {
             start: ({ id }, start) => order(id, worker => worker.start(start)),
             stop: ({ id }, stop) => order(id, worker => worker.stop(stop)),
-            pace: ({ id }) => order(id, () => ({ kind: "done", clockMs: this.clock.now })),
+            pace: ({ id }, pace) => order(id, worker => worker.pace(pace)),
             hold: async ({ id }, hold, signal): Promise<HoldOutcome> => {
                 const worker = this.workers.get(id);
                 if (worker === undefined) {
@@ -195,6 +221,10 @@
     }
 }
 
+function advisedQueue(): FleetConfiguration["queues"][number] {
+    return { ...queueOf("advised", 1), advice: { decisionMs: 10, perWorkerMs: 1, validityMs: 3_000 } };
+}
+
 function queueOf(name: string, priority: number): FleetConfiguration["queues"][number] {
     return {
         name: name as QueueName,
--- a/packages/scheduler/src/Metrics.ts
+++ b/packages/scheduler/src/Metrics.ts
@@ -35,8 +35,14 @@
         starts: counter("starts", "Sent starts by outcome.", ["outcome"]),
         stops: counter("stops", "Stopped runs by reason.", ["reason"]),
         ends: counter("run_ends", "Ends that workers listed, by kind.", ["how"]),
-        orderFaults: counter("order_faults", "Orders without success by order and reason.", ["order", "reason"]),
-        storeCalls: counter("store_calls", "Calls of the store by operation and result.", ["operation", "result"]),
+        orderFaults: counter("order_faults", "Orders without success by order and reason.", [
+            "order",
+            "reason",
+        ]),
+        storeCalls: counter("store_calls", "Calls of the store by operation and result.", [
+            "operation",
+            "result",
+        ]),
         relays: counter("relayed_store_calls", "Store calls relayed through peers by result.", ["result"]),
         peerCalls: counter("peer_calls", "Calls of peers by call and result.", ["call", "result"]),
         terms: counter("ownership_changes", "Begun and ended terms of ownership by reason.", ["reason"]),
--- a/packages/scheduler/src/callers/Reply.ts
+++ b/packages/scheduler/src/callers/Reply.ts
@@ -44,7 +44,8 @@
  * @returns The refusal; the temporary ones say when to come back.
  */
 export function refuse(reason: RefusalReason, message: string): Refused {
-    const isTemporary = reason === "no-configuration" || reason === "store-unavailable" || reason === "unclear"
+    const isTemporary = reason === "no-configuration" || reason === "store-unavailable"
+        || reason === "unclear"
         || reason === "stopping";
     return { kind: "refused", reason, message, ...(isTemporary ? { retryAfterS: RETRY_AFTER_S } : {}) };
 }
--- a/packages/scheduler/src/callers/admitCall.ts
+++ b/packages/scheduler/src/callers/admitCall.ts
@@ -37,17 +37,25 @@
     }
     const queue = findQueue(configuration, target);
     if (queue === undefined) {
-        return err(refuse("no-such-queue", "No queue has this host and path. Check both against the configuration."));
+        return err(
+            refuse("no-such-queue", "No queue has this host and path. Check both against the configuration."),
+        );
     }
-    const customer = configuration.customers.find(({ keys }) => target.key !== undefined && keys.includes(target.key));
+    const customer = configuration.customers.find(({ keys }) =>
+        target.key !== undefined && keys.includes(target.key)
+    );
     if (customer === undefined && !queue.open) {
-        return err(refuse("unknown-key", "The key belongs to no customer. Send a key that the operator has issued."));
+        return err(
+            refuse("unknown-key", "The key belongs to no customer. Send a key that the operator has issued."),
+        );
     }
     return ok({ queue, customer: customer?.name ?? "", rest: target.path.slice(queue.prefix.length) });
 }
 
 function findQueue(configuration: FleetConfiguration, { host, path }: CallTarget): Queue | undefined {
-    const matching = configuration.queues.filter(queue => queue.host === host && path.startsWith(queue.prefix));
+    const matching = configuration.queues.filter(queue =>
+        queue.host === host && path.startsWith(queue.prefix)
+    );
     return matching.reduce<Queue | undefined>(
         (longest, queue) => queue.prefix.length > (longest?.prefix.length ?? -1) ? queue : longest,
         undefined,
--- a/packages/scheduler/src/callers/describeJob.ts
+++ b/packages/scheduler/src/callers/describeJob.ts
@@ -60,9 +60,12 @@
         return undefined;
     }
     const { customer } = fromBinary(JobSchema, job.value.value);
-    const stored = progress.value === undefined ? undefined : fromBinary(ProgressSchema, progress.value.value);
+    const stored = progress.value === undefined
+        ? undefined
+        : fromBinary(ProgressSchema, progress.value.value);
     const state = stored?.state ?? JobState.QUEUED;
-    const isCancelled = cancellation.value !== undefined && state !== JobState.COMPLETED && state !== JobState.FAILED;
+    const isCancelled = cancellation.value !== undefined && state !== JobState.COMPLETED
+        && state !== JobState.FAILED;
     return { customer, state: isCancelled ? JobState.CANCELLED : state };
 }
 
--- a/packages/scheduler/src/callers/submitJob.ts
+++ b/packages/scheduler/src/callers/submitJob.ts
@@ -49,7 +49,10 @@
             case "compacted":
             case "lease-ended":
                 if (!isUnclear) {
-                    return refuse("store-unavailable", "The job is not stored and will not run. Come back later.");
+                    return refuse(
+                        "store-unavailable",
+                        "The job is not stored and will not run. Come back later.",
+                    );
                 }
                 break;
             case "invalid":
@@ -94,8 +97,10 @@
         return;
     }
     const owner = desk.cluster.peers.get(desk.cluster.owner?.address ?? "");
-    owner?.client.calls.announceJob({ job, revision, cancelled }, { timeoutMs: PEER_CALL_TIMEOUT_MS }).catch(error => {
-        desk.cluster.metrics.peerCalls.inc({ call: "announce", result: "failed" });
-        desk.cluster.log.debug("The owner is not told of a job.", { job: job.id, error: String(error) });
-    });
+    owner?.client.calls.announceJob({ job, revision, cancelled }, { timeoutMs: PEER_CALL_TIMEOUT_MS }).catch(
+        error => {
+            desk.cluster.metrics.peerCalls.inc({ call: "announce", result: "failed" });
+            desk.cluster.log.debug("The owner is not told of a job.", { job: job.id, error: String(error) });
+        },
+    );
 }
--- a/packages/scheduler/src/cluster/Cluster.ts
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -65,7 +65,9 @@
     return {
         sender: describe(cluster.node, cluster.address),
         configurationVersion: cluster.configuration.current()?.version ?? 0,
-        ...(cluster.owner === undefined ? {} : { owner: describe(cluster.owner.node, cluster.owner.address) }),
+        ...(cluster.owner === undefined
+            ? {}
+            : { owner: describe(cluster.owner.node, cluster.owner.address) }),
         ownerRevision: cluster.owner?.revision ?? 0,
         depths: [...cluster.ownDepths() ?? []],
         peers: [...cluster.peers.values()]
--- a/packages/scheduler/src/cluster/createRelayingStore.ts
+++ b/packages/scheduler/src/cluster/createRelayingStore.ts
@@ -1,4 +1,8 @@
-import type { RelayStoreCallRequestSchema, RelayStoreCallResponse, StoreRow } from "@balsamward/schema/scheduling";
+import type {
+    RelayStoreCallRequestSchema,
+    RelayStoreCallResponse,
+    StoreRow,
+} from "@balsamward/schema/scheduling";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { err, ok, ResultAsync } from "neverthrow";
 import type { Result } from "neverthrow";
@@ -145,7 +149,10 @@
         cluster.metrics.relays.inc({ result: "failed" });
         peer.reachesStore = false;
         const kind = plan.isSafe ? "unavailable" : "unclear";
-        return err({ kind, message: `The peer '${peer.node}' does not answer (${String(error)}). Try again later.` });
+        return err({
+            kind,
+            message: `The peer '${peer.node}' does not answer (${String(error)}). Try again later.`,
+        });
     }
 }
 
@@ -161,7 +168,10 @@
         case "invalid":
             return { kind: response.errorKind, message };
         default:
-            return { kind: "unclear", message: `A peer answers with an unknown error '${response.errorKind}'.` };
+            return {
+                kind: "unclear",
+                message: `A peer answers with an unknown error '${response.errorKind}'.`,
+            };
     }
 }
 
--- a/packages/scheduler/src/cluster/relayedCalls.ts
+++ b/packages/scheduler/src/cluster/relayedCalls.ts
@@ -1,8 +1,5 @@
 import type { RelayStoreCallRequest, RelayStoreCallResponse, StoreRow } from "@balsamward/schema/scheduling";
-import {
-    RelayStoreCallResponseSchema,
-    StoreRowSchema,
-} from "@balsamward/schema/scheduling";
+import { RelayStoreCallResponseSchema, StoreRowSchema } from "@balsamward/schema/scheduling";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { create } from "@bufbuild/protobuf";
 import type { ResultAsync } from "neverthrow";
@@ -32,7 +29,10 @@
 ): Promise<RelayStoreCallResponse> {
     switch (call.case) {
         case "read":
-            return answer(store.read(call.value.key), item => ({ rows: item === undefined ? [] : [toRow(item)] }));
+            return answer(
+                store.read(call.value.key),
+                item => ({ rows: item === undefined ? [] : [toRow(item)] }),
+            );
         case "list":
             return answer(
                 store.list(call.value.prefix, { stale: call.value.stale }),
@@ -52,7 +52,10 @@
         case "endLease":
             return answer(store.endLease(call.value as LeaseId), () => ({}));
         case undefined:
-            return create(RelayStoreCallResponseSchema, { errorKind: "invalid", errorMessage: "The call is empty." });
+            return create(RelayStoreCallResponseSchema, {
+                errorKind: "invalid",
+                errorMessage: "The call is empty.",
+            });
     }
 }
 
--- a/packages/scheduler/src/cluster/runOwnership.ts
+++ b/packages/scheduler/src/cluster/runOwnership.ts
@@ -50,7 +50,11 @@
     }
 }
 
-async function waitForChange({ store, cluster }: OwnershipParts, item: StoreItem, signal: AbortSignal): Promise<void> {
+async function waitForChange(
+    { store, cluster }: OwnershipParts,
+    item: StoreItem,
+    signal: AbortSignal,
+): Promise<void> {
     let revision = item.revision;
     while (!signal.aborted) {
         const changed = await store.watch(keys.owner, revision, WATCH_WAIT_MS, signal);
@@ -143,7 +147,13 @@
     cluster.metrics.owner.set(1);
     cluster.log.info("The ownership is taken.", { revision: term.revision, term: term.term });
     noteOwner(cluster, { node: cluster.node, address: cluster.address, revision: term.revision });
-    const ownership = { key: keys.owner, revision: term.revision, term: term.term, signal: end.signal, resign };
+    const ownership = {
+        key: keys.owner,
+        revision: term.revision,
+        term: term.term,
+        signal: end.signal,
+        resign,
+    };
     try {
         await Promise.all([parts.schedule(ownership), renewTerm(parts, term, ownership)]);
     }
--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -94,7 +94,10 @@
 function judgeOwner(cluster: Cluster, peer: Peer): void {
     const { owner } = cluster;
     if (owner !== undefined && owner.address === peer.address && peer.refusals >= REFUSED_CONNECTIONS) {
-        cluster.log.warn("The owner's process does not listen.", { owner: owner.node, refusals: peer.refusals });
+        cluster.log.warn("The owner's process does not listen.", {
+            owner: owner.node,
+            refusals: peer.refusals,
+        });
         cluster.onOwnerDead(owner);
     }
 }
@@ -114,7 +117,10 @@
     }
     catch (error) {
         cluster.metrics.peerCalls.inc({ call: "fetch-configuration", result: "failed" });
-        cluster.log.warn("A peer's configuration cannot be fetched.", { peer: peer.node, error: String(error) });
+        cluster.log.warn("A peer's configuration cannot be fetched.", {
+            peer: peer.node,
+            error: String(error),
+        });
     }
 }
 
--- a/packages/scheduler/src/cluster/watchConfiguration.ts
+++ b/packages/scheduler/src/cluster/watchConfiguration.ts
@@ -22,7 +22,9 @@
         if (revision === undefined) {
             revision = await readConfiguration(cluster, store, key);
         }
-        const seen = revision === undefined ? undefined : await store.watch(key, revision, WATCH_WAIT_MS, signal);
+        const seen = revision === undefined
+            ? undefined
+            : await store.watch(key, revision, WATCH_WAIT_MS, signal);
         if (seen?.isOk()) {
             seen.value.events
                 .filter(event => event.key === key && event.value !== undefined)
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -1,8 +1,10 @@
+import type PQueue from "p-queue";
 import type { Logger } from "winston";
 import type { Pause } from "../_lib/pause.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { JobId, WorkerId } from "../ids.js";
 import type { Metrics } from "../Metrics.js";
+import type { AdvicePort } from "../ports/AdvicePort.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 import type { WorkerPort, WorkerReport } from "../ports/WorkerPort.js";
 import type { JobEntry } from "../state/JobEntry.js";
@@ -16,6 +18,7 @@
 export type SchedulerParts = {
     readonly store: FleetStore;
     readonly workers: WorkerPort;
+    readonly advice: AdvicePort;
     readonly listWorkers: ListWorkers;
     readonly configuration: () => FleetConfiguration | undefined;
     readonly log: Logger;
@@ -70,6 +73,8 @@
     /** Whether all stored state is loaded. */
     loaded: boolean;
     readonly runTimes: RunTimes;
+    /** Calls for advice, which the service answers one after the other. */
+    readonly adviceCalls: PQueue;
     /** Asks for a placement pass. */
     wake: () => void;
     /** Asks for a write of changed progress. */
--- /dev/null
+++ b/packages/scheduler/src/engine/adviseStep.ts
@@ -0,0 +1,110 @@
+import type { AdvicePolicy } from "../FleetConfiguration.js";
+import type { WorkerId } from "../ids.js";
+import type { StepEntry } from "../state/JobEntry.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/** Workers about which one call asks at most. */
+const MAX_ASKED = 30;
+
+/** Time added to what the service needs before a call is given up, in milliseconds. */
+const ADVICE_GRACE_MS = 1_000;
+
+/** Pause after a call that failed, in milliseconds. */
+const ADVICE_RETRY_MS = 300;
+
+/** Time before its end at which a permission is not used any more, in milliseconds. */
+const TICKET_MARGIN_MS = 500;
+
+/** What the advice service has said about a step. */
+export type StepAdvice = {
+    readonly tickets: Map<WorkerId, { readonly ticket: string; readonly validUntil: number }>;
+    /** Workers that may not run the step. */
+    readonly denied: Set<WorkerId>;
+    isAsking: boolean;
+};
+
+/**
+ * Returns the workers that are allowed to run a step.
+ *
+ * @param step - The step.
+ * @param workers - Suited workers.
+ * @param now - Steady time in milliseconds.
+ * @returns Workers with a permission that is still valid.
+ */
+export function allowedWorkers(
+    step: StepEntry,
+    workers: readonly WorkerEntry[],
+    now: number,
+): readonly WorkerEntry[] {
+    return workers.filter(({ id }) => (step.advice?.tickets.get(id)?.validUntil ?? 0) > now);
+}
+
+/**
+ * Asks about workers of which nothing is known, those with the most room first; one call at a time for
+ * each step.
+ *
+ * @param scheduler - The scheduler.
+ * @param policy - The queue's policy.
+ * @param step - The step, which found too little room on the workers that are allowed.
+ * @param workers - Suited workers.
+ */
+export function requestAdvice(
+    scheduler: Scheduler,
+    policy: AdvicePolicy,
+    step: StepEntry,
+    workers: readonly WorkerEntry[],
+): void {
+    const advice = step.advice ??= { tickets: new Map(), denied: new Set(), isAsking: false };
+    const allowed = allowedWorkers(step, workers, scheduler.clock());
+    const asked = workers
+        .filter(worker => !allowed.includes(worker) && !advice.denied.has(worker.id))
+        .sort((left, right) => right.free.accelerators - left.free.accelerators)
+        .slice(0, MAX_ASKED);
+    if (!advice.isAsking && asked.length > 0) {
+        advice.isAsking = true;
+        scheduler.spawn(() => ask(scheduler, policy, step, advice, asked));
+    }
+}
+
+/**
+ * Returns the permission for a start.
+ *
+ * @param step - The step.
+ * @param worker - The worker.
+ * @returns The ticket; empty if the queue needs none.
+ */
+export function ticketFor(step: StepEntry, worker: WorkerEntry): string {
+    return step.advice?.tickets.get(worker.id)?.ticket ?? "";
+}
+
+async function ask(
+    scheduler: Scheduler,
+    policy: AdvicePolicy,
+    step: StepEntry,
+    advice: StepAdvice,
+    asked: readonly WorkerEntry[],
+): Promise<void> {
+    const name = { job: step.job.id, occurrence: step.occurrence, step: step.number };
+    const timeoutMs = policy.decisionMs + policy.perWorkerMs * asked.length + ADVICE_GRACE_MS;
+    const outcome = await scheduler.adviceCalls.add(() =>
+        scheduler.advice.advise(name, asked.map(worker => worker.id), timeoutMs)
+    );
+    scheduler.log.info("Advice is asked.", { ...name, workers: asked.length, outcome: outcome.kind });
+    switch (outcome.kind) {
+        case "advised": {
+            const validUntil = scheduler.clock() + outcome.validityMs - TICKET_MARGIN_MS;
+            outcome.allowed.forEach(({ worker, ticket }) =>
+                advice.tickets.set(worker, { ticket, validUntil })
+            );
+            const allowed = new Set(outcome.allowed.map(({ worker }) => worker));
+            asked.filter(({ id }) => !allowed.has(id)).forEach(({ id }) => advice.denied.add(id));
+            break;
+        }
+        case "busy":
+        case "failed":
+            await scheduler.pause(ADVICE_RETRY_MS, scheduler.ownership.signal);
+    }
+    advice.isAsking = false;
+    scheduler.wake();
+}
--- a/packages/scheduler/src/engine/applyEnd.ts
+++ b/packages/scheduler/src/engine/applyEnd.ts
@@ -63,8 +63,9 @@
             finishTasks(scheduler, step.spec.gang ? step.tasks : [task]);
             return;
         case "failed":
-            task.avoid.add(worker.id);
-            if (!wasStopping) {
+            // A lasting task may fail at any time, which says nothing of its worker.
+            if (!wasStopping && !step.spec.lasting) {
+                task.avoid.add(worker.id);
                 pauseWorker(scheduler, worker);
             }
             countFailure(scheduler, task, row.run);
@@ -87,7 +88,11 @@
     const { step, name } = run.task;
     const isFirstMember = !step.spec.gang || name.index === 0;
     if (row.how === "done" && run.confirmed && run.isWhole && isFirstMember) {
-        scheduler.runTimes.observe(step.job.queue, step.spec.estimatedMs, scheduler.clock() - run.confirmedAt);
+        scheduler.runTimes.observe(
+            step.job.queue,
+            step.spec.estimatedMs,
+            scheduler.clock() - run.confirmedAt,
+        );
     }
 }
 
--- a/packages/scheduler/src/engine/applyHold.ts
+++ b/packages/scheduler/src/engine/applyHold.ts
@@ -4,6 +4,8 @@
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { applyEnd } from "./applyEnd.js";
 import { findTask } from "./findTask.js";
+import { moveStalledRuns } from "./moveStalledRuns.js";
+import { paceFillingRuns } from "./paceFillingRuns.js";
 import { createRun, releaseRun } from "./runs.js";
 import type { Scheduler } from "./Scheduler.js";
 import { confirmRun } from "./startRun.js";
@@ -44,6 +46,8 @@
             loseRun(scheduler, run, "not-listed");
         }
     }
+    moveStalledRuns(scheduler, worker);
+    paceFillingRuns(scheduler, worker);
 }
 
 /**
--- a/packages/scheduler/src/engine/findEntitledJobs.ts
+++ b/packages/scheduler/src/engine/findEntitledJobs.ts
@@ -19,7 +19,9 @@
     configuration: FleetConfiguration,
     queues: ReadonlyMap<QueueName, Queue>,
 ): ReadonlySet<JobEntry> {
-    const left = new Map(configuration.customers.map(customer => [customer.name, customer.guaranteedAccelerators]));
+    const left = new Map(
+        configuration.customers.map(customer => [customer.name, customer.guaranteedAccelerators]),
+    );
     const entitled = new Set<JobEntry>();
     const urgent = [...scheduler.active]
         .filter(entry => queues.get(entry.queue)?.priority === 0)
--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -3,13 +3,8 @@
 import type { DescMessage, MessageShape } from "@bufbuild/protobuf";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
-import {
-    LEASE_MARGIN_MS,
-    OWNER_LEASE_MS,
-    WORKER_CLOCK_DRIFT,
-    WORKER_LEASE_MS,
-} from "../constants.js";
 import { createBell } from "../_lib/createBell.js";
+import { LEASE_MARGIN_MS, OWNER_LEASE_MS, WORKER_CLOCK_DRIFT, WORKER_LEASE_MS } from "../constants.js";
 import type { JobId, WorkerId } from "../ids.js";
 import { keys } from "../keys.js";
 import type { StoreError, StoreItem } from "../ports/FleetStore.js";
@@ -59,7 +54,10 @@
         return fromBinary(desc, item.value);
     }
     catch (error) {
-        scheduler.log.error("A stored record cannot be read. Remove it.", { key: item.key, error: String(error) });
+        scheduler.log.error("A stored record cannot be read. Remove it.", {
+            key: item.key,
+            error: String(error),
+        });
         return undefined;
     }
 }
--- a/packages/scheduler/src/engine/orderJobs.ts
+++ b/packages/scheduler/src/engine/orderJobs.ts
@@ -49,7 +49,12 @@
     return endMs <= LATE_FACTOR * times.objectiveMs ? "late" : "too-late";
 }
 
-const PROSPECT_RANKS: Readonly<Record<Prospect, number>> = { entitled: 0, "on-time": 1, late: 2, "too-late": 3 };
+const PROSPECT_RANKS: Readonly<Record<Prospect, number>> = {
+    entitled: 0,
+    "on-time": 1,
+    late: 2,
+    "too-late": 3,
+};
 
 function compareRanks(left: RankedJob, right: RankedJob): number {
     return classOf(left) - classOf(right)
--- a/packages/scheduler/src/engine/planPass.ts
+++ b/packages/scheduler/src/engine/planPass.ts
@@ -5,13 +5,14 @@
 import { placeTasks } from "../placement/placeTasks.js";
 import type { JobEntry, StepEntry, TaskEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { allowedWorkers, requestAdvice, ticketFor } from "./adviseStep.js";
+import { beginDueOccurrences } from "./beginDueOccurrences.js";
 import type { RankedJob } from "./orderJobs.js";
 import { orderJobs } from "./orderJobs.js";
 import { reclaimFor } from "./reclaimFor.js";
 import { createRun } from "./runs.js";
 import type { Scheduler } from "./Scheduler.js";
 import { startRun } from "./startRun.js";
-import { beginDueOccurrences } from "./beginDueOccurrences.js";
 
 /** Runs of different terms of ownership have numbers of different thousands. */
 const RUNS_PER_TERM = 1_000;
@@ -79,7 +80,11 @@
         return;
     }
     const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
-    const suited = pass.workers.filter(worker => isSuited(worker, ranked.queue, step));
+    const fitting = pass.workers.filter(worker => isSuited(worker, ranked.queue, step));
+    const { advice } = ranked.queue;
+    const suited = advice === undefined
+        ? fitting
+        : allowedWorkers(step, fitting, scheduler.clock());
     const workers = suited.filter(worker => !pass.held.has(worker));
     const assignments = pass.full.has(shape) ? [] : assign(step, waiting, workers);
     begin(scheduler, step, assignments);
@@ -87,6 +92,9 @@
         return;
     }
     pass.full.add(shape);
+    if (advice !== undefined) {
+        requestAdvice(scheduler, advice, step, fitting);
+    }
     const isWhole = !step.spec.gang || waiting.length === step.tasks.length;
     if (mayReclaim && isWhole) {
         reclaimFor(scheduler, ranked, step, {
@@ -119,7 +127,9 @@
         request?.accelerators,
         fillsIdle,
         gang ? `${sameRack}/${taskCount}` : "",
-        maxPerWorker > 0 ? `${step.job.id}/${step.occurrence}/${step.number}` : "",
+        maxPerWorker > 0 || queue.advice !== undefined
+            ? `${step.job.id}/${step.occurrence}/${step.number}`
+            : "",
     ].join("|");
 }
 
@@ -137,7 +147,8 @@
 
 function isSuited(worker: WorkerEntry, queue: Queue, step: StepEntry): boolean {
     const { requiredLabel } = step.spec;
-    return worker.service === queue.service && (requiredLabel === "" || worker.labels.includes(requiredLabel));
+    return worker.service === queue.service
+        && (requiredLabel === "" || worker.labels.includes(requiredLabel));
 }
 
 function begin(scheduler: Scheduler, step: StepEntry, assignments: readonly Assignment[]): void {
@@ -164,6 +175,6 @@
     for (const { task, worker } of assignments) {
         const run = createRun(task, worker, lastRun + 1, scheduler.clock(), true);
         worker.bell.ring();
-        scheduler.spawn(() => startRun(scheduler, run, ""));
+        scheduler.spawn(() => startRun(scheduler, run, ticketFor(step, worker)));
     }
 }
--- a/packages/scheduler/src/engine/reclaimFor.ts
+++ b/packages/scheduler/src/engine/reclaimFor.ts
@@ -71,10 +71,21 @@
             workers: plan.workers.length,
         });
     }
-    plan.victims.forEach(run => stopRun(scheduler, run, "preempted"));
+    plan.victims.filter(maySpare).forEach(run => stopRun(scheduler, run, "preempted"));
     return plan.workers;
 }
 
+/** A lasting step loses no more tasks at once than it allows. */
+function maySpare({ task: { step } }: Run): boolean {
+    const { lasting, maxUnavailable } = step.spec;
+    const away = step.tasks.filter(task => !task.runs.some(isAtWork)).length;
+    return !lasting || maxUnavailable === 0 || away < maxUnavailable;
+}
+
+function isAtWork(run: Run): boolean {
+    return run.phase === "running" && run.percent >= 100;
+}
+
 function isLessUrgent(victim: Queue | undefined, own: Queue): boolean {
     return victim !== undefined && victim.priority > own.priority;
 }
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -5,8 +5,8 @@
 import { flushProgress } from "./flushProgress.js";
 import { loadState } from "./loadState.js";
 import { planPass } from "./planPass.js";
-import type { Ownership, Scheduler, SchedulerParts } from "./Scheduler.js";
 import { removeEndedJobs } from "./removeEndedJobs.js";
+import type { Ownership, Scheduler, SchedulerParts } from "./Scheduler.js";
 import { keepRoster, watchFleet } from "./watchFleet.js";
 import { watchJobs } from "./watchJobs.js";
 
@@ -34,11 +34,14 @@
         rosterRevision: 0,
         loaded: false,
         runTimes: createRunTimes(),
+        adviceCalls: new PQueue({ concurrency: 1 }),
         wake: () => {},
         wakeFlush: () => {},
         spawn: task => {
             tasks.add(task).catch(error => {
-                parts.log.error("A task of the scheduler meets a defect.", { error: String((error as Error).stack) });
+                parts.log.error("A task of the scheduler meets a defect.", {
+                    error: String((error as Error).stack),
+                });
             });
         },
     };
--- a/packages/scheduler/src/engine/runWorker.ts
+++ b/packages/scheduler/src/engine/runWorker.ts
@@ -43,7 +43,9 @@
         fence: scheduler.ownership.revision,
         endsKept,
         leaseUntilMs: mayExtend(worker) ? extendLease(worker, sentAt, scheduler.bounds.maxHoldMs) : undefined,
-        waitMs: mayExtend(worker) && worker.runs.size > 0 && worker.endsApplied === endsKept ? HOLD_WAIT_MS : 0,
+        waitMs: mayExtend(worker) && worker.runs.size > 0 && worker.endsApplied === endsKept
+            ? HOLD_WAIT_MS
+            : 0,
     };
     const outcome = await scheduler.workers.hold(worker, order, signal);
     if (signal.aborted || scheduler.fleet.get(worker.id) !== worker) {
@@ -68,7 +70,9 @@
 ): Promise<void> {
     switch (outcome.kind) {
         case "held":
-            if (worker.bornMs !== 0 && outcome.answer.bornMs !== 0 && worker.bornMs !== outcome.answer.bornMs) {
+            if (
+                worker.bornMs !== 0 && outcome.answer.bornMs !== 0 && worker.bornMs !== outcome.answer.bornMs
+            ) {
                 dropWorker(scheduler, worker, "reborn");
                 return;
             }
--- a/packages/scheduler/src/engine/runs.ts
+++ b/packages/scheduler/src/engine/runs.ts
@@ -11,7 +11,13 @@
  * @param isOrdered - Whether this owner orders the run; otherwise it was found on the worker.
  * @returns The run, not confirmed.
  */
-export function createRun(task: TaskEntry, worker: WorkerEntry, number: number, now: number, isOrdered: boolean): Run {
+export function createRun(
+    task: TaskEntry,
+    worker: WorkerEntry,
+    number: number,
+    now: number,
+    isOrdered: boolean,
+): Run {
     const run: Run = {
         task,
         worker,
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -1,12 +1,12 @@
-import type { JobId, WorkerId } from "../index.js";
-import type { EndKind } from "../index.js";
-import type { OrderFault, WriteFault } from "@balsamward/stand-ins";
 import type { StepSchema } from "@balsamward/schema/scheduling";
+import type { OrderFault, WriteFault } from "@balsamward/stand-ins";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { SchedulerLab } from "../../../../features/support/SchedulerLab.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import type { JobId, WorkerId } from "../index.js";
+import type { EndKind } from "../index.js";
 
 type StepInit = MessageInitShape<typeof StepSchema>;
 
@@ -32,6 +32,8 @@
         sameRack: traits.includes("one-rack"),
         checkpoints: traits.includes("checkpoints"),
         lasting: traits.includes("lasting"),
+        fillsIdle: traits.includes("fills"),
+        tailTargetMs: traits.includes("serving") ? 100 : 0,
         maxPerWorker: traits.includes("spread") ? 1 : 0,
         maxUnavailable: traits.includes("available") ? 1 : 0,
         after: /after (\d+)/.exec(traits) === null ? [] : [Number(/after (\d+)/.exec(traits)![1])],
@@ -158,19 +160,22 @@
     assert.equal(new Set(names).size, names.length);
 });
 
-Then("task {word} of {word} has run {int}", function(this: TestWorld, task: string, job: string, run: number) {
-    const name = `${jobOf(this, job)}.${task}`;
-    assert.equal(labOf(this).workerOf(name)?.running.get(name)?.run, run);
-});
+Then(
+    "task {word} of {word} has run {int}",
+    function(this: TestWorld, task: string, job: string, run: number) {
+        const name = `${jobOf(this, job)}.${task}`;
+        assert.equal(labOf(this).workerOf(name)?.running.get(name)?.run, run);
+    },
+);
 
 Then(
     "task {word} of {word} was started {int} time(s)",
     function(this: TestWorld, task: string, job: string, times: number) {
         const [occurrence, step, index] = task.split(".").map(Number);
         const id = jobOf(this, job);
-        const starts = [...labOf(this).workers.values()].flatMap(worker => worker.starts).filter(({ task: name }) =>
-            name.job === id && name.occurrence === occurrence && name.step === step && name.index === index
-        );
+        const starts = [...labOf(this).workers.values()].flatMap(worker => worker.starts).filter((
+            { task: name },
+        ) => name.job === id && name.occurrence === occurrence && name.step === step && name.index === index);
         assert.equal(starts.length, times);
     },
 );
@@ -203,3 +208,50 @@
 When("the cut worker is not listed", function(this: TestWorld) {
     labOf(this).unlisted.add(this.note<WorkerId>("cut"));
 });
+
+When(
+    "the worker {word} drains and leaves in {float} seconds",
+    async function(this: TestWorld, id: string, seconds: number) {
+        const worker = labOf(this).workers.get(id as WorkerId)!;
+        worker.isDraining = true;
+        worker.remainingMs = seconds * SECOND_MS;
+        await labOf(this).advance(1_000);
+    },
+);
+
+When("the advice denies {word}", function(this: TestWorld, id: string) {
+    labOf(this).denied.add(id as WorkerId);
+});
+
+When(
+    "task {word} of {word} is {int} percent done",
+    function(this: TestWorld, task: string, job: string, percent: number) {
+        const name = `${jobOf(this, job)}.${task}`;
+        labOf(this).workerOf(name)!.running.get(name)!.percent = percent;
+    },
+);
+
+When(
+    "the response time of task {word} of {word} is {int} ms",
+    async function(this: TestWorld, task: string, job: string, tailMs: number) {
+        const name = `${jobOf(this, job)}.${task}`;
+        labOf(this).workerOf(name)!.running.get(name)!.load = tailMs;
+        await labOf(this).advance(200);
+    },
+);
+
+Then(
+    "task {word} of {word} works at {int} percent",
+    function(this: TestWorld, task: string, job: string, pace: number) {
+        const name = `${jobOf(this, job)}.${task}`;
+        assert.equal(labOf(this).workerOf(name)!.running.get(name)!.pace, pace);
+    },
+);
+
+Then("every start of {word} carries its ticket", function(this: TestWorld, job: string) {
+    for (const worker of labOf(this).workers.values()) {
+        for (const start of worker.starts.filter(({ task }) => task.job === jobOf(this, job))) {
+            assert.equal(start.ticket, `t-${worker.id}`);
+        }
+    }
+});
--- a/packages/scheduler/src/engine/startRun.ts
+++ b/packages/scheduler/src/engine/startRun.ts
@@ -1,5 +1,5 @@
 import { START_SENDS, WORKER_PAUSE_MAX_MS, WORKER_PAUSE_MS } from "../constants.js";
-import type { OrderOutcome } from "../ports/WorkerPort.js";
+import type { OrderOutcome, Refusal } from "../ports/WorkerPort.js";
 import type { Run } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { releaseRun } from "./runs.js";
@@ -40,7 +40,7 @@
         }
         scheduler.metrics.orderFaults.inc({ order: "start", reason: outcome.kind });
         if (outcome.kind !== "unclear") {
-            pauseWorker(scheduler, worker);
+            judgeRefusal(scheduler, run, outcome);
             abandonRun(scheduler, run, mayBeThere);
             return;
         }
@@ -84,6 +84,27 @@
     scheduler.log.info("A worker is paused.", { worker: worker.id, faults: worker.faults, pauseMs });
 }
 
+/** Only some refusals speak against the worker. */
+function judgeRefusal(scheduler: Scheduler, run: Run, refusal: Refusal): void {
+    switch (refusal.kind) {
+        case "unhealthy":
+        case "unreachable":
+        case "no-room":
+        case "invalid":
+            pauseWorker(scheduler, run.worker);
+            return;
+        case "bad-ticket":
+            run.task.step.advice?.tickets.delete(run.worker.id);
+            return;
+        case "late":
+        case "old-run":
+            noteClock(run.worker, refusal.clockMs, scheduler.clock());
+            return;
+        case "fenced":
+        case "other-life":
+    }
+}
+
 function abandonRun(scheduler: Scheduler, run: Run, mayBeThere: boolean): void {
     if (mayBeThere) {
         stopRun(scheduler, run, "unclear-start");
--- a/packages/scheduler/src/engine/stopRun.ts
+++ b/packages/scheduler/src/engine/stopRun.ts
@@ -11,6 +11,7 @@
     | "preempted"
     | "unknown-run"
     | "stalled"
+    | "evacuated"
     | "copy-done";
 
 /**
@@ -29,7 +30,12 @@
     }
     run.phase = "stopping";
     scheduler.metrics.stops.inc({ reason });
-    scheduler.log.info("A run is stopped.", { ...run.task.name, run: run.number, worker: run.worker.id, reason });
+    scheduler.log.info("A run is stopped.", {
+        ...run.task.name,
+        run: run.number,
+        worker: run.worker.id,
+        reason,
+    });
     scheduler.spawn(() => sendStop(scheduler, run));
 }
 
--- a/packages/scheduler/src/engine/takeJob.ts
+++ b/packages/scheduler/src/engine/takeJob.ts
@@ -49,7 +49,8 @@
 
 /** Returns the shape of a step for the log, such as '4x52000m/8a gang one-rack'. */
 function describeStep(step: Step): string {
-    const shape = `${step.taskCount}x${step.request?.cpuMillis}m/${step.request?.accelerators}a~${step.estimatedMs}ms`;
+    const shape =
+        `${step.taskCount}x${step.request?.cpuMillis}m/${step.request?.accelerators}a~${step.estimatedMs}ms`;
     const traits = [
         step.gang ? "gang" : "",
         step.sameRack ? "one-rack" : "",
--- a/packages/scheduler/src/engine/watchFleet.ts
+++ b/packages/scheduler/src/engine/watchFleet.ts
@@ -1,7 +1,7 @@
 import { RosterRecordSchema } from "@balsamward/schema/scheduling";
 import { create, toBinary } from "@bufbuild/protobuf";
-import { WORKER_LIST_MS } from "../constants.js";
 import { createBell } from "../_lib/createBell.js";
+import { WORKER_LIST_MS } from "../constants.js";
 import type { WorkerId } from "../ids.js";
 import { keys } from "../keys.js";
 import type { WorkerReport } from "../ports/WorkerPort.js";
@@ -79,6 +79,9 @@
     entry.rack = report.rack;
     entry.machine = report.machine;
     entry.draining = report.draining;
+    entry.leavesAt = report.draining
+        ? Math.min(entry.leavesAt, scheduler.clock() + report.remainingMs)
+        : Number.POSITIVE_INFINITY;
     takeCapacity(entry, report);
 }
 
--- a/packages/scheduler/src/ids.ts
+++ b/packages/scheduler/src/ids.ts
@@ -33,5 +33,8 @@
 export function parseJobId(text: string): Result<JobId, JobIdError> {
     return JOB_ID_PATTERN.test(text)
         ? ok(text as JobId)
-        : err({ kind: "bad-job-id", message: "A job's id has 16 lower-case hexadecimal digits. Send such an id." });
+        : err({
+            kind: "bad-job-id",
+            message: "A job's id has 16 lower-case hexadecimal digits. Send such an id.",
+        });
 }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./FleetConfiguration.js";
 export * from "./ids.js";
 export * from "./Metrics.js";
+export * from "./ports/AdvicePort.js";
 export * from "./ports/FleetStore.js";
 export * from "./ports/WorkerPort.js";
 export * from "./startNode.js";
--- a/packages/scheduler/src/ports/WorkerPort.ts
+++ b/packages/scheduler/src/ports/WorkerPort.ts
@@ -9,6 +9,8 @@
     readonly service: string;
     readonly dataCentre: string;
     readonly draining: boolean;
+    /** Least time until a draining worker leaves, in milliseconds. */
+    readonly remainingMs: number;
     /** Milliseconds since 1970 at which this life of the worker began; 0 if it is not stated. */
     readonly bornMs: number;
     readonly capacity: Resources;
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "winston";
 import { pause } from "./_lib/pause.js";
 import type { Desk } from "./callers/Desk.js";
+import { agreeWallClock } from "./cluster/agreeWallClock.js";
 import type { Cluster } from "./cluster/Cluster.js";
 import type { DecodeConfiguration } from "./cluster/createConfigurationKeeper.js";
 import { createConfigurationKeeper } from "./cluster/createConfigurationKeeper.js";
@@ -10,12 +11,12 @@
 import { notifyPeers, runPeers } from "./cluster/runPeers.js";
 import type { Listener } from "./cluster/serveCluster.js";
 import { serveCluster } from "./cluster/serveCluster.js";
-import { agreeWallClock } from "./cluster/agreeWallClock.js";
 import { watchConfiguration } from "./cluster/watchConfiguration.js";
 import { createOwnerDesk } from "./engine/createOwnerDesk.js";
 import { createScheduler, runScheduler } from "./engine/runScheduler.js";
 import type { Ownership, Scheduler, SchedulerBounds } from "./engine/Scheduler.js";
 import type { Metrics } from "./Metrics.js";
+import type { AdvicePort } from "./ports/AdvicePort.js";
 import type { FleetStore } from "./ports/FleetStore.js";
 import type { WorkerPort, WorkerReport } from "./ports/WorkerPort.js";
 
@@ -29,6 +30,7 @@
     /** The platform's store, reached directly. */
     readonly store: FleetStore;
     readonly workers: WorkerPort;
+    readonly advice: AdvicePort;
     /** Prefix of the store's keys under which workers register. */
     readonly workersPrefix: string;
     readonly decodeWorkerReport: (key: string, value: Uint8Array) => WorkerReport | undefined;
@@ -72,6 +74,7 @@
         scheduler = createScheduler({
             store,
             workers: parts.workers,
+            advice: parts.advice,
             listWorkers: () => listWorkers(parts, store),
             configuration: cluster.configuration.current,
             log,
@@ -89,7 +92,10 @@
         scheduler?.wake();
     };
     runPeers(cluster, end.signal);
-    const listener: Listener = await serveCluster({ cluster, store: parts.store, desk: ownerDesk }, parts.peerAddress);
+    const listener: Listener = await serveCluster(
+        { cluster, store: parts.store, desk: ownerDesk },
+        parts.peerAddress,
+    );
     parts.seeds.forEach(seed => cluster.meet(seed, seed));
     const tasks = [
         runMembership(cluster, store, leaving.signal),
@@ -97,7 +103,9 @@
         runOwnership({ cluster, store, schedule }, leaving.signal),
     ];
     tasks.forEach(task =>
-        void task.catch(error => log.error("A task of the daemon meets a defect.", { error: String(error.stack) }))
+        void task.catch(error =>
+            log.error("A task of the daemon meets a defect.", { error: String(error.stack) })
+        )
     );
     return {
         desk: { cluster, store, ownerDesk },
@@ -135,7 +143,10 @@
     };
 }
 
-async function listWorkers(parts: NodeParts, store: FleetStore): Promise<readonly WorkerReport[] | undefined> {
+async function listWorkers(
+    parts: NodeParts,
+    store: FleetStore,
+): Promise<readonly WorkerReport[] | undefined> {
     const listed = await store.list(parts.workersPrefix);
     if (listed.isErr()) {
         parts.log.warn("The workers cannot be listed.", { reason: listed.error.kind });
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -1,4 +1,5 @@
 import type { Job, JobState, Step } from "@balsamward/schema/scheduling";
+import type { StepAdvice } from "../engine/adviseStep.js";
 import type { QueueName } from "../ids.js";
 import type { JobId, TaskName, WorkerId } from "../ids.js";
 import type { WorkerEntry } from "./WorkerEntry.js";
@@ -55,6 +56,8 @@
     readonly tasks: readonly TaskEntry[];
     /** Number of tasks that are done. */
     doneCount: number;
+    /** What the advice service has said; `undefined` before it was asked. */
+    advice: StepAdvice | undefined;
     /** Steady time at which the step could first have begun; `undefined` before. */
     readyAt: number | undefined;
 };
--- a/packages/scheduler/src/state/WorkerEntry.ts
+++ b/packages/scheduler/src/state/WorkerEntry.ts
@@ -21,6 +21,12 @@
     /** Wakes the worker's task. */
     readonly bell: Bell;
     draining: boolean;
+    /** Steady time before which a draining worker does not leave. */
+    leavesAt: number;
+    /** Share of its speed at which filling work works here, in percent. */
+    fillPace: number;
+    /** Steady time at which `fillPace` last changed. */
+    fillRaisedAt: number;
     /** Whether the platform lists the worker. */
     listed: boolean;
     /** Whether this life has answered a hold of this owner. */
@@ -70,6 +76,9 @@
         runs: new Set(),
         bell,
         draining: false,
+        leavesAt: Number.POSITIVE_INFINITY,
+        fillPace: 100,
+        fillRaisedAt: 0,
         listed: false,
         reached: false,
         isSilent: false,
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -72,6 +72,7 @@
             spec,
             tasks,
             doneCount: 0,
+            advice: undefined,
             readyAt: undefined,
         };
         for (let index = 0; index < spec.taskCount; index++) {
--- a/packages/stand-ins/src/fleet/MemoryFleetStore.ts
+++ b/packages/stand-ins/src/fleet/MemoryFleetStore.ts
@@ -57,7 +57,8 @@
     port(): FleetStore {
         return {
             read: key => this.call("read", () => ok(this.get(key))),
-            list: prefix => this.call("list", () => ok({ items: this.listItems(prefix), revision: this.revision })),
+            list: prefix =>
+                this.call("list", () => ok({ items: this.listItems(prefix), revision: this.revision })),
             commit: transaction => this.call("commit", () => this.commit(transaction)),
             watch: (prefix, after, _waitMs, signal) => new ResultAsync(this.watch(prefix, after, signal)),
             grantLease: ttlMs => this.call("grant-lease", () => ok(this.grant(ttlMs))),
@@ -156,7 +157,9 @@
             if (after < this.compactedTo) {
                 return err({ kind: "compacted", message: "The events are no longer kept. List again." });
             }
-            const events = this.history.filter(event => event.revision > after && event.key.startsWith(prefix));
+            const events = this.history.filter(event =>
+                event.revision > after && event.key.startsWith(prefix)
+            );
             if (events.length > 0 && !this.isWatchSilent) {
                 return ok({ events, revision: this.revision });
             }
--- a/packages/stand-ins/src/fleet/MemoryWorker.ts
+++ b/packages/stand-ins/src/fleet/MemoryWorker.ts
@@ -4,6 +4,7 @@
     HoldOrder,
     HoldOutcome,
     OrderOutcome,
+    PaceOrder,
     StartOrder,
     StopOrder,
     TaskName,
@@ -20,7 +21,16 @@
     /** Nothing is done. */
     | "refused";
 
-type RunningTask = { readonly task: TaskName; readonly run: number; checkpoint: string; percent: number };
+type RunningTask = {
+    readonly task: TaskName;
+    readonly run: number;
+    checkpoint: string;
+    percent: number;
+    /** Tail of the response time, or the processor time in use. */
+    load: number;
+    /** Share of its speed at which it was told to work. */
+    pace: number;
+};
 
 /**
  * A stand-in for a worker: it starts and stops runs under a lease, refuses older owners, and lists ends
@@ -32,13 +42,20 @@
     /** Whether no call arrives. */
     isCut = false;
     /** Starts that were carried out, in order. */
-    readonly starts: { readonly task: TaskName; readonly run: number; readonly checkpoint: string }[] = [];
+    readonly starts: {
+        readonly task: TaskName;
+        readonly run: number;
+        readonly checkpoint: string;
+        readonly ticket: string;
+    }[] = [];
     readonly running = new Map<string, RunningTask>();
     /** Ends that were forgotten because the owner said so. */
     forgotten = 0;
     fence = 0;
     leaseUntilMs = 0;
     isDraining = false;
+    /** Least time until it leaves while it drains, in milliseconds. */
+    remainingMs = 0;
     private ends: EndedRow[] = [];
     private endCount = 0;
     private readonly outlawed = new Map<string, number>();
@@ -64,6 +81,14 @@
         return this.meetFault(() => this.carryOutStop(order));
     }
 
+    pace({ task, percent }: PaceOrder): OrderOutcome {
+        const run = this.running.get(taskText(task));
+        if (run !== undefined) {
+            run.pace = percent;
+        }
+        return { kind: "done", clockMs: this.clock() };
+    }
+
     hold(order: HoldOrder): HoldOutcome {
         if (this.isCut) {
             return { kind: "unclear", cause: "cut" };
@@ -77,7 +102,7 @@
         const before = this.ends.length;
         this.ends = this.ends.filter(end => end.number > order.endsKept);
         this.forgotten += before - this.ends.length;
-        const running = [...this.running.values()].map(run => ({ ...run, load: 0 }));
+        const running = [...this.running.values()].map(run => ({ ...run }));
         return {
             kind: "held",
             answer: { clockMs: this.clock(), bornMs: this.report.bornMs, running, ended: [...this.ends] },
@@ -145,8 +170,20 @@
         if (present !== undefined || (this.outlawed.get(name) ?? 0) >= order.run) {
             return { kind: "old-run", clockMs };
         }
-        this.running.set(name, { task: order.task, run: order.run, checkpoint: order.checkpoint, percent: 0 });
-        this.starts.push({ task: order.task, run: order.run, checkpoint: order.checkpoint });
+        this.running.set(name, {
+            task: order.task,
+            run: order.run,
+            checkpoint: order.checkpoint,
+            percent: 0,
+            load: 0,
+            pace: 100,
+        });
+        this.starts.push({
+            task: order.task,
+            run: order.run,
+            checkpoint: order.checkpoint,
+            ticket: order.ticket,
+        });
         return { kind: "done", clockMs };
     }
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,7 +12,7 @@
     format: "esm",
     minify: false,
     banner: {
-        js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
+        js: "import { createRequire } from \"node:module\"; const require = createRequire(import.meta.url);",
     },
     logLevel: "warning",
 });
