Lead machines through the operator's waves of upkeep

Change: the owner empties machines few at a time, orders their upkeep under its fence and writes the wave's status; completed only after the last machine is back.

--- a/features/support/SchedulerLab.ts
+++ b/features/support/SchedulerLab.ts
@@ -4,8 +4,11 @@
     FleetConfiguration,
     HoldOutcome,
     JobId,
+    MachineState,
     OrderOutcome,
     QueueName,
+    UpkeepOutcome,
+    UpkeepWave,
     WorkerId,
     WorkerPort,
     WorkerReport,
@@ -43,6 +46,12 @@
     /** Workers that the advice service does not allow. */
     readonly denied = new Set<WorkerId>();
     readonly adviceCalls: { readonly step: AdvisedStep; readonly workers: readonly WorkerId[] }[] = [];
+    /** Machines by state. */
+    readonly machines = new Map<string, MachineState>();
+    /** Most machines that were down for upkeep at once. */
+    mostDown = 0;
+    /** Machines that went down while something ran there. */
+    readonly wentDownBusy: string[] = [];
     readonly terms: Term[] = [];
     configuration: FleetConfiguration = {
         version: 1,
@@ -78,6 +87,7 @@
                 rack: `r${Math.floor(number / WORKERS_PER_RACK)}`,
                 machine: `m${number}`,
             };
+            this.machines.set(report.machine, "up");
             this.workers.set(report.id, new MemoryWorker(report, () => this.clock.now));
         }
     }
@@ -113,6 +123,17 @@
         const scheduler = createScheduler({
             store: this.store.port(),
             workers: this.workerPort(),
+            node: "lab",
+            machines: {
+                list: async () => [...this.machines].map(([name, state]) => ({ name, state })),
+                beginUpkeep: async ({ machine }) => this.beginUpkeep(machine),
+            },
+            waves: {
+                prefix: "waves/",
+                decode: value => JSON.parse(Buffer.from(value).toString()) as UpkeepWave,
+                statusKey: wave => `status/${wave}`,
+                encodeStatus: state => Buffer.from(state),
+            },
             advice: { advise: (step, workers) => this.advise(step, workers) },
             listWorkers: async () => this.listWorkers(),
             configuration: () => this.configuration,
@@ -159,6 +180,29 @@
             .sort();
     }
 
+    /** Takes a machine down; its next worker comes up after two seconds. */
+    private beginUpkeep(machine: string): UpkeepOutcome {
+        const worker = [...this.workers.values()].find(({ report }) => report.machine === machine);
+        if (worker === undefined || this.machines.get(machine) !== "up") {
+            return { kind: "busy" };
+        }
+        if (worker.running.size > 0) {
+            this.wentDownBusy.push(machine);
+        }
+        this.machines.set(machine, "upkeep");
+        this.workers.delete(worker.id);
+        this.mostDown = Math.max(
+            this.mostDown,
+            [...this.machines.values()].filter(state => state === "upkeep").length,
+        );
+        void this.clock.pause(2_000).then(() => {
+            this.machines.set(machine, "up");
+            const report = { ...worker.report, id: `${worker.id}-next` as WorkerId };
+            this.workers.set(report.id, new MemoryWorker(report, () => this.clock.now));
+        });
+        return { kind: "begun" };
+    }
+
     /** Allows every worker but those that are denied, and notes the call. */
     private async advise(step: AdvisedStep, workers: readonly WorkerId[]): Promise<AdviceOutcome> {
         this.adviceCalls.push({ step, workers });
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from "../Metrics.js";
 import type { AdvicePort } from "../ports/AdvicePort.js";
 import type { FleetStore } from "../ports/FleetStore.js";
+import type { MachinePort, WaveRecords } from "../ports/MachinePort.js";
 import type { WorkerPort, WorkerReport } from "../ports/WorkerPort.js";
 import type { JobEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
@@ -18,7 +19,11 @@
 export type SchedulerParts = {
     readonly store: FleetStore;
     readonly workers: WorkerPort;
+    /** This daemon's name. */
+    readonly node: string;
     readonly advice: AdvicePort;
+    readonly machines: MachinePort;
+    readonly waves: WaveRecords;
     readonly listWorkers: ListWorkers;
     readonly configuration: () => FleetConfiguration | undefined;
     readonly log: Logger;
--- a/packages/scheduler/src/engine/planPass.ts
+++ b/packages/scheduler/src/engine/planPass.ts
@@ -140,6 +140,7 @@
         && !worker.isSilent
         && worker.listed
         && !worker.draining
+        && !worker.isCordoned
         && worker.pausedUntil <= now
         && scheduler.roster.has(worker.id)
     );
--- a/packages/scheduler/src/engine/reclaimFor.ts
+++ b/packages/scheduler/src/engine/reclaimFor.ts
@@ -6,7 +6,7 @@
 import { weightOf } from "./jobTimes.js";
 import type { RankedJob } from "./orderJobs.js";
 import type { Scheduler } from "./Scheduler.js";
-import { stopRun } from "./stopRun.js";
+import { isAtWork, stopRun } from "./stopRun.js";
 
 /** Where a step may be placed, and how much of it waits. */
 export type ReclaimTarget = {
@@ -82,10 +82,6 @@
     return !lasting || maxUnavailable === 0 || away < maxUnavailable;
 }
 
-function isAtWork(run: Run): boolean {
-    return run.phase === "running" && run.percent >= 100;
-}
-
 function isLessUrgent(victim: Queue | undefined, own: Queue): boolean {
     return victim !== undefined && victim.priority > own.priority;
 }
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -6,6 +6,7 @@
 import { loadState } from "./loadState.js";
 import { planPass } from "./planPass.js";
 import { removeEndedJobs } from "./removeEndedJobs.js";
+import { runUpkeep } from "./runUpkeep.js";
 import type { Ownership, Scheduler, SchedulerParts } from "./Scheduler.js";
 import { keepRoster, watchFleet } from "./watchFleet.js";
 import { watchJobs } from "./watchJobs.js";
@@ -73,6 +74,7 @@
         watchFleet(scheduler),
         flushProgress(scheduler, flushBell),
         removeEndedJobs(scheduler),
+        runUpkeep(scheduler),
         runPasses(scheduler, passBell.wait),
     ]);
 }
--- /dev/null
+++ b/packages/scheduler/src/engine/runUpkeep.ts
@@ -0,0 +1,178 @@
+import { STORE_RETRY_MS } from "../constants.js";
+import type { Machine, UpkeepWave } from "../ports/MachinePort.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { dropWorker } from "./runWorker.js";
+import type { Scheduler } from "./Scheduler.js";
+import { isAtWork, stopRun } from "./stopRun.js";
+
+/** Interval at which waves are looked for while there is none, in milliseconds. */
+const WAVE_LIST_MS = 1_000;
+
+/** Interval at which a wave that runs is driven on, in milliseconds. */
+const WAVE_STEP_MS = 300;
+
+/** Time for which a machine counts as down after its upkeep was ordered, whatever is listed, in milliseconds. */
+const ORDER_VISIBLE_MS = 2_000;
+
+/** Share of a wave's time after which work on its machines is stopped rather than waited for. */
+const PATIENCE_SHARE = 0.5;
+
+/** A wave with what is known of it in this term. */
+type WaveEntry = {
+    readonly wave: UpkeepWave;
+    readonly seenAt: number;
+    /** Machines whose upkeep has begun, with the steady time of the order. */
+    readonly begun: Map<string, number>;
+    status: "unknown" | "running" | "completed";
+};
+
+/**
+ * Leads machines through the operator's waves of upkeep during a term: few at a time, each emptied
+ * before it goes down.
+ *
+ * @param scheduler - The scheduler.
+ */
+export async function runUpkeep(scheduler: Scheduler): Promise<void> {
+    const { signal } = scheduler.ownership;
+    const waves = new Map<number, WaveEntry>();
+    while (!signal.aborted) {
+        await findWaves(scheduler, waves);
+        const open = [...waves.values()].filter(entry => entry.status !== "completed");
+        if (open.length > 0) {
+            const machines = await scheduler.machines.list();
+            for (const entry of machines === undefined ? [] : open) {
+                await driveWave(scheduler, entry, machines!);
+            }
+        }
+        await scheduler.pause(open.length > 0 ? WAVE_STEP_MS : WAVE_LIST_MS, signal);
+    }
+}
+
+async function findWaves(scheduler: Scheduler, waves: Map<number, WaveEntry>): Promise<void> {
+    const listed = await scheduler.store.list(scheduler.waves.prefix, { stale: true });
+    if (listed.isErr()) {
+        await scheduler.pause(STORE_RETRY_MS, scheduler.ownership.signal);
+        return;
+    }
+    for (const item of listed.value.items) {
+        const wave = scheduler.waves.decode(item.value);
+        if (wave !== undefined && !waves.has(wave.number)) {
+            waves.set(wave.number, { wave, seenAt: scheduler.clock(), begun: new Map(), status: "unknown" });
+            scheduler.log.info("A wave of upkeep is known.", { ...wave, machines: wave.machines.length });
+        }
+    }
+}
+
+async function driveWave(
+    scheduler: Scheduler,
+    entry: WaveEntry,
+    machines: readonly Machine[],
+): Promise<void> {
+    const { wave, begun } = entry;
+    if (entry.status === "unknown") {
+        const stored = await scheduler.store.read(scheduler.waves.statusKey(wave.number));
+        const isOver = stored.isOk()
+            && Buffer.from(stored.value?.value ?? []).equals(
+                Buffer.from(scheduler.waves.encodeStatus("completed")),
+            );
+        await setStatus(scheduler, entry, isOver ? "completed" : "running");
+        return;
+    }
+    const states = new Map(machines.map(machine => [machine.name, machine.state]));
+    const open = wave.machines.filter(machine => !begun.has(machine) && states.has(machine));
+    const isDown = (machine: string): boolean =>
+        states.get(machine) === "upkeep"
+        || scheduler.clock() - (begun.get(machine) ?? Number.NEGATIVE_INFINITY) < ORDER_VISIBLE_MS;
+    const downCount = wave.machines.filter(isDown).length;
+    if (open.length === 0) {
+        await (downCount === 0 ? setStatus(scheduler, entry, "completed") : undefined);
+        return;
+    }
+    const room = wave.maxDown - downCount;
+    const workers = new Map([...scheduler.fleet.values()].map(worker => [worker.machine, worker]));
+    const next = open
+        .filter(machine => states.get(machine) === "up")
+        .sort((left, right) => countRuns(workers.get(left)) - countRuns(workers.get(right)))
+        .slice(0, Math.max(0, room));
+    for (const machine of next) {
+        await prepareMachine(scheduler, entry, machine, workers.get(machine));
+    }
+}
+
+function countRuns(worker: WorkerEntry | undefined): number {
+    return worker?.runs.size ?? 0;
+}
+
+/** Empties the machine's worker first; orders the upkeep once nothing runs there. */
+async function prepareMachine(
+    scheduler: Scheduler,
+    entry: WaveEntry,
+    machine: string,
+    worker: WorkerEntry | undefined,
+): Promise<void> {
+    if (worker !== undefined) {
+        worker.isCordoned = true;
+        const isPatient = scheduler.clock() - entry.seenAt < entry.wave.durationMs * PATIENCE_SHARE;
+        emptyWorker(scheduler, worker, isPatient);
+        if (worker.runs.size > 0) {
+            return;
+        }
+    }
+    const outcome = await scheduler.machines.beginUpkeep({
+        machine,
+        wave: entry.wave.number,
+        holder: scheduler.node,
+        fence: scheduler.ownership.revision,
+    });
+    scheduler.log.info("An upkeep is ordered.", { machine, wave: entry.wave.number, outcome: outcome.kind });
+    switch (outcome.kind) {
+        case "begun":
+            entry.begun.set(machine, scheduler.clock());
+            if (worker !== undefined) {
+                dropWorker(scheduler, worker, "upkeep");
+            }
+            return;
+        case "not-in-wave":
+            entry.begun.set(machine, Number.NEGATIVE_INFINITY);
+            return;
+        case "fenced":
+            scheduler.ownership.resign("The platform knows a newer owner.");
+            return;
+        case "busy":
+        case "unclear":
+            scheduler.metrics.orderFaults.inc({ order: "upkeep", reason: outcome.kind });
+    }
+}
+
+/** Lasting tasks and those with checkpoints lose little; the others are waited for at first. */
+function emptyWorker(scheduler: Scheduler, worker: WorkerEntry, isPatient: boolean): void {
+    for (const run of worker.runs) {
+        const { lasting, maxUnavailable, checkpoints } = run.task.step.spec;
+        const away = run.task.step.tasks.filter(task => !task.runs.some(isAtWork)).length;
+        const isAllowed = !lasting || maxUnavailable === 0 || away < maxUnavailable;
+        if (isAllowed && (lasting || checkpoints || !isPatient)) {
+            stopRun(scheduler, run, "upkeep");
+        }
+    }
+}
+
+async function setStatus(
+    scheduler: Scheduler,
+    entry: WaveEntry,
+    state: "running" | "completed",
+): Promise<void> {
+    const { ownership, waves } = scheduler;
+    const written = await scheduler.store.commit({
+        expect: [{ key: ownership.key, revision: ownership.revision }],
+        puts: [{ key: waves.statusKey(entry.wave.number), value: waves.encodeStatus(state) }],
+        removals: [],
+    });
+    if (written.isOk()) {
+        entry.status = state;
+    }
+    scheduler.log.info("The status of a wave is written.", {
+        wave: entry.wave.number,
+        state,
+        result: written.isOk() ? "done" : written.error.kind,
+    });
+}
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -255,3 +255,24 @@
         }
     }
 });
+
+When(
+    "the operator wants the upkeep of all machines, {int} at a time",
+    function(this: TestWorld, maxDown: number) {
+        const lab = labOf(this);
+        const wave = { number: 1, machines: [...lab.machines.keys()], durationMs: 60 * SECOND_MS, maxDown };
+        lab.store.put("waves/1", Buffer.from(JSON.stringify(wave)));
+    },
+);
+
+Then("the wave is {word}", function(this: TestWorld, state: string) {
+    assert.equal(Buffer.from(labOf(this).store.get("status/1")?.value ?? []).toString(), state);
+});
+
+Then(
+    "at most {int} machine(s) was/were down at once, none with work on it",
+    function(this: TestWorld, most: number) {
+        assert.equal(labOf(this).mostDown, most);
+        assert.deepEqual(labOf(this).wentDownBusy, []);
+    },
+);
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -12,5 +12,6 @@
 export * from "./Metrics.js";
 export * from "./ports/AdvicePort.js";
 export * from "./ports/FleetStore.js";
+export * from "./ports/MachinePort.js";
 export * from "./ports/WorkerPort.js";
 export * from "./startNode.js";
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -18,6 +18,7 @@
 import type { Metrics } from "./Metrics.js";
 import type { AdvicePort } from "./ports/AdvicePort.js";
 import type { FleetStore } from "./ports/FleetStore.js";
+import type { MachinePort, WaveRecords } from "./ports/MachinePort.js";
 import type { WorkerPort, WorkerReport } from "./ports/WorkerPort.js";
 
 /** What a daemon is made of. */
@@ -31,6 +32,8 @@
     readonly store: FleetStore;
     readonly workers: WorkerPort;
     readonly advice: AdvicePort;
+    readonly machines: MachinePort;
+    readonly waves: WaveRecords;
     /** Prefix of the store's keys under which workers register. */
     readonly workersPrefix: string;
     readonly decodeWorkerReport: (key: string, value: Uint8Array) => WorkerReport | undefined;
@@ -74,7 +77,10 @@
         scheduler = createScheduler({
             store,
             workers: parts.workers,
+            node: parts.node,
             advice: parts.advice,
+            machines: parts.machines,
+            waves: parts.waves,
             listWorkers: () => listWorkers(parts, store),
             configuration: cluster.configuration.current,
             log,
--- a/packages/scheduler/src/state/WorkerEntry.ts
+++ b/packages/scheduler/src/state/WorkerEntry.ts
@@ -21,6 +21,8 @@
     /** Wakes the worker's task. */
     readonly bell: Bell;
     draining: boolean;
+    /** Whether it gets no starts because its machine has its upkeep next. */
+    isCordoned: boolean;
     /** Steady time before which a draining worker does not leave. */
     leavesAt: number;
     /** Share of its speed at which filling work works here, in percent. */
@@ -76,6 +78,7 @@
         runs: new Set(),
         bell,
         draining: false,
+        isCordoned: false,
         leavesAt: Number.POSITIVE_INFINITY,
         fillPace: 100,
         fillRaisedAt: 0,
