Answer at once while the store is away; stop work for guarantees only

Change: one probe watches a store that does not answer, all other calls are relayed or fail at once; an unclear write is answered at once; only guaranteed steps stop others.

--- a/packages/scheduler/src/callers/submitJob.ts
+++ b/packages/scheduler/src/callers/submitJob.ts
@@ -58,7 +58,7 @@
             case "invalid":
                 return refuse("bad-job", "The store does not take the job. Make it smaller.");
         }
-        if (desk.cluster.clock() + UNCLEAR_PAUSE_MS >= deadline) {
+        if (!desk.cluster.reachesStore || desk.cluster.clock() + UNCLEAR_PAUSE_MS >= deadline) {
             return refuse("unclear", "The job may be stored or not. Send it again under the same id.");
         }
         await pause(UNCLEAR_PAUSE_MS);
--- a/packages/scheduler/src/cluster/createRelayingStore.ts
+++ b/packages/scheduler/src/cluster/createRelayingStore.ts
@@ -6,7 +6,9 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { err, ok, ResultAsync } from "neverthrow";
 import type { Result } from "neverthrow";
+import { pause } from "../_lib/pause.js";
 import { RELAY_TIMEOUT_MS } from "../constants.js";
+import { keys } from "../keys.js";
 import type {
     FleetStore,
     LeaseId,
@@ -20,25 +22,24 @@
 
 type Call = NonNullable<MessageInitShape<typeof RelayStoreCallRequestSchema>["call"]>;
 
-/** Time for which calls go to a peer first after the store turned this daemon away, in milliseconds. */
-const DIRECT_PAUSE_MS = 500;
+/** Pause between two looks at a store that does not answer, in milliseconds. */
+const PROBE_MS = 150;
 
 /** Peers that are asked before a call is given up. */
 const RELAY_ATTEMPTS = 2;
 
-type Direct = { pausedUntil: number };
-
 /**
  * Creates a store that makes its calls through a peer while the store itself turns this daemon away.
  *
- * A write whose answer was lost is not relayed: its outcome stays unclear.
+ * While no peer reaches the store either, calls fail at once; one probe at a time finds out when it is
+ * back. A write whose answer was lost is not relayed: its outcome stays unclear.
  *
  * @param direct - The store, reached directly.
  * @param cluster - The peers.
  * @returns The store.
  */
 export function createRelayingStore(direct: FleetStore, cluster: Cluster): FleetStore {
-    const state: Direct = { pausedUntil: Number.NEGATIVE_INFINITY };
+    const probe = createProbe(direct, cluster);
     const run = <T>(
         attempt: () => ResultAsync<T, StoreError>,
         call: Call,
@@ -46,7 +47,7 @@
         isSafe: boolean,
         waitMs = 0,
     ): ResultAsync<T, StoreError> =>
-        new ResultAsync(runCall(cluster, state, { attempt, call, decode, isSafe, waitMs }));
+        new ResultAsync(runCall(cluster, probe, { attempt, call, decode, isSafe, waitMs }));
     return {
         read: key =>
             run(
@@ -100,22 +101,47 @@
     readonly waitMs: number;
 };
 
-async function runCall<T>(cluster: Cluster, state: Direct, plan: Plan<T>): Promise<Result<T, StoreError>> {
-    if (cluster.clock() < state.pausedUntil && listHelpers(cluster).length > 0) {
+async function runCall<T>(
+    cluster: Cluster,
+    probe: () => void,
+    plan: Plan<T>,
+): Promise<Result<T, StoreError>> {
+    if (!cluster.reachesStore) {
         return relay(cluster, plan);
     }
     const result = await plan.attempt();
     const isAway = result.isErr() && (result.error.kind === "unavailable" || result.error.kind === "unclear");
     if (!isAway) {
-        noteReachable(cluster, true);
         return result;
     }
-    noteReachable(cluster, false);
-    state.pausedUntil = cluster.clock() + DIRECT_PAUSE_MS;
+    // A watch that waits may be cut while the store is well.
+    if (plan.waitMs === 0) {
+        noteReachable(cluster, false);
+        probe();
+    }
     const mayRelay = result.isErr() && (plan.isSafe || result.error.kind === "unavailable");
     return mayRelay && listHelpers(cluster).length > 0 ? relay(cluster, plan) : result;
 }
 
+/** Looks at the store until it answers; looks that overlap are made once. */
+function createProbe(direct: FleetStore, cluster: Cluster): () => void {
+    let isProbing = false;
+    const look = async (): Promise<void> => {
+        while (!cluster.reachesStore) {
+            await pause(PROBE_MS);
+            const seen = await direct.read(keys.owner);
+            noteReachable(cluster, seen.isOk());
+        }
+        isProbing = false;
+    };
+    return () => {
+        if (!isProbing) {
+            isProbing = true;
+            void look();
+        }
+    };
+}
+
 function noteReachable(cluster: Cluster, isReachable: boolean): void {
     if (cluster.reachesStore !== isReachable) {
         cluster.reachesStore = isReachable;
--- a/packages/scheduler/src/engine/planPass.ts
+++ b/packages/scheduler/src/engine/planPass.ts
@@ -28,8 +28,8 @@
 };
 
 /**
- * Places what waits and fits, in the order of the jobs' ranks. A step that may stop others, or that
- * waits for what is being stopped, holds its workers against those that come after it.
+ * Places what waits and fits, in the order of the jobs' ranks. A guaranteed step that waits for what
+ * is being stopped holds its workers against those that come after it.
  *
  * @param scheduler - The scheduler.
  */
@@ -75,7 +75,7 @@
 function placeStep(scheduler: Scheduler, pass: Pass, ranked: RankedJob, step: StepEntry): void {
     step.readyAt ??= scheduler.clock();
     const shape = shapeOf(ranked.queue, step);
-    const mayReclaim = ranked.prospect === "entitled" || ranked.prospect === "on-time";
+    const mayReclaim = ranked.prospect === "entitled";
     if (pass.full.has(shape) && !mayReclaim) {
         return;
     }
@@ -97,7 +97,7 @@
     }
     const isWhole = !step.spec.gang || waiting.length === step.tasks.length;
     if (mayReclaim && isWhole) {
-        reclaimFor(scheduler, ranked, step, {
+        reclaimFor(scheduler, step, {
             workers,
             taskCount: waiting.length - assignments.length,
             configuration: pass.configuration,
--- a/packages/scheduler/src/engine/reclaimFor.ts
+++ b/packages/scheduler/src/engine/reclaimFor.ts
@@ -1,10 +1,9 @@
-import type { FleetConfiguration, Queue } from "../FleetConfiguration.js";
+import type { FleetConfiguration } from "../FleetConfiguration.js";
 import { planReclaim } from "../placement/planReclaim.js";
 import type { Run, StepEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { findEntitledJobs } from "./findEntitledJobs.js";
 import { weightOf } from "./jobTimes.js";
-import type { RankedJob } from "./orderJobs.js";
 import type { Scheduler } from "./Scheduler.js";
 import { isAtWork, stopRun } from "./stopRun.js";
 
@@ -17,9 +16,6 @@
     readonly taskCount: number;
 };
 
-/** Share of a job's own work that may be lost of less urgent work for it, where nothing is guaranteed. */
-const MAX_LOSS_SHARE = 0.5;
-
 /** Loss that a stop counts as beside the work, in core-milliseconds, so that few runs are stopped. */
 const STOP_COST = 2_000;
 
@@ -27,45 +23,30 @@
 const CHECKPOINT_MS = 2_000;
 
 /**
- * Stops less urgent runs so that a step fits.
- *
- * A guaranteed step stops whatever is not guaranteed. Any other stops less urgent work only, and only
- * if little is lost.
+ * Stops runs that are not guaranteed so that a guaranteed step fits.
  *
  * @param scheduler - The scheduler.
- * @param ranked - The step's job.
  * @param step - The step.
  * @param target - Where it may be placed.
  * @returns The workers that are to be kept free for the step.
  */
 export function reclaimFor(
     scheduler: Scheduler,
-    ranked: RankedJob,
     step: StepEntry,
     target: ReclaimTarget,
 ): readonly WorkerEntry[] {
     const queues = new Map(target.configuration.queues.map(queue => [queue.name, queue]));
     const entitled = findEntitledJobs(scheduler, target.configuration, queues);
-    const isGuaranteed = ranked.prospect === "entitled";
-    const costOf = (run: Run): number | undefined => {
-        const { job } = run.task.step;
-        const isMovable = isGuaranteed
-            ? !entitled.has(job)
-            : isLessUrgent(queues.get(job.queue), ranked.queue) && !run.task.step.spec.lasting;
-        return isMovable ? lostWork(run, scheduler.clock()) : undefined;
-    };
+    const costOf = (run: Run): number | undefined =>
+        entitled.has(run.task.step.job) ? undefined : lostWork(run, scheduler.clock());
     const plan = planReclaim(step, target.workers, { costOf, taskCount: target.taskCount });
     if (plan === undefined) {
         return [];
     }
-    if (!isGuaranteed && plan.cost > MAX_LOSS_SHARE * ranked.times.remainingWork) {
-        return [];
-    }
     if (plan.victims.length > 0) {
         scheduler.log.info("Runs are stopped for a step.", {
             job: step.job.id,
             step: step.number,
-            prospect: ranked.prospect,
             victims: plan.victims.length,
             lostCoreMs: Math.round(plan.cost),
             workers: plan.workers.length,
@@ -82,10 +63,6 @@
     return !lasting || maxUnavailable === 0 || away < maxUnavailable;
 }
 
-function isLessUrgent(victim: Queue | undefined, own: Queue): boolean {
-    return victim !== undefined && victim.priority > own.priority;
-}
-
 /** Work since the last checkpoint; a gang loses the work of all its members. */
 function lostWork(run: Run, now: number): number {
     const { step } = run.task;
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -141,7 +141,7 @@
         owner: undefined,
         depths: [],
         ownDepths: () => undefined,
-        reachesStore: false,
+        reachesStore: true,
         leaving: false,
         onOwnerDead: () => {},
         onOwnerChanged: () => {},
