Watch from the store's revision; keep workers free for gangs that fit soon

Small work took room as it came free, and gangs waited. Change: values that are watched are read with a list, whose revision is the store's; each failed watch pauses; for a gang that is on time, workers that will soon have room are held.

--- a/packages/scheduler/src/cluster/runOwnership.ts
+++ b/packages/scheduler/src/cluster/runOwnership.ts
@@ -35,34 +35,39 @@
     const { cluster, store } = parts;
     cluster.onOwnerDead = owner => void endDeadOwner(parts, owner);
     while (!signal.aborted) {
-        const seen = await store.read(keys.owner);
+        // A list tells the store's revision; the record's own may be older than the kept history.
+        const seen = await store.list(keys.owner);
         if (seen.isErr()) {
             await pause(STORE_RETRY_MS, signal);
             continue;
         }
-        if (seen.value === undefined) {
+        const record = seen.value.items.find(item => item.key === keys.owner);
+        if (record === undefined) {
             await pause(Math.random() * CLAIM_JITTER_MS, signal);
             await claim(parts, signal);
             continue;
         }
-        noteRecord(cluster, seen.value);
-        await waitForChange(parts, seen.value, signal);
+        noteRecord(cluster, record);
+        await waitForChange(parts, { owner: record.revision, store: seen.value.revision }, signal);
     }
 }
 
+/** Revisions at which the owner's record was read. */
+type Reading = { readonly owner: number; readonly store: number };
+
 async function waitForChange(
     { store, cluster }: OwnershipParts,
-    item: StoreItem,
+    reading: Reading,
     signal: AbortSignal,
 ): Promise<void> {
-    let revision = item.revision;
+    let revision = reading.store;
     while (!signal.aborted) {
         const changed = await store.watch(keys.owner, revision, WATCH_WAIT_MS, signal);
         if (changed.isErr()) {
             await pause(STORE_RETRY_MS, signal);
             return;
         }
-        if (changed.value.events.length > 0 || (cluster.owner?.revision ?? 0) > item.revision) {
+        if (changed.value.events.length > 0 || (cluster.owner?.revision ?? 0) > reading.owner) {
             return;
         }
         revision = changed.value.revision;
--- a/packages/scheduler/src/cluster/watchConfiguration.ts
+++ b/packages/scheduler/src/cluster/watchConfiguration.ts
@@ -34,22 +34,22 @@
         }
         // Whatever ended the watch, the present value is read anew.
         revision = undefined;
-        const isCompacted = seen?.isErr() === true && seen.error.kind === "compacted";
-        if (!signal.aborted && !isCompacted) {
-            await pause(STORE_RETRY_MS, signal);
-        }
+        await pause(STORE_RETRY_MS, signal);
     }
 }
 
+/** Reads with a list, whose revision is the store's: the value's own may be older than the kept history. */
 async function readConfiguration(
     cluster: Cluster,
     store: FleetStore,
     key: string,
 ): Promise<number | undefined> {
-    const item = await store.read(key);
-    if (item.isErr() || item.value === undefined) {
+    const listed = await store.list(key);
+    if (listed.isErr()) {
         return undefined;
     }
-    cluster.configuration.offer(item.value.value, "store");
-    return item.value.revision;
+    listed.value.items
+        .filter(item => item.key === key)
+        .forEach(item => cluster.configuration.offer(item.value, "store"));
+    return listed.value.revision;
 }
--- a/packages/scheduler/src/engine/planPass.ts
+++ b/packages/scheduler/src/engine/planPass.ts
@@ -7,6 +7,7 @@
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { allowedWorkers, requestAdvice, ticketFor } from "./adviseStep.js";
 import { beginDueOccurrences } from "./beginDueOccurrences.js";
+import { holdFor } from "./holdFor.js";
 import type { RankedJob } from "./orderJobs.js";
 import { orderJobs } from "./orderJobs.js";
 import { reclaimFor } from "./reclaimFor.js";
@@ -76,7 +77,7 @@
     step.readyAt ??= scheduler.clock();
     const shape = shapeOf(ranked.queue, step);
     const mayReclaim = ranked.prospect === "entitled";
-    if (pass.full.has(shape) && !mayReclaim) {
+    if (pass.full.has(shape) && !mayReclaim && ranked.prospect !== "on-time") {
         return;
     }
     const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
@@ -95,6 +96,9 @@
     if (advice !== undefined) {
         requestAdvice(scheduler, advice, step, fitting);
     }
+    if (ranked.prospect === "on-time" && step.spec.gang && waiting.length === step.tasks.length) {
+        holdFor(scheduler, ranked, step, workers).forEach(worker => pass.held.add(worker));
+    }
     const isWhole = !step.spec.gang || waiting.length === step.tasks.length;
     if (mayReclaim && isWhole) {
         reclaimFor(scheduler, step, {
