--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -1,8 +1,14 @@
 export default {
-    paths: ["packages/*/src/**/*.feature", "features/**/*.feature", "specs/**/*.feature"],
+    paths: [
+        "packages/*/src/**/*.feature",
+        "platform/src/**/*.feature",
+        "features/**/*.feature",
+        "specs/**/*.feature",
+    ],
     import: [
         "features/support/**/*.ts",
         "packages/*/src/**/*.steps.ts",
+        "platform/src/**/*.steps.ts",
         "features/**/*.steps.ts",
         "specs/**/*.steps.ts",
     ],
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "packages/schema/src/generated/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "packages/schema/src/generated/**", "target/**"] },
     ...tseslint.configs.recommended,
     {
         plugins: { "@stylistic": stylistic },
@@ -40,6 +40,17 @@
             "prefer-const": "error",
         },
     },
+    {
+        files: ["packages/**", "features/**", "demo/**"],
+        rules: {
+            "no-restricted-imports": ["error", {
+                patterns: [{
+                    group: ["@balsamward/platform", "**/platform/**"],
+                    message: "Only the adapter knows the platform. Use a port of the scheduler.",
+                }],
+            }],
+        },
+    },
     {
         files: ["**/*.steps.ts", "demo/**"],
         rules: { "max-lines-per-function": "off", "max-lines": "off" },
--- /dev/null
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -0,0 +1,128 @@
+import { JobSchema } from "@balsamward/schema/scheduling";
+import { create } from "@bufbuild/protobuf";
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import type { MemoryFleetStore, WriteFault } from "../../../stand-ins/src/fleet/MemoryFleetStore.js";
+import type { Cluster } from "../cluster/Cluster.js";
+import type { FleetConfiguration } from "../FleetConfiguration.js";
+import type { JobId, QueueName } from "../ids.js";
+import { keys } from "../keys.js";
+import { admitCall } from "./admitCall.js";
+import { requestCancellation } from "./cancelJob.js";
+import { describeJob } from "./describeJob.js";
+import type { Desk } from "./Desk.js";
+import type { Reply } from "./Reply.js";
+import { submitJob } from "./submitJob.js";
+
+const ID = "00000000000000ab" as JobId;
+const DEADLINE_MS = 1_000;
+
+function deskOf(world: TestWorld): Desk {
+    return {
+        cluster: world.note<Cluster>("cluster"),
+        store: world.note<MemoryFleetStore>("store").port(),
+        ownerDesk: () => undefined,
+    };
+}
+
+function nameOf(reply: Reply): string {
+    switch (reply.kind) {
+        case "refused":
+            return reply.reason;
+        case "state":
+            return reply.state;
+        case "accepted":
+        case "cancelled":
+        case "depth":
+            return reply.kind;
+    }
+}
+
+function configurationOf(): FleetConfiguration {
+    const queue = {
+        service: "service",
+        priority: 0,
+        attempts: 2,
+        stretch: 2,
+        objectiveMs: 100,
+        advice: undefined,
+    };
+    return {
+        version: 1,
+        queues: [
+            { ...queue, name: "short" as QueueName, host: "a", prefix: "/x/", open: false },
+            { ...queue, name: "long" as QueueName, host: "a", prefix: "/x/y/", open: false },
+            { ...queue, name: "open" as QueueName, host: "b", prefix: "/x/", open: true },
+        ],
+        customers: [{ name: "ana", keys: ["k1", "k2"], guaranteedAccelerators: 0 }],
+        services: [],
+        maxBodyBytes: 1_000,
+    };
+}
+
+Given("the next writes of the store meet {string}", function(this: TestWorld, faults: string) {
+    this.note<MemoryFleetStore>("store").writeFaults.push(...faults.split(" ") as WriteFault[]);
+});
+
+Given("the store does not answer", function(this: TestWorld) {
+    this.note<MemoryFleetStore>("store").isDown = true;
+    this.note<Cluster>("cluster").reachesStore = false;
+});
+
+When(
+    "{word} submits a job with the digest {word}",
+    async function(this: TestWorld, customer: string, digest: string) {
+        const job = create(JobSchema, {
+            id: ID,
+            queue: "short",
+            customer,
+            digest,
+            spec: "s",
+            steps: [{ taskCount: 1 }],
+        });
+        this.notes.set("reply", await submitJob(deskOf(this), job, DEADLINE_MS));
+    },
+);
+
+When("{word} asks for the job", async function(this: TestWorld, customer: string) {
+    this.notes.set("reply", await describeJob(deskOf(this), ID, customer));
+});
+
+When("{word} cancels the job", async function(this: TestWorld, customer: string) {
+    this.notes.set("reply", await requestCancellation(deskOf(this), ID, customer, DEADLINE_MS));
+});
+
+When("the kept back writes of the store are carried out", function(this: TestWorld) {
+    this.note<MemoryFleetStore>("store").releaseLate();
+});
+
+Then("the answer is {word}", function(this: TestWorld, name: string) {
+    assert.equal(nameOf(this.note<Reply>("reply")), name);
+});
+
+Then("the answer says when to come back", function(this: TestWorld) {
+    const reply = this.note<Reply>("reply");
+    assert.equal(reply.kind === "refused" && reply.retryAfterS !== undefined, true);
+});
+
+Then("the job is stored: {word}", function(this: TestWorld, answer: string) {
+    assert.equal(this.note<MemoryFleetStore>("store").get(keys.job(ID)) !== undefined, answer === "yes");
+});
+
+Then(
+    "a call of {word} at {word} with key {word} is {word}",
+    function(this: TestWorld, host: string, path: string, key: string, answer: string) {
+        const admitted = admitCall(configurationOf(), { host, path, key: key === "none" ? undefined : key });
+        assert.equal(admitted.isOk() ? admitted.value.queue.name : admitted.error.reason, answer);
+    },
+);
+
+Then("a call without a configuration is {word}", function(this: TestWorld, answer: string) {
+    const admitted = admitCall(undefined, { host: "a", path: "/x/", key: "k1" });
+    assert.equal(admitted._unsafeUnwrapErr().reason, answer);
+});
+
+Given("the store is unreachable after the first write", function(this: TestWorld) {
+    this.note<Cluster>("cluster").reachesStore = false;
+});
--- /dev/null
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -0,0 +1,170 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { err, ok } from "neverthrow";
+import assert from "node:assert/strict";
+import winston from "winston";
+import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import { MemoryFleetStore } from "../../../stand-ins/src/fleet/MemoryFleetStore.js";
+import type { FleetConfiguration } from "../FleetConfiguration.js";
+import { createMetrics } from "../Metrics.js";
+import type { FleetStore } from "../ports/FleetStore.js";
+import type { Cluster, Peer } from "./Cluster.js";
+import { createConfigurationKeeper } from "./createConfigurationKeeper.js";
+import { createRelayingStore } from "./createRelayingStore.js";
+import { isAlone } from "./isAlone.js";
+import { carryOutRelayedCall } from "./relayedCalls.js";
+import { watchConfiguration } from "./watchConfiguration.js";
+
+const CONFIGURATION_KEY = "configuration";
+const TURNS = 50;
+
+function decode(text: Uint8Array) {
+    const version = Number(Buffer.from(text).toString());
+    return Number.isNaN(version)
+        ? err({ kind: "bad-configuration" as const, message: "It has no version. Write it again." })
+        : ok({ version, queues: [], customers: [], services: [], maxBodyBytes: 0 } as FleetConfiguration);
+}
+
+function createCluster(): Cluster {
+    const log = winston.createLogger({ silent: true });
+    const metrics = createMetrics();
+    return {
+        node: "here",
+        address: "10.0.0.1:1",
+        peers: new Map(),
+        configuration: createConfigurationKeeper(decode, { log, metrics }),
+        log,
+        metrics,
+        clock: () => 0,
+        owner: undefined,
+        depths: [],
+        ownDepths: () => undefined,
+        reachesStore: true,
+        leaving: false,
+        onOwnerDead: () => {},
+        onOwnerChanged: () => {},
+        meet: () => undefined,
+    };
+}
+
+/** Adds a peer that makes store calls over its own way to the store. */
+function addPeer(
+    cluster: Cluster,
+    name: string,
+    store: FleetStore,
+    reachesStore: boolean,
+    heardAt: number,
+): void {
+    const calls = {
+        relayStoreCall: (request: Parameters<typeof carryOutRelayedCall>[1]) =>
+            carryOutRelayedCall(store, request, new AbortController().signal),
+    };
+    const peer = {
+        address: name,
+        node: name,
+        client: { calls, reset: () => {} },
+        heardAt,
+        refusals: 0,
+        reachesStore,
+        wallOffsetMs: 0,
+        leaving: false,
+        end: new AbortController(),
+    };
+    cluster.peers.set(name, peer as unknown as Peer);
+}
+
+async function takeTurns(): Promise<void> {
+    for (let turn = 0; turn < TURNS; turn++) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+Given("a daemon with a store", function(this: TestWorld) {
+    this.notes.set("cluster", createCluster());
+    this.notes.set("store", new MemoryFleetStore(() => 0));
+    this.notes.set("direct", new MemoryFleetStore(() => 0));
+});
+
+Given("the store holds configuration {word}", function(this: TestWorld, version: string) {
+    this.note<MemoryFleetStore>("store").put(CONFIGURATION_KEY, Buffer.from(version));
+});
+
+Given("its history is dropped", function(this: TestWorld) {
+    this.note<MemoryFleetStore>("store").put("other", new Uint8Array());
+    this.note<MemoryFleetStore>("store").compact();
+});
+
+When("the daemon watches the configuration", async function(this: TestWorld) {
+    const end = new AbortController();
+    this.cleanups.push(() => end.abort());
+    const store = this.note<MemoryFleetStore>("store");
+    void watchConfiguration(this.note("cluster"), store.port(), CONFIGURATION_KEY, end.signal);
+    await takeTurns();
+});
+
+When("a peer offers configuration {word}", function(this: TestWorld, version: string) {
+    this.note<Cluster>("cluster").configuration.offer(Buffer.from(version), "peer");
+});
+
+When("the store holds configuration {word} later", async function(this: TestWorld, version: string) {
+    this.note<MemoryFleetStore>("store").put(CONFIGURATION_KEY, Buffer.from(version));
+    await takeTurns();
+});
+
+Then("configuration {int} is in force", function(this: TestWorld, version: number) {
+    assert.equal(this.note<Cluster>("cluster").configuration.current()?.version, version);
+});
+
+Then("the store was listed {int} time(s)", function(this: TestWorld, times: number) {
+    assert.equal(this.note<MemoryFleetStore>("store").calls.get("list"), times);
+});
+
+Given("the store turns the daemon away", function(this: TestWorld) {
+    this.note<MemoryFleetStore>("direct").isDown = true;
+});
+
+Given("a peer that reaches the store", function(this: TestWorld) {
+    addPeer(this.note("cluster"), "peer", this.note<MemoryFleetStore>("store").port(), true, 0);
+});
+
+Given("{int} peers, {int} of them heard from, {int} of these reaching the store", function(
+    this: TestWorld,
+    count: number,
+    heard: number,
+    reaching: number,
+) {
+    for (let number = 0; number < count; number++) {
+        const heardAt = number < heard ? 0 : Number.NEGATIVE_INFINITY;
+        const store = this.note<MemoryFleetStore>("store").port();
+        addPeer(this.note("cluster"), `p${number}`, store, number < reaching, heardAt);
+    }
+});
+
+When("the daemon writes a value", async function(this: TestWorld) {
+    const cluster = this.note<Cluster>("cluster");
+    const store = createRelayingStore(this.note<MemoryFleetStore>("direct").port(), cluster);
+    const put = { key: "value", value: new Uint8Array([1]) };
+    const first = await store.commit({ expect: [{ key: "value", revision: 0 }], puts: [put], removals: [] });
+    this.notes.set("written", first);
+    // The probe looks until the store answers.
+    this.note<MemoryFleetStore>("direct").isDown = false;
+});
+
+Then("the write is done through the peer", function(this: TestWorld) {
+    assert.ok(this.note<{ isOk: () => boolean }>("written").isOk());
+    assert.deepEqual(this.note<MemoryFleetStore>("store").get("value")?.value, new Uint8Array([1]));
+});
+
+Then("the write fails as {word}", function(this: TestWorld, kind: string) {
+    const written = this.note<{ isErr: () => boolean; error: { kind: string } }>("written");
+    assert.ok(written.isErr());
+    assert.equal(written.error.kind, kind);
+    assert.equal(this.note<MemoryFleetStore>("store").get("value"), undefined);
+});
+
+Given("the answer to the next direct write is lost", function(this: TestWorld) {
+    this.note<MemoryFleetStore>("direct").writeFaults.push("lost-answer");
+});
+
+Then("another owner could exist unnoticed: {word}", function(this: TestWorld, answer: string) {
+    assert.equal(isAlone(this.note("cluster")), answer === "yes");
+});
