--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -52,6 +52,8 @@
     readonly desk: Desk;
     /** Whether callers can be served now. */
     readonly isReady: () => boolean;
+    /** Gets in touch with peers at addresses that have become known. */
+    readonly meet: (addresses: readonly string[]) => void;
     /** Hands the schedule over and leaves the cluster; calls of callers are still answered. */
     readonly leave: () => void;
     readonly close: () => Promise<void>;
@@ -102,7 +104,8 @@
         { cluster, store: parts.store, desk: ownerDesk },
         parts.peerAddress,
     );
-    parts.seeds.forEach(seed => cluster.meet(seed, seed));
+    const meet: Node["meet"] = addresses => addresses.forEach(address => cluster.meet(address, address));
+    meet(parts.seeds);
     const tasks = [
         runMembership(cluster, store, leaving.signal),
         watchConfiguration(cluster, store, parts.configurationKey, end.signal),
@@ -116,6 +119,7 @@
     return {
         desk: { cluster, store, ownerDesk },
         isReady: () => cluster.configuration.current() !== undefined && !leaving.signal.aborted,
+        meet,
         leave: () => {
             cluster.leaving = true;
             leaving.abort();
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,7 +10,8 @@
     platform: "node",
     target: "node20",
     format: "esm",
-    minify: false,
+    minifyWhitespace: true,
+    minifySyntax: true,
     banner: {
         js: "import { createRequire } from \"node:module\"; const require = createRequire(import.meta.url);",
     },
