--- /dev/null
+++ b/packages/scheduler/src/createBoundedOutput.steps.ts
@@ -0,0 +1,63 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { TestWorld } from "../../../features/support/TestWorld.js";
+import type { WriteBytes } from "./createBoundedOutput.js";
+import { createBoundedOutput } from "./createBoundedOutput.js";
+
+type Output = { text: string; dropped: number };
+
+function open(world: TestWorld, writeTo: (output: Output) => WriteBytes): void {
+    const output: Output = { text: "", dropped: 0 };
+    const stream = createBoundedOutput(() => {
+        output.dropped += 1;
+    }, { writeBytes: writeTo(output), later: act => setImmediate(act) });
+    world.notes.set("output", output);
+    world.notes.set("stream", stream);
+}
+
+Given("an output that is full {int} times", function(this: TestWorld, times: number) {
+    let left = times;
+    open(this, output => (bytes, done) => {
+        left -= 1;
+        if (left >= 0) {
+            done(Object.assign(new Error("full"), { code: "EAGAIN" }), 0);
+            return;
+        }
+        output.text += bytes.toString();
+        done(null, bytes.length);
+    });
+});
+
+Given("an output that takes {int} bytes at a time", function(this: TestWorld, count: number) {
+    open(this, output => (bytes, done) => {
+        const part = bytes.subarray(0, count);
+        output.text += part.toString();
+        done(null, part.length);
+    });
+});
+
+Given("an output that takes nothing", function(this: TestWorld) {
+    open(this, () => () => {});
+});
+
+When("{int} log lines are written", async function(this: TestWorld, count: number) {
+    const stream = this.note<NodeJS.WritableStream>("stream");
+    for (let number = 0; number < count; number++) {
+        stream.write(`line ${number}\n`);
+    }
+    for (let turn = 0; turn < 10; turn++) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+});
+
+Then("the output holds the lines {string}", function(this: TestWorld, lines: string) {
+    assert.equal(this.note<Output>("output").text, lines.split(", ").map(line => `${line}\n`).join(""));
+});
+
+Then("{int} lines were dropped", function(this: TestWorld, count: number) {
+    assert.equal(this.note<Output>("output").dropped, count);
+});
+
+Then("some lines were dropped", function(this: TestWorld) {
+    assert.ok(this.note<Output>("output").dropped > 0);
+});
