--- a/features/support/SchedulerLab.ts
+++ b/features/support/SchedulerLab.ts
@@ -14,7 +14,7 @@
     WorkerReport,
 } from "@balsamward/scheduler";
 import { createMetrics } from "@balsamward/scheduler";
-import { JobSchema, JobState, StepSchema } from "@balsamward/schema/scheduling";
+import { JobSchema, JobState, ScheduleSchema, StepSchema } from "@balsamward/schema/scheduling";
 import type { Job, Step } from "@balsamward/schema/scheduling";
 import { MemoryFleetStore, MemoryWorker } from "@balsamward/stand-ins";
 import type { MessageInitShape } from "@bufbuild/protobuf";
@@ -93,10 +93,15 @@
     }
 
     /** Stores a job as a daemon does, and returns its id. */
-    submit(queue: string, customer: string, steps: readonly MessageInitShape<typeof StepSchema>[]): JobId {
+    submit(
+        queue: string,
+        customer: string,
+        steps: readonly MessageInitShape<typeof StepSchema>[],
+        schedule?: MessageInitShape<typeof ScheduleSchema>,
+    ): JobId {
         this.jobCount += 1;
         const id = this.jobCount.toString(16).padStart(16, "0");
-        this.store.put(keys.job(id), toBinary(JobSchema, this.jobOf(id, queue, customer, steps)));
+        this.store.put(keys.job(id), toBinary(JobSchema, this.jobOf(id, queue, customer, steps, schedule)));
         return id as JobId;
     }
 
@@ -218,6 +223,7 @@
         queue: string,
         customer: string,
         steps: readonly MessageInitShape<typeof StepSchema>[],
+        schedule: MessageInitShape<typeof ScheduleSchema> | undefined,
     ): Job {
         return create(JobSchema, {
             id,
@@ -226,6 +232,7 @@
             spec: "spec",
             steps: steps.map((step): Step => create(StepSchema, step)),
             acceptedAtMs: this.clock.now,
+            ...(schedule === undefined ? {} : { schedule: create(ScheduleSchema, schedule) }),
         });
     }
 
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -276,3 +276,25 @@
         assert.deepEqual(labOf(this).wentDownBusy, []);
     },
 );
+
+When(
+    "{word} submits the scheduled job {word} of {string}, {int} times every {int} seconds from {int} second on",
+    async function(
+        this: TestWorld,
+        customer: string,
+        name: string,
+        steps: string,
+        times: number,
+        everyS: number,
+        fromS: number,
+    ) {
+        const lab = labOf(this);
+        const firstRunMs = lab.clock.now + fromS * SECOND_MS;
+        const schedule = { times, firstRunMs, intervalMs: everyS * SECOND_MS };
+        this.notes.set(
+            `job ${name}`,
+            lab.submit("normal", customer, steps.split(";").map(parseStep), schedule),
+        );
+        await lab.advance(100);
+    },
+);
