Remove settings and hooks that nothing uses; close the connections of workers that are gone

Cause: reading as a newcomer: settings without a reader, a callback without effect, the same few lines in three listeners and two callers. Change: removed or made one; the agent of a worker's address is closed with the worker.

--- a/features/support/SchedulerLab.ts
+++ b/features/support/SchedulerLab.ts
@@ -147,7 +147,7 @@
             pause: this.clock.pause,
             clock: () => this.clock.now,
             wallClock: () => this.clock.now,
-            bounds: { maxHoldMs: MAX_HOLD_MS, stateRetentionMs: 120_000, remoteFactor: 3 },
+            bounds: { maxHoldMs: MAX_HOLD_MS, stateRetentionMs: 120_000 },
         }, ownership);
         const term = { scheduler, end, resignations };
         this.terms.push(term);
--- a/packages/scheduler/src/cluster/Cluster.ts
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -49,8 +49,6 @@
     leaving: boolean;
     /** Called when the owner's process is certainly dead. */
     onOwnerDead: (owner: OwnerBelief) => void;
-    /** Called when a newer owner becomes known. */
-    onOwnerChanged: () => void;
     /** Starts the task of a peer that has become known. */
     meet: (address: string, node: string) => Peer | undefined;
 };
@@ -122,6 +120,5 @@
     if (belief.revision > (cluster.owner?.revision ?? 0)) {
         cluster.owner = belief;
         cluster.log.info("A newer owner is known.", { owner: belief.node, revision: belief.revision });
-        cluster.onOwnerChanged();
     }
 }
--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -41,7 +41,6 @@
         reachesStore: true,
         leaving: false,
         onOwnerDead: () => {},
-        onOwnerChanged: () => {},
         meet: () => undefined,
     };
 }
--- a/packages/scheduler/src/cluster/serveCluster.ts
+++ b/packages/scheduler/src/cluster/serveCluster.ts
@@ -4,6 +4,7 @@
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { createServer } from "node:http2";
 import type { ServerHttp2Session } from "node:http2";
+import { listenOn } from "../listenOn.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 import type { Cluster } from "./Cluster.js";
 import { composeHeartbeat, receiveHeartbeat } from "./Cluster.js";
@@ -48,11 +49,7 @@
         sessions.add(session);
         session.once("close", () => sessions.delete(session));
     });
-    const [host, port] = address.split(":");
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(Number(port), host, () => resolve());
-    });
+    await listenOn(server, address);
     return {
         close: () =>
             new Promise(resolve => {
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -43,8 +43,6 @@
     readonly maxHoldMs: number;
     /** Time for which the state of an ended job is kept, in milliseconds. */
     readonly stateRetentionMs: number;
-    /** Factor by which a task is slower away from its data's rack. */
-    readonly remoteFactor: number;
 };
 
 /** A term of ownership: everything the owner orders or writes is fenced by its revision. */
--- a/packages/scheduler/src/engine/reclaimFor.ts
+++ b/packages/scheduler/src/engine/reclaimFor.ts
@@ -4,8 +4,9 @@
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { findEntitledJobs } from "./findEntitledJobs.js";
 import { weightOf } from "./jobTimes.js";
+import { maySpare } from "./maySpare.js";
 import type { Scheduler } from "./Scheduler.js";
-import { isAtWork, stopRun } from "./stopRun.js";
+import { stopRun } from "./stopRun.js";
 
 /** Where a step may be placed, and how much of it waits. */
 export type ReclaimTarget = {
@@ -56,13 +57,6 @@
     return plan.workers;
 }
 
-/** A lasting step loses no more tasks at once than it allows. */
-function maySpare({ task: { step } }: Run): boolean {
-    const { lasting, maxUnavailable } = step.spec;
-    const away = step.tasks.filter(task => !task.runs.some(isAtWork)).length;
-    return !lasting || maxUnavailable === 0 || away < maxUnavailable;
-}
-
 /** Work since the last checkpoint; a gang loses the work of all its members. */
 function lostWork(run: Run, now: number): number {
     const { step } = run.task;
--- a/packages/scheduler/src/engine/runUpkeep.ts
+++ b/packages/scheduler/src/engine/runUpkeep.ts
@@ -1,9 +1,10 @@
 import { STORE_RETRY_MS } from "../constants.js";
 import type { Machine, UpkeepWave } from "../ports/MachinePort.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { maySpare } from "./maySpare.js";
 import { dropWorker } from "./runWorker.js";
 import type { Scheduler } from "./Scheduler.js";
-import { isAtWork, stopRun } from "./stopRun.js";
+import { stopRun } from "./stopRun.js";
 
 /** Interval at which waves are looked for while there is none, in milliseconds. */
 const WAVE_LIST_MS = 1_000;
@@ -147,10 +148,8 @@
 /** Lasting tasks and those with checkpoints lose little; the others are waited for at first. */
 function emptyWorker(scheduler: Scheduler, worker: WorkerEntry, isPatient: boolean): void {
     for (const run of worker.runs) {
-        const { lasting, maxUnavailable, checkpoints } = run.task.step.spec;
-        const away = run.task.step.tasks.filter(task => !task.runs.some(isAtWork)).length;
-        const isAllowed = !lasting || maxUnavailable === 0 || away < maxUnavailable;
-        if (isAllowed && (lasting || checkpoints || !isPatient)) {
+        const { lasting, checkpoints } = run.task.step.spec;
+        if (maySpare(run) && (lasting || checkpoints || !isPatient)) {
             stopRun(scheduler, run, "upkeep");
         }
     }
--- a/packages/scheduler/src/engine/runWorker.ts
+++ b/packages/scheduler/src/engine/runWorker.ts
@@ -137,5 +137,6 @@
     for (const run of [...worker.runs]) {
         loseRun(scheduler, run, reason);
     }
+    scheduler.workers.forget(worker.address);
     worker.bell.ring();
 }
--- a/packages/scheduler/src/engine/stopRun.ts
+++ b/packages/scheduler/src/engine/stopRun.ts
@@ -40,16 +40,6 @@
     scheduler.spawn(() => sendStop(scheduler, run));
 }
 
-/**
- * Returns whether a run of a lasting task is at work.
- *
- * @param run - The run.
- * @returns True after its start-up and until it is stopped.
- */
-export function isAtWork(run: Run): boolean {
-    return run.phase === "running" && run.percent >= 100;
-}
-
 async function sendStop(scheduler: Scheduler, run: Run): Promise<void> {
     const { worker } = run;
     const order = { task: run.task.name, run: run.number, fence: scheduler.ownership.revision };
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./createLog.js";
 export * from "./FleetConfiguration.js";
 export * from "./ids.js";
+export * from "./listenOn.js";
 export * from "./Metrics.js";
 export * from "./ports/AdvicePort.js";
 export * from "./ports/FleetStore.js";
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -148,7 +148,6 @@
         reachesStore: true,
         leaving: false,
         onOwnerDead: () => {},
-        onOwnerChanged: () => {},
         meet: () => undefined,
     };
 }
