--- a/packages/scheduler/src/createBoundedOutput.feature
+++ b/packages/scheduler/src/createBoundedOutput.feature
@@ -11,6 +11,11 @@
         When 3 log lines are written
         Then the output holds the lines "line 0, line 1, line 2"
 
+    Scenario: A burst is written in pieces that a pipe takes whole
+        Given an output that takes 4096 bytes at a time
+        When 2000 log lines are written
+        Then no write was larger than 4096 bytes
+
     Scenario: Beyond the bound lines are dropped and counted
         Given an output that takes nothing
         When 200000 log lines are written
--- a/packages/scheduler/src/createBoundedOutput.steps.ts
+++ b/packages/scheduler/src/createBoundedOutput.steps.ts
@@ -4,10 +4,10 @@
 import type { WriteBytes } from "./createBoundedOutput.js";
 import { createBoundedOutput } from "./createBoundedOutput.js";
 
-type Output = { text: string; dropped: number };
+type Output = { text: string; dropped: number; largest: number };
 
 function open(world: TestWorld, writeTo: (output: Output) => WriteBytes): void {
-    const output: Output = { text: "", dropped: 0 };
+    const output: Output = { text: "", dropped: 0, largest: 0 };
     const stream = createBoundedOutput(() => {
         output.dropped += 1;
     }, { writeBytes: writeTo(output), later: act => setImmediate(act) });
@@ -31,6 +31,7 @@
 Given("an output that takes {int} bytes at a time", function(this: TestWorld, count: number) {
     open(this, output => (bytes, done) => {
         const part = bytes.subarray(0, count);
+        output.largest = Math.max(output.largest, bytes.length);
         output.text += part.toString();
         done(null, part.length);
     });
@@ -58,6 +59,11 @@
     assert.equal(this.note<Output>("output").dropped, count);
 });
 
+Then("no write was larger than {int} bytes", function(this: TestWorld, count: number) {
+    const { largest } = this.note<Output>("output");
+    assert.ok(largest > 0 && largest <= count, `${largest}`);
+});
+
 Then("some lines were dropped", function(this: TestWorld) {
     assert.ok(this.note<Output>("output").dropped > 0);
 });
--- a/packages/scheduler/src/createBoundedOutput.ts
+++ b/packages/scheduler/src/createBoundedOutput.ts
@@ -7,6 +7,9 @@
 /** Pause before lines that found the output full are written again, in milliseconds. */
 const FULL_OUTPUT_PAUSE_MS = 10;
 
+/** Bytes of one write, which a pipe takes whole or not at all. */
+const MAX_WRITE_BYTES = 4_096;
+
 const STDOUT = 1;
 
 /** Writes bytes, and tells how many were written. */
@@ -42,8 +45,9 @@
             return;
         }
         isWriting = true;
-        const chunk = Buffer.concat(pending);
-        pending = [];
+        const all = Buffer.concat(pending);
+        const chunk = all.subarray(0, MAX_WRITE_BYTES);
+        pending = all.length > chunk.length ? [all.subarray(chunk.length)] : [];
         writeBytes(chunk, (error, written) => {
             isWriting = false;
             const isFull = error?.code === "EAGAIN";
--- a/packages/scheduler/src/engine/adviseStep.ts
+++ b/packages/scheduler/src/engine/adviseStep.ts
@@ -1,6 +1,5 @@
 import type { AdvicePolicy } from "../FleetConfiguration.js";
-import type { WorkerId } from "../ids.js";
-import type { StepEntry } from "../state/JobEntry.js";
+import type { StepAdvice, StepEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import type { Scheduler } from "./Scheduler.js";
 
@@ -16,14 +15,6 @@
 /** Time before its end at which a permission is not used any more, in milliseconds. */
 const TICKET_MARGIN_MS = 500;
 
-/** What the advice service has said about a step. */
-export type StepAdvice = {
-    readonly tickets: Map<WorkerId, { readonly ticket: string; readonly validUntil: number }>;
-    /** Workers that may not run the step. */
-    readonly denied: Set<WorkerId>;
-    isAsking: boolean;
-};
-
 /**
  * Returns the workers that are allowed to run a step.
  *
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -1,7 +1,5 @@
 import type { Job, JobState, Step } from "@balsamward/schema/scheduling";
-import type { StepAdvice } from "../engine/adviseStep.js";
-import type { QueueName } from "../ids.js";
-import type { JobId, TaskName, WorkerId } from "../ids.js";
+import type { JobId, QueueName, TaskName, WorkerId } from "../ids.js";
 import type { WorkerEntry } from "./WorkerEntry.js";
 
 /** Where a run stands: ordered, confirmed by its worker, or ordered to stop. */
@@ -47,6 +45,16 @@
     readonly avoid: Set<WorkerId>;
 };
 
+/** What the advice service has said about a step. */
+export type StepAdvice = {
+    /** Permissions by worker, each with the steady time at which it ends. */
+    readonly tickets: Map<WorkerId, { readonly ticket: string; readonly validUntil: number }>;
+    /** Workers that may not run the step. */
+    readonly denied: Set<WorkerId>;
+    /** Whether a call about the step is on its way. */
+    isAsking: boolean;
+};
+
 /** A step of an occurrence. */
 export type StepEntry = {
     readonly job: JobEntry;
