Let a gang go back to workers on which it failed, and wait for its rack

Cause: reading placeGang: workers on which a member had failed were left out for good, so that a gang that needs most of the fleet could never run again; and a rack short of a paused worker made a gang spread. Ruled out: that tasks outside gangs had the same fault (they fall back already). Change: the other workers come first, then all; whether a rack could hold the gang is asked of all listed workers.

--- a/packages/scheduler/src/engine/gangs.feature
+++ b/packages/scheduler/src/engine/gangs.feature
@@ -44,3 +44,19 @@
         And 3 seconds pass
         Then 2 tasks of G run
         And each task of G runs at most once
+
+    Scenario: A gang goes back to a worker on which it failed if it fits nowhere else
+        Given a fleet of 2 workers with an owner
+        When ana submits the normal job G of "2 x 8 gang"
+        And task 0.0.0 of G ends as failed
+        And 3 seconds pass
+        Then 2 tasks of G run
+        And task 0.0.0 of G has run 2
+
+    Scenario: A gang waits for its rack while one of the rack's workers is paused
+        Given a fleet of 5 workers with an owner
+        When ana submits the normal job G of "4 x 8 gang one-rack"
+        And task 0.0.0 of G ends as failed
+        And 3 seconds pass
+        Then 4 tasks of G run
+        And the tasks of G run in one rack
--- a/packages/scheduler/src/engine/planPass.ts
+++ b/packages/scheduler/src/engine/planPass.ts
@@ -21,7 +21,10 @@
 /** What a pass has found out so far. */
 type Pass = {
     readonly configuration: FleetConfiguration;
+    /** Workers that may get starts now. */
     readonly workers: readonly WorkerEntry[];
+    /** Workers that may get starts now or later. */
+    readonly fleet: readonly WorkerEntry[];
     /** Shapes of steps that found no room. */
     readonly full: Set<string>;
     /** Workers that are kept free for a step that waits for them. */
@@ -43,7 +46,8 @@
         beginDueOccurrences(scheduler, entry);
     }
     const workers = usableWorkers(scheduler);
-    const pass: Pass = { configuration, workers, full: new Set(), held: new Set() };
+    const fleet = [...scheduler.fleet.values()].filter(worker => worker.listed && !worker.draining);
+    const pass: Pass = { configuration, workers, fleet, full: new Set(), held: new Set() };
     for (const ranked of orderJobs(scheduler, configuration)) {
         if (isPlaceable(scheduler, ranked.entry)) {
             openSteps(ranked.entry).forEach(step => placeStep(scheduler, pass, ranked, step));
@@ -87,7 +91,8 @@
         ? fitting
         : allowedWorkers(step, fitting, scheduler.clock());
     const workers = suited.filter(worker => !pass.held.has(worker));
-    const assignments = pass.full.has(shape) ? [] : assign(step, waiting, workers);
+    const fleet = pass.fleet.filter(worker => isSuited(worker, ranked.queue, step));
+    const assignments = pass.full.has(shape) ? [] : assign(step, waiting, workers, fleet);
     begin(scheduler, step, assignments);
     if (assignments.length === waiting.length) {
         return;
@@ -113,11 +118,12 @@
     step: StepEntry,
     waiting: readonly TaskEntry[],
     workers: readonly WorkerEntry[],
+    fleet: readonly WorkerEntry[],
 ): readonly Assignment[] {
     if (!step.spec.gang) {
         return placeTasks(step, waiting, workers);
     }
-    return waiting.length === step.tasks.length ? placeGang(step, workers) ?? [] : [];
+    return waiting.length === step.tasks.length ? placeGang(step, workers, fleet) ?? [] : [];
 }
 
 /** Steps of one shape find room on the same workers. */
--- a/packages/scheduler/src/placement/placeGang.ts
+++ b/packages/scheduler/src/placement/placeGang.ts
@@ -8,19 +8,31 @@
  *
  * A gang whose tasks are slower when spread is placed in one rack: the data's rack if it fits there,
  * otherwise the rack with the fewest accelerators free. It is spread only if no rack could hold it
- * when empty.
+ * when empty. Workers on which a member failed are used only if the others have no room.
  *
  * @param step - The gang.
  * @param workers - Usable workers of the step's service and label.
+ * @param fleet - All such workers, also those that are not usable now.
  * @returns An assignment for each task, or `undefined` if the gang does not fit.
  */
 export function placeGang(
     step: StepEntry,
     workers: readonly WorkerEntry[],
+    fleet: readonly WorkerEntry[],
+): readonly Assignment[] | undefined {
+    const others = workers.filter(worker => !step.tasks.some(task => task.avoid.has(worker.id)));
+    const mayWaitForRack = step.spec.sameRack && fitsSomeRack(step, fleet);
+    return placeOn(step, others, mayWaitForRack)
+        ?? (others.length < workers.length ? placeOn(step, workers, mayWaitForRack) : undefined);
+}
+
+function placeOn(
+    step: StepEntry,
+    workers: readonly WorkerEntry[],
+    needsRack: boolean,
 ): readonly Assignment[] | undefined {
     const { spec } = step;
     const rooms = workers
-        .filter(worker => !step.tasks.some(task => task.avoid.has(worker.id)))
         .map(worker => ({ worker, tasks: countRoom(worker, spec, 0) }))
         .filter(room => room.tasks > 0);
     const byRack = groupByRack(rooms);
@@ -28,7 +40,7 @@
     if (spec.dataRack !== "" && local !== undefined && countTasks(local) >= spec.taskCount) {
         return fill(step, local);
     }
-    if (spec.sameRack && fitsSomeRack(step, workers)) {
+    if (needsRack) {
         const fitting = [...byRack.values()]
             .filter(rack => countTasks(rack) >= spec.taskCount)
             .sort((left, right) => countFree(left) - countFree(right));
