--- a/packages/daemon/src/callers/serveOnce.ts
+++ b/packages/daemon/src/callers/serveOnce.ts
@@ -1,9 +1,9 @@
 import type { ClaimProposal } from "@balsamward/coordination";
 import { claimKey, claimRequest, finishClaim, releaseClaim } from "@balsamward/coordination";
+import { pause } from "@balsamward/scheduler/pause";
 import type { Answer, Claim, CustomerId } from "@balsamward/schema";
 import { AnswerSchema, ClaimSchema, hashText, Outcome, Reason } from "@balsamward/schema";
 import { create } from "@bufbuild/protobuf";
-import { pause } from "../_lib/pause.js";
 import { CLAIM_POLL_MS, MAX_KEPT_ANSWER_BYTES } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import { ensureClaimLease } from "./ensureClaimLease.js";
--- a/packages/daemon/src/callers/serveWork.ts
+++ b/packages/daemon/src/callers/serveWork.ts
@@ -1,9 +1,9 @@
 import { retryPause } from "@balsamward/admission";
 import type { AttemptResult, Endpoint, RetryBudget } from "@balsamward/admission";
+import { pause } from "@balsamward/scheduler/pause";
 import type { EndpointId, Kind } from "@balsamward/schema";
 import { Outcome, Reason, reasonText } from "@balsamward/schema";
 import type { Dispatcher } from "undici";
-import { pause } from "../_lib/pause.js";
 import { MAX_ATTEMPTS, MIN_ATTEMPT_MS, SLOT_PAUSE_MS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import type { Attempt, EndpointWork } from "./attemptEndpoint.js";
--- a/packages/daemon/src/callers/startCallersListener.ts
+++ b/packages/daemon/src/callers/startCallersListener.ts
@@ -1,10 +1,10 @@
+import { listenOn } from "@balsamward/scheduler/listenOn";
 import { Outcome, outcomeText, Reason, reasonText } from "@balsamward/schema";
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import { Server as NetServer } from "node:net";
 import polka from "polka";
 import { Agent } from "undici";
-import { listenOn } from "../_lib/listenOn.js";
 import { CLIENT_REQUEST_TIMEOUT_MS, ENDPOINT_CONNECTIONS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import type { CellRouter } from "../peers/CellRouter.js";
--- a/packages/daemon/src/cells/runOwnership.ts
+++ b/packages/daemon/src/cells/runOwnership.ts
@@ -1,9 +1,9 @@
 import { assignCells, ownerKey } from "@balsamward/coordination";
 import { cellOfRack } from "@balsamward/placement";
+import { pause } from "@balsamward/scheduler/pause";
 import type { CellId, DataCentreId } from "@balsamward/schema";
 import { OwnershipSchema } from "@balsamward/schema";
 import { create } from "@bufbuild/protobuf";
-import { pause } from "../_lib/pause.js";
 import type { Vm } from "../_lib/Vm.js";
 import { OWNERSHIP_PASS_MS, REBALANCE_DELAY_MS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
--- a/packages/daemon/src/fleet/runVmList.ts
+++ b/packages/daemon/src/fleet/runVmList.ts
@@ -1,5 +1,5 @@
+import { pause } from "@balsamward/scheduler/pause";
 import { request } from "undici";
-import { pause } from "../_lib/pause.js";
 import type { Vm } from "../_lib/Vm.js";
 import { VM_LIST_POLL_MS, VM_LIST_TIMEOUT_MS } from "../constants.js";
 
--- a/packages/daemon/src/operations/startOperationsListener.ts
+++ b/packages/daemon/src/operations/startOperationsListener.ts
@@ -1,9 +1,9 @@
 import type { Environment } from "@balsamward/coordination";
+import { listenOn } from "@balsamward/scheduler/listenOn";
 import { hashText, Reason } from "@balsamward/schema";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import polka from "polka";
-import { listenOn } from "../_lib/listenOn.js";
 import { readRequestBody } from "../callers/readRequestBody.js";
 import { refuse } from "../callers/refuse.js";
 import type { Reply } from "../callers/Reply.js";
--- a/packages/daemon/src/peers/runPeer.ts
+++ b/packages/daemon/src/peers/runPeer.ts
@@ -1,9 +1,9 @@
+import { pause } from "@balsamward/scheduler/pause";
 import type { Member, NodeId } from "@balsamward/schema";
 import { PeerService } from "@balsamward/schema";
 import type { Client } from "@connectrpc/connect";
 import { createClient } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
-import { pause } from "../_lib/pause.js";
 import { HEARTBEAT_MS, PEER_CALL_TIMEOUT_MS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import { composeHeartbeat, receiveHeartbeat } from "./composeHeartbeat.js";
--- a/packages/daemon/src/peers/startPeerListener.ts
+++ b/packages/daemon/src/peers/startPeerListener.ts
@@ -1,3 +1,4 @@
+import { listenOn } from "@balsamward/scheduler/listenOn";
 import type { CellId, JobId, NodeId } from "@balsamward/schema";
 import { FetchConfigurationResponseSchema, PeerService } from "@balsamward/schema";
 import { create } from "@bufbuild/protobuf";
@@ -6,7 +7,6 @@
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { createServer } from "node:http2";
 import type { Http2Server, ServerHttp2Session } from "node:http2";
-import { listenOn } from "../_lib/listenOn.js";
 import type { OwnedCell } from "../cells/openCell.js";
 import { BYTE_COUNT_MS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -7,6 +7,7 @@
     holdLease,
     memberKey,
 } from "@balsamward/coordination";
+import { pause } from "@balsamward/scheduler/pause";
 import type { Configuration, DaemonSettings, DataCentreId, EndpointId, NodeId } from "@balsamward/schema";
 import { MemberSchema } from "@balsamward/schema";
 import { create } from "@bufbuild/protobuf";
@@ -15,7 +16,6 @@
 import type { Logger } from "winston";
 import { applyConfiguration } from "./_lib/applyConfiguration.js";
 import { createTaskGroup } from "./_lib/createTaskGroup.js";
-import { pause } from "./_lib/pause.js";
 import type { Vm } from "./_lib/Vm.js";
 import { shareLimits } from "./callers/shareLimits.js";
 import { startCallersListener } from "./callers/startCallersListener.js";
--- a/packages/scheduler/src/_lib/createBell.ts
+++ b/packages/scheduler/src/_lib/createBell.ts
@@ -1,4 +1,4 @@
-import type { Pause } from "./pause.js";
+import type { Pause } from "../pause.js";
 
 /** Wakes one waiting task; a ring while nobody waits is kept. */
 export type Bell = {
--- a/packages/scheduler/src/callers/Desk.ts
+++ b/packages/scheduler/src/callers/Desk.ts
@@ -1,4 +1,3 @@
-import type { QueueDepth } from "@balsamward/schema/scheduling";
 import type { Cluster } from "../cluster/Cluster.js";
 import type { OwnerDesk } from "../cluster/serveCluster.js";
 import type { FleetStore } from "../ports/FleetStore.js";
@@ -8,5 +7,5 @@
     readonly cluster: Cluster;
     readonly store: FleetStore;
     /** The owner's knowledge; `undefined` while this daemon does not schedule. */
-    readonly ownerDesk: () => (OwnerDesk & { readonly depths: () => readonly QueueDepth[] }) | undefined;
+    readonly ownerDesk: () => OwnerDesk | undefined;
 };
--- a/packages/scheduler/src/callers/Reply.ts
+++ b/packages/scheduler/src/callers/Reply.ts
@@ -13,7 +13,6 @@
     | "other-job"
     | "store-unavailable"
     | "unclear"
-    | "stopping"
     | "defect";
 
 /** An answer to a caller. */
@@ -45,7 +44,6 @@
  */
 export function refuse(reason: RefusalReason, message: string): Refused {
     const isTemporary = reason === "no-configuration" || reason === "store-unavailable"
-        || reason === "unclear"
-        || reason === "stopping";
+        || reason === "unclear";
     return { kind: "refused", reason, message, ...(isTemporary ? { retryAfterS: RETRY_AFTER_S } : {}) };
 }
--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -9,10 +9,10 @@
 import type { JobId, QueueName } from "../ids.js";
 import { keys } from "../keys.js";
 import { admitCall } from "./admitCall.js";
-import { requestCancellation } from "./cancelJob.js";
 import { describeJob } from "./describeJob.js";
 import type { Desk } from "./Desk.js";
 import type { Reply } from "./Reply.js";
+import { requestCancellation } from "./requestCancellation.js";
 import { submitJob } from "./submitJob.js";
 
 const ID = "00000000000000ab" as JobId;
--- a/packages/scheduler/src/callers/cancelJob.ts
+++ b/packages/scheduler/src/callers/requestCancellation.ts
@@ -1,12 +1,12 @@
 import { CancellationRecordSchema, JobSchema } from "@balsamward/schema/scheduling";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import { pause } from "../_lib/pause.js";
 import type { JobId } from "../ids.js";
 import { keys } from "../keys.js";
+import { pause } from "../pause.js";
+import { announceJob } from "./announceJob.js";
 import type { Desk } from "./Desk.js";
 import type { Reply } from "./Reply.js";
 import { refuse } from "./Reply.js";
-import { announce } from "./submitJob.js";
 
 /** Pause before a store call is repeated, in milliseconds. */
 const RETRY_PAUSE_MS = 50;
@@ -43,7 +43,7 @@
     while (true) {
         const stored = await desk.store.commit(transaction);
         if (stored.isOk()) {
-            announce(desk, job, item.value.revision, true);
+            announceJob(desk, job, item.value.revision, true);
             return { kind: "cancelled" };
         }
         if (stored.error.kind === "conflict") {
--- a/packages/scheduler/src/callers/submitJob.ts
+++ b/packages/scheduler/src/callers/submitJob.ts
@@ -1,11 +1,11 @@
 import type { Job } from "@balsamward/schema/scheduling";
 import { JobSchema } from "@balsamward/schema/scheduling";
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
-import { pause } from "../_lib/pause.js";
 import { agreeWallClock } from "../cluster/agreeWallClock.js";
-import { PEER_CALL_TIMEOUT_MS } from "../constants.js";
 import { keys } from "../keys.js";
+import { pause } from "../pause.js";
 import type { StoreItem } from "../ports/FleetStore.js";
+import { announceJob } from "./announceJob.js";
 import type { Desk } from "./Desk.js";
 import type { Reply } from "./Reply.js";
 import { refuse } from "./Reply.js";
@@ -35,7 +35,7 @@
     while (true) {
         const stored = await desk.store.commit(transaction);
         if (stored.isOk()) {
-            announce(desk, job, stored.value, false);
+            announceJob(desk, job, stored.value, false);
             return { kind: "accepted" };
         }
         const { error } = stored;
@@ -73,34 +73,6 @@
     if (present.customer !== job.customer || present.digest !== job.digest) {
         return refuse("other-job", "Another job has this id. Choose a new id.");
     }
-    announce(desk, present, item.revision, false);
+    announceJob(desk, present, item.revision, false);
     return { kind: "accepted" };
 }
-
-/**
- * Tells the owner of a stored job or cancellation; if it is not reached, its watch shows the change.
- *
- * @param desk - What answering needs.
- * @param job - The job.
- * @param revision - Revision of the job.
- * @param cancelled - Whether the job was cancelled.
- */
-export function announce(desk: Desk, job: Job, revision: number, cancelled: boolean): void {
-    const own = desk.ownerDesk();
-    if (own !== undefined) {
-        if (cancelled) {
-            own.cancel(job.id);
-        }
-        else {
-            own.take(job, revision);
-        }
-        return;
-    }
-    const owner = desk.cluster.peers.get(desk.cluster.owner?.address ?? "");
-    owner?.client.calls.announceJob({ job, revision, cancelled }, { timeoutMs: PEER_CALL_TIMEOUT_MS }).catch(
-        error => {
-            desk.cluster.metrics.peerCalls.inc({ call: "announce", result: "failed" });
-            desk.cluster.log.debug("The owner is not told of a job.", { job: job.id, error: String(error) });
-        },
-    );
-}
--- a/packages/scheduler/src/cluster/Cluster.ts
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -1,4 +1,5 @@
-import type { Heartbeat, QueueDepth } from "@balsamward/schema/scheduling";
+import type { Heartbeat, HeartbeatSchema, QueueDepth } from "@balsamward/schema/scheduling";
+import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { Logger } from "winston";
 import type { Metrics } from "../Metrics.js";
 import type { ConfigurationKeeper } from "./createConfigurationKeeper.js";
@@ -57,30 +58,26 @@
  * Composes what this daemon tells its peers.
  *
  * @param cluster - The daemon's knowledge.
- * @returns The heartbeat, without its type name.
+ * @returns The heartbeat.
  */
-export function composeHeartbeat(cluster: Cluster): Omit<Heartbeat, "$typeName"> {
+export function composeHeartbeat(cluster: Cluster): MessageInitShape<typeof HeartbeatSchema> {
     return {
-        sender: describe(cluster.node, cluster.address),
+        sender: { node: cluster.node, address: cluster.address },
         configurationVersion: cluster.configuration.current()?.version ?? 0,
         ...(cluster.owner === undefined
             ? {}
-            : { owner: describe(cluster.owner.node, cluster.owner.address) }),
+            : { owner: { node: cluster.owner.node, address: cluster.owner.address } }),
         ownerRevision: cluster.owner?.revision ?? 0,
         depths: [...cluster.ownDepths() ?? []],
         peers: [...cluster.peers.values()]
             .filter(peer => !peer.leaving && peer.heardAt > Number.NEGATIVE_INFINITY)
-            .map(peer => describe(peer.node, peer.address)),
+            .map(({ node, address }) => ({ node, address })),
         wallMs: Date.now(),
         storeReachable: cluster.reachesStore,
         leaving: cluster.leaving,
     };
 }
 
-function describe(node: string, address: string): NonNullable<Heartbeat["sender"]> {
-    return { $typeName: "balsamward.scheduling.v1.PeerDescription", node, address };
-}
-
 /**
  * Takes in what a peer tells.
  *
--- a/packages/scheduler/src/cluster/createRelayingStore.ts
+++ b/packages/scheduler/src/cluster/createRelayingStore.ts
@@ -6,9 +6,9 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { err, ok, ResultAsync } from "neverthrow";
 import type { Result } from "neverthrow";
-import { pause } from "../_lib/pause.js";
 import { RELAY_TIMEOUT_MS } from "../constants.js";
 import { keys } from "../keys.js";
+import { pause } from "../pause.js";
 import type {
     FleetStore,
     LeaseId,
--- a/packages/scheduler/src/cluster/runMembership.ts
+++ b/packages/scheduler/src/cluster/runMembership.ts
@@ -1,8 +1,8 @@
 import { MemberRecordSchema } from "@balsamward/schema/scheduling";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import { pause } from "../_lib/pause.js";
 import { MEMBER_LEASE_MS, STORE_RETRY_MS } from "../constants.js";
 import { keys } from "../keys.js";
+import { pause } from "../pause.js";
 import type { FleetStore, LeaseId } from "../ports/FleetStore.js";
 import type { Cluster } from "./Cluster.js";
 
--- a/packages/scheduler/src/cluster/runOwnership.ts
+++ b/packages/scheduler/src/cluster/runOwnership.ts
@@ -1,11 +1,10 @@
-import type { OwnerRecord } from "@balsamward/schema/scheduling";
 import { OwnerRecordSchema, TermRecordSchema } from "@balsamward/schema/scheduling";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { setMaxListeners } from "node:events";
-import { pause } from "../_lib/pause.js";
 import { LEASE_RENEWAL_MS, OWNER_LEASE_MS, STORE_RETRY_MS, WATCH_WAIT_MS } from "../constants.js";
 import type { Ownership } from "../engine/Scheduler.js";
 import { keys } from "../keys.js";
+import { pause } from "../pause.js";
 import type { FleetStore, LeaseId, StoreItem, StoreLease } from "../ports/FleetStore.js";
 import type { Cluster, OwnerBelief } from "./Cluster.js";
 import { noteOwner } from "./Cluster.js";
@@ -74,10 +73,9 @@
     }
 }
 
-function noteRecord(cluster: Cluster, item: StoreItem): OwnerRecord {
+function noteRecord(cluster: Cluster, item: StoreItem): void {
     const record = fromBinary(OwnerRecordSchema, item.value);
     noteOwner(cluster, { node: record.node, address: record.peerAddress, revision: item.revision });
-    return record;
 }
 
 /** Ending the lease of a dead process frees the ownership before the lease would run out. */
--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -1,5 +1,5 @@
-import { pause } from "../_lib/pause.js";
 import { HEARTBEAT_MS, PEER_CALL_TIMEOUT_MS, REFUSED_CONNECTIONS } from "../constants.js";
+import { pause } from "../pause.js";
 import type { Cluster, Peer } from "./Cluster.js";
 import { composeHeartbeat, receiveHeartbeat } from "./Cluster.js";
 import { createPeerClient, isConnectionRefused } from "./createPeerClient.js";
@@ -75,7 +75,7 @@
 
 async function exchange(cluster: Cluster, peer: Peer): Promise<void> {
     try {
-        const heartbeat = composeHeartbeat(cluster) as never;
+        const heartbeat = composeHeartbeat(cluster);
         const answer = await peer.client.calls.exchange({ heartbeat }, { timeoutMs: PEER_CALL_TIMEOUT_MS });
         cluster.metrics.peerCalls.inc({ call: "exchange", result: "done" });
         if (answer.heartbeat !== undefined && receiveHeartbeat(cluster, answer.heartbeat)) {
--- a/packages/scheduler/src/cluster/serveCluster.ts
+++ b/packages/scheduler/src/cluster/serveCluster.ts
@@ -1,5 +1,5 @@
 import { ClusterService } from "@balsamward/schema/scheduling";
-import type { Job, JobState, RelayStoreCallRequest } from "@balsamward/schema/scheduling";
+import type { Job, JobState, QueueDepth, RelayStoreCallRequest } from "@balsamward/schema/scheduling";
 import type { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { createServer } from "node:http2";
@@ -22,6 +22,8 @@
     readonly take: (job: Job, revision: number) => void;
     /** Takes a cancellation that was just stored. */
     readonly cancel: (id: string) => void;
+    /** Counts the jobs of each queue that have not begun. */
+    readonly depths: () => readonly QueueDepth[];
 };
 
 /** What serving peers needs. */
@@ -67,7 +69,7 @@
                 const peer = cluster.peers.get(heartbeat.sender?.address ?? "");
                 void (peer === undefined ? undefined : fetchConfiguration(cluster, peer));
             }
-            return { heartbeat: composeHeartbeat(cluster) as never };
+            return { heartbeat: composeHeartbeat(cluster) };
         },
         fetchConfiguration: () => ({
             text: cluster.configuration.text(),
--- a/packages/scheduler/src/cluster/watchConfiguration.ts
+++ b/packages/scheduler/src/cluster/watchConfiguration.ts
@@ -1,5 +1,5 @@
-import { pause } from "../_lib/pause.js";
 import { STORE_RETRY_MS, WATCH_WAIT_MS } from "../constants.js";
+import { pause } from "../pause.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 import type { Cluster } from "./Cluster.js";
 
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -1,9 +1,9 @@
 import type PQueue from "p-queue";
 import type { Logger } from "winston";
-import type { Pause } from "../_lib/pause.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { JobId, WorkerId } from "../ids.js";
 import type { Metrics } from "../Metrics.js";
+import type { Pause } from "../pause.js";
 import type { AdvicePort } from "../ports/AdvicePort.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 import type { MachinePort, WaveRecords } from "../ports/MachinePort.js";
--- a/packages/scheduler/src/engine/createOwnerDesk.ts
+++ b/packages/scheduler/src/engine/createOwnerDesk.ts
@@ -1,4 +1,3 @@
-import type { QueueDepth } from "@balsamward/schema/scheduling";
 import { JobState, QueueDepthSchema } from "@balsamward/schema/scheduling";
 import { create } from "@bufbuild/protobuf";
 import type { OwnerDesk } from "../cluster/serveCluster.js";
@@ -13,9 +12,7 @@
  * @param scheduler - The scheduler of the term.
  * @returns The desk. An end is shown only after it is stored.
  */
-export function createOwnerDesk(
-    scheduler: Scheduler,
-): OwnerDesk & { readonly depths: () => readonly QueueDepth[] } {
+export function createOwnerDesk(scheduler: Scheduler): OwnerDesk {
     return {
         describe: id => {
             const entry = scheduler.jobs.get(id as JobId);
--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -4,7 +4,7 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import { createBell } from "../_lib/createBell.js";
-import { LEASE_MARGIN_MS, OWNER_LEASE_MS, WORKER_CLOCK_DRIFT, WORKER_LEASE_MS } from "../constants.js";
+import { OWNER_LEASE_MS } from "../constants.js";
 import type { JobId, WorkerId } from "../ids.js";
 import { keys } from "../keys.js";
 import type { StoreError, StoreItem } from "../ports/FleetStore.js";
@@ -12,6 +12,7 @@
 import type { Scheduler } from "./Scheduler.js";
 import { cancelJob, takeJob } from "./takeJob.js";
 import { addWorker, applyReports } from "./watchFleet.js";
+import { longestLeaseMs, longestSteadyMs } from "./workerClock.js";
 
 /**
  * Loads what earlier owners left: jobs, progress, cancellations and the workers they used.
@@ -111,6 +112,6 @@
         scheduler.unreconciled.add(id);
         addWorker(scheduler, createWorkerEntry(id, address, 0, createBell(scheduler.pause)));
     }
-    const leaseMs = Math.min(WORKER_LEASE_MS, scheduler.bounds.maxHoldMs) / (1 - WORKER_CLOCK_DRIFT);
-    scheduler.unknownRunsEndAt = scheduler.clock() + OWNER_LEASE_MS + leaseMs + LEASE_MARGIN_MS;
+    const leaseMs = longestSteadyMs(longestLeaseMs(scheduler.bounds.maxHoldMs));
+    scheduler.unknownRunsEndAt = scheduler.clock() + OWNER_LEASE_MS + leaseMs;
 }
--- a/packages/scheduler/src/engine/planPass.ts
+++ b/packages/scheduler/src/engine/planPass.ts
@@ -1,6 +1,6 @@
 import { JobState } from "@balsamward/schema/scheduling";
-import type { FleetConfiguration, Queue } from "../FleetConfiguration.js";
-import type { Assignment } from "../placement/Candidates.js";
+import type { Queue } from "../FleetConfiguration.js";
+import type { Assignment } from "../placement/countRoom.js";
 import { placeGang } from "../placement/placeGang.js";
 import { placeTasks } from "../placement/placeTasks.js";
 import type { JobEntry, StepEntry, TaskEntry } from "../state/JobEntry.js";
@@ -20,7 +20,8 @@
 
 /** What a pass has found out so far. */
 type Pass = {
-    readonly configuration: FleetConfiguration;
+    /** Jobs within their customers' guarantees. */
+    readonly entitled: ReadonlySet<JobEntry>;
     /** Workers that may get starts now. */
     readonly workers: readonly WorkerEntry[];
     /** Workers that may get starts now or later. */
@@ -33,7 +34,7 @@
 
 /**
  * Places what waits and fits, in the order of the jobs' ranks. A guaranteed step that waits for what
- * is being stopped holds its workers against those that come after it.
+ * is being stopped, and a gang that soon has room, hold workers against those that come after them.
  *
  * @param scheduler - The scheduler.
  */
@@ -47,8 +48,10 @@
     }
     const workers = usableWorkers(scheduler);
     const fleet = [...scheduler.fleet.values()].filter(worker => worker.listed && !worker.draining);
-    const pass: Pass = { configuration, workers, fleet, full: new Set(), held: new Set() };
-    for (const ranked of orderJobs(scheduler, configuration)) {
+    const jobs = orderJobs(scheduler, configuration);
+    const entitled = new Set(jobs.filter(job => job.prospect === "entitled").map(job => job.entry));
+    const pass: Pass = { entitled, workers, fleet, full: new Set(), held: new Set() };
+    for (const ranked of jobs) {
         if (isPlaceable(scheduler, ranked.entry)) {
             openSteps(ranked.entry).forEach(step => placeStep(scheduler, pass, ranked, step));
         }
@@ -109,7 +112,7 @@
         reclaimFor(scheduler, step, {
             workers,
             taskCount: waiting.length - assignments.length,
-            configuration: pass.configuration,
+            entitled: pass.entitled,
         }).forEach(worker => pass.held.add(worker));
     }
 }
--- a/packages/scheduler/src/engine/reclaimFor.ts
+++ b/packages/scheduler/src/engine/reclaimFor.ts
@@ -1,8 +1,6 @@
-import type { FleetConfiguration } from "../FleetConfiguration.js";
 import { planReclaim } from "../placement/planReclaim.js";
-import type { Run, StepEntry } from "../state/JobEntry.js";
+import type { JobEntry, Run, StepEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
-import { findEntitledJobs } from "./findEntitledJobs.js";
 import { weightOf } from "./jobTimes.js";
 import { maySpare } from "./maySpare.js";
 import type { Scheduler } from "./Scheduler.js";
@@ -10,7 +8,8 @@
 
 /** Where a step may be placed, and how much of it waits. */
 export type ReclaimTarget = {
-    readonly configuration: FleetConfiguration;
+    /** Jobs within their customers' guarantees, whose runs are not stopped. */
+    readonly entitled: ReadonlySet<JobEntry>;
     /** Suited workers that no other step holds. */
     readonly workers: readonly WorkerEntry[];
     /** Tasks that found no room. */
@@ -36,10 +35,8 @@
     step: StepEntry,
     target: ReclaimTarget,
 ): readonly WorkerEntry[] {
-    const queues = new Map(target.configuration.queues.map(queue => [queue.name, queue]));
-    const entitled = findEntitledJobs(scheduler, target.configuration, queues);
     const costOf = (run: Run): number | undefined =>
-        entitled.has(run.task.step.job) ? undefined : lostWork(run, scheduler.clock());
+        target.entitled.has(run.task.step.job) ? undefined : lostWork(run, scheduler.clock());
     const plan = planReclaim(step, target.workers, { costOf, taskCount: target.taskCount });
     if (plan === undefined) {
         return [];
--- a/packages/scheduler/src/engine/runWorker.ts
+++ b/packages/scheduler/src/engine/runWorker.ts
@@ -24,11 +24,6 @@
         }
         await holdOnce(scheduler, worker, signal);
     }
-    for (const run of [...worker.runs]) {
-        if (!signal.aborted) {
-            loseRun(scheduler, run, "worker-gone");
-        }
-    }
 }
 
 function isIdle(worker: WorkerEntry): boolean {
--- a/packages/scheduler/src/engine/runs.ts
+++ b/packages/scheduler/src/engine/runs.ts
@@ -1,3 +1,4 @@
+import { addRequest } from "../placement/addRequest.js";
 import type { Run, TaskEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 
@@ -37,7 +38,7 @@
     task.lastRun = Math.max(task.lastRun, number);
     task.step.job.begun = true;
     worker.runs.add(run);
-    occupy(run, 1);
+    addRequest(worker.free, task.step.spec, -1);
     return run;
 }
 
@@ -51,13 +52,5 @@
         return;
     }
     run.task.runs.splice(run.task.runs.indexOf(run), 1);
-    occupy(run, -1);
-}
-
-function occupy(run: Run, sign: number): void {
-    const { request, fillsIdle } = run.task.step.spec;
-    const { free } = run.worker;
-    free.cpuMillis -= fillsIdle ? 0 : sign * (request?.cpuMillis ?? 0);
-    free.memoryMb -= sign * (request?.memoryMb ?? 0);
-    free.accelerators -= sign * (request?.accelerators ?? 0);
+    addRequest(run.worker.free, run.task.step.spec, 1);
 }
--- a/packages/scheduler/src/engine/watchFleet.ts
+++ b/packages/scheduler/src/engine/watchFleet.ts
@@ -2,7 +2,6 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import { createBell } from "../_lib/createBell.js";
 import { WORKER_LIST_MS } from "../constants.js";
-import type { WorkerId } from "../ids.js";
 import { keys } from "../keys.js";
 import type { WorkerReport } from "../ports/WorkerPort.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
@@ -132,12 +131,15 @@
         scheduler.wake();
         return;
     }
-    await resolveRoster(scheduler, written.error.kind, wanted.map(worker => worker.id));
+    scheduler.log.warn("The roster of workers is not stored.", {
+        reason: written.error.kind,
+        workers: wanted.length,
+    });
+    await readRosterRevision(scheduler);
 }
 
 /** A write whose answer was lost may have taken effect: the next write must expect its revision. */
-async function resolveRoster(scheduler: Scheduler, kind: string, wanted: readonly WorkerId[]): Promise<void> {
-    scheduler.log.warn("The roster of workers is not stored.", { reason: kind, workers: wanted.length });
+async function readRosterRevision(scheduler: Scheduler): Promise<void> {
     const stored = await scheduler.store.read(keys.roster);
     if (stored.isOk()) {
         scheduler.rosterRevision = stored.value?.revision ?? 0;
--- a/packages/scheduler/src/engine/workerClock.ts
+++ b/packages/scheduler/src/engine/workerClock.ts
@@ -14,6 +14,26 @@
     worker.answeredAt = now;
 }
 
+/**
+ * Returns the longest lease that the owner gives.
+ *
+ * @param maxHoldMs - Longest lease that a worker grants, in milliseconds.
+ * @returns The lease in milliseconds on the worker's clock.
+ */
+export function longestLeaseMs(maxHoldMs: number): number {
+    return Math.min(WORKER_LEASE_MS, maxHoldMs);
+}
+
+/**
+ * Returns how long a span of a worker's clock, which may be slow, lasts at most.
+ *
+ * @param workerMs - The span on the worker's clock in milliseconds.
+ * @returns The steady time in milliseconds, with an allowance for timers and connections.
+ */
+export function longestSteadyMs(workerMs: number): number {
+    return workerMs / (1 - WORKER_CLOCK_DRIFT) + LEASE_MARGIN_MS;
+}
+
 /**
  * Extends the lease of what runs on a worker.
  *
@@ -23,9 +43,9 @@
  * @returns The lease's end on the worker's clock, in whole milliseconds.
  */
 export function extendLease(worker: WorkerEntry, now: number, maxHoldMs: number): number {
-    const leaseMs = Math.min(WORKER_LEASE_MS, maxHoldMs);
+    const leaseMs = longestLeaseMs(maxHoldMs);
     const sinceRead = now - worker.clockReadAt;
-    const latestEnd = worker.clockReadAt + (sinceRead + leaseMs) / (1 - WORKER_CLOCK_DRIFT) + LEASE_MARGIN_MS;
+    const latestEnd = worker.clockReadAt + longestSteadyMs(sinceRead + leaseMs);
     worker.leaseEndsAt = Math.max(worker.leaseEndsAt, latestEnd);
     return Math.floor(worker.clockMs + sinceRead + leaseMs);
 }
--- a/packages/scheduler/src/placement/placeGang.ts
+++ b/packages/scheduler/src/placement/placeGang.ts
@@ -1,7 +1,7 @@
 import type { StepEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
-import type { Assignment, Room } from "./Candidates.js";
-import { compareTightness, countRoom } from "./Candidates.js";
+import type { Assignment, Room } from "./countRoom.js";
+import { compareTightness, countRoom } from "./countRoom.js";
 
 /**
  * Chooses workers for all tasks of a gang, or for none.
--- a/packages/scheduler/src/placement/placeTasks.ts
+++ b/packages/scheduler/src/placement/placeTasks.ts
@@ -1,7 +1,7 @@
 import type { StepEntry, TaskEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
-import type { Assignment } from "./Candidates.js";
-import { compareTightness, countRoom } from "./Candidates.js";
+import type { Assignment } from "./countRoom.js";
+import { compareTightness, countRoom } from "./countRoom.js";
 
 /**
  * Chooses workers for tasks that run each by itself.
--- a/packages/scheduler/src/placement/planReclaim.ts
+++ b/packages/scheduler/src/placement/planReclaim.ts
@@ -1,7 +1,7 @@
-import type { Resources } from "@balsamward/schema/scheduling";
 import type { Run, StepEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
-import { countRoomIn } from "./Candidates.js";
+import { addRequest } from "./addRequest.js";
+import { countRoomIn } from "./countRoom.js";
 
 /** Workers that are to be freed for a step, and the runs that have to stop for it. */
 export type Reclaim = {
@@ -64,7 +64,7 @@
     const movable: { run: Run; cost: number }[] = [];
     for (const run of worker.runs) {
         if (run.phase === "stopping") {
-            give(free, run);
+            addRequest(free, run.task.step.spec, 1);
             continue;
         }
         const cost = costOf(run);
@@ -81,7 +81,7 @@
     let victims: Run[] = [];
     let cost = 0;
     for (const { run, cost: runCost } of movable) {
-        give(free, run);
+        addRequest(free, run.task.step.spec, 1);
         victims.push(run);
         cost += runCost;
         const roomNow = countRoomIn(free, step.spec, 0);
@@ -120,10 +120,3 @@
         cost: taken.reduce((sum, offer) => sum + offer.cost, 0),
     };
 }
-
-function give(free: Resources, run: Run): void {
-    const { request, fillsIdle } = run.task.step.spec;
-    free.cpuMillis += fillsIdle ? 0 : request?.cpuMillis ?? 0;
-    free.memoryMb += request?.memoryMb ?? 0;
-    free.accelerators += request?.accelerators ?? 0;
-}
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -1,5 +1,4 @@
 import type { Logger } from "winston";
-import { pause } from "./_lib/pause.js";
 import type { Desk } from "./callers/Desk.js";
 import { agreeWallClock } from "./cluster/agreeWallClock.js";
 import type { Cluster } from "./cluster/Cluster.js";
@@ -9,13 +8,14 @@
 import { runMembership } from "./cluster/runMembership.js";
 import { runOwnership } from "./cluster/runOwnership.js";
 import { notifyPeers, runPeers } from "./cluster/runPeers.js";
-import type { Listener } from "./cluster/serveCluster.js";
+import type { Listener, OwnerDesk } from "./cluster/serveCluster.js";
 import { serveCluster } from "./cluster/serveCluster.js";
 import { watchConfiguration } from "./cluster/watchConfiguration.js";
 import { createOwnerDesk } from "./engine/createOwnerDesk.js";
 import { createScheduler, runScheduler } from "./engine/runScheduler.js";
 import type { Ownership, Scheduler, SchedulerBounds } from "./engine/Scheduler.js";
 import type { Metrics } from "./Metrics.js";
+import { pause } from "./pause.js";
 import type { AdvicePort } from "./ports/AdvicePort.js";
 import type { FleetStore } from "./ports/FleetStore.js";
 import type { MachinePort, WaveRecords } from "./ports/MachinePort.js";
@@ -72,8 +72,9 @@
     const cluster = createCluster(parts);
     const store = createRelayingStore(parts.store, cluster);
     let scheduler: Scheduler | undefined;
-    const ownerDesk = (): ReturnType<Desk["ownerDesk"]> =>
-        scheduler?.loaded && !scheduler.ownership.signal.aborted ? createOwnerDesk(scheduler) : undefined;
+    let desk: OwnerDesk | undefined;
+    const ownerDesk = (): OwnerDesk | undefined =>
+        scheduler?.loaded && !scheduler.ownership.signal.aborted ? desk : undefined;
     cluster.ownDepths = () => ownerDesk()?.depths();
     const schedule = async (ownership: Ownership): Promise<void> => {
         scheduler = createScheduler({
@@ -92,6 +93,7 @@
             wallClock: () => agreeWallClock(cluster),
             bounds: parts.bounds,
         }, ownership);
+        desk = createOwnerDesk(scheduler);
         await runScheduler(scheduler);
         scheduler = undefined;
     };
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -81,8 +81,6 @@
     readonly acceptedAt: number;
     /** Steps by occurrence; scheduled occurrences are added when they are due. */
     readonly occurrences: Map<number, readonly StepEntry[]>;
-    /** Occurrences that have been created. */
-    begunOccurrences: number;
     state: JobState;
     /** State that the store holds. */
     durableState: JobState;
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -33,7 +33,6 @@
         revision,
         acceptedAt,
         occurrences: new Map(),
-        begunOccurrences: 0,
         state,
         durableState: state,
         cancelled: false,
@@ -81,7 +80,6 @@
         return step;
     });
     entry.occurrences.set(occurrence, steps);
-    entry.begunOccurrences = Math.max(entry.begunOccurrences, occurrence + 1);
     return steps;
 }
 
