Count present tasks of a spread step when a reclaim is planned

Cause: planReclaim offered a worker's free room without the tasks of the step that run there already, so that a guaranteed step with a limit a worker held a worker that could take none of its tasks and stopped nothing elsewhere. Found by reading. Ruled out: counting in the caller; the plan is the only place that offers room. Change: offers subtract what countPresent finds. The new scenario failed before (3 of 4 tasks run) and passes now.

--- a/packages/scheduler/src/engine/reclaim.feature
+++ b/packages/scheduler/src/engine/reclaim.feature
@@ -37,3 +37,9 @@
         And task 0.0.0 of G ends as done
         And 1 seconds pass
         Then 32 tasks of B run
+
+    Scenario: A guaranteed step that must be spread reclaims where none of its tasks is
+        When bob submits the bulk job B of "28 x 1"
+        And ana submits the urgent job G of "4 x 2 spread"
+        And 1 seconds pass
+        Then 4 tasks of G run
--- a/packages/scheduler/src/placement/planReclaim.ts
+++ b/packages/scheduler/src/placement/planReclaim.ts
@@ -2,6 +2,7 @@
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { addRequest } from "./addRequest.js";
 import { countRoomIn } from "./countRoom.js";
+import { countPresent } from "./placeTasks.js";
 
 /** Workers that are to be freed for a step, and the runs that have to stop for it. */
 export type Reclaim = {
@@ -42,7 +43,8 @@
     workers: readonly WorkerEntry[],
     options: PlanReclaimOptions,
 ): Reclaim | undefined {
-    const offers = workers.flatMap(worker => offersOf(step, worker, options));
+    const present = countPresent(step);
+    const offers = workers.flatMap(worker => offersOf(step, worker, present.get(worker) ?? 0, options));
     const { gang, sameRack, dataRack } = step.spec;
     if (!gang || !sameRack) {
         return choose(offers, options.taskCount);
@@ -59,7 +61,12 @@
 }
 
 /** One offer for each further task that a worker can take, with what has to stop for it. */
-function offersOf(step: StepEntry, worker: WorkerEntry, { costOf }: PlanReclaimOptions): readonly Offer[] {
+function offersOf(
+    step: StepEntry,
+    worker: WorkerEntry,
+    present: number,
+    { costOf }: PlanReclaimOptions,
+): readonly Offer[] {
     const free = { ...worker.free };
     const movable: { run: Run; cost: number }[] = [];
     for (const run of worker.runs) {
@@ -74,7 +81,7 @@
     }
     movable.sort((left, right) => left.cost - right.cost);
     const offers: Offer[] = [];
-    let room = countRoomIn(free, step.spec, 0);
+    let room = countRoomIn(free, step.spec, present);
     if (room > 0) {
         offers.push({ worker, tasks: room, victims: [], cost: 0 });
     }
@@ -84,7 +91,7 @@
         addRequest(free, run.task.step.spec, 1);
         victims.push(run);
         cost += runCost;
-        const roomNow = countRoomIn(free, step.spec, 0);
+        const roomNow = countRoomIn(free, step.spec, present);
         if (roomNow > room) {
             offers.push({ worker, tasks: roomNow - room, victims, cost });
             room = roomNow;
