Call a cancellation that the store refused refused

Cause: a cancellation that the store certainly had not taken was answered as unclear (504), which hid from the caller that nothing had happened. Found by reading. Change: only a lost answer makes it unclear; a refusal is 503 with when to come back.

--- a/packages/scheduler/src/callers/requestCancellation.ts
+++ b/packages/scheduler/src/callers/requestCancellation.ts
@@ -40,16 +40,22 @@
         puts: [{ key: keys.cancellation(id), value: toBinary(CancellationRecordSchema, record) }],
         removals: [],
     };
+    let isUnclear = false;
     while (true) {
         const stored = await desk.store.commit(transaction);
         if (stored.isOk()) {
             announceJob(desk, job, item.value.revision, true);
             return { kind: "cancelled" };
         }
-        if (stored.error.kind === "conflict") {
+        const { kind } = stored.error;
+        if (kind === "conflict") {
             return refuse("no-such-job", "The job is not kept any more. Nothing is left to cancel.");
         }
-        if (desk.cluster.clock() + RETRY_PAUSE_MS >= deadline || stored.error.kind === "unavailable") {
+        if (kind !== "unclear" && !isUnclear) {
+            return refuse("store-unavailable", "The cancellation is not stored. Come back later.");
+        }
+        isUnclear = true;
+        if (kind === "unavailable" || desk.cluster.clock() + RETRY_PAUSE_MS >= deadline) {
             return refuse("unclear", "The cancellation may be stored or not. Send it again.");
         }
         await pause(RETRY_PAUSE_MS);
--- a/packages/scheduler/src/callers/submitJob.feature
+++ b/packages/scheduler/src/callers/submitJob.feature
@@ -59,6 +59,19 @@
         When ana asks for the job
         Then the answer is cancelled
 
+    Scenario: A cancellation that is certainly not stored is a refusal
+        When ana submits a job with the digest d
+        And the next writes of the store meet "refused"
+        And ana cancels the job
+        Then the answer is store-unavailable
+        And the answer says when to come back
+
+    Scenario: A cancellation whose answer is lost is stored once more
+        When ana submits a job with the digest d
+        And the next writes of the store meet "lost-answer"
+        And ana cancels the job
+        Then the answer is cancelled
+
     Scenario: While the store does not answer, callers are told when to come back
         Given the store does not answer
         When ana submits a job with the digest d
