--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./ids.js";
 export * from "./listenOn.js";
 export * from "./Metrics.js";
+export * from "./pause.js";
 export * from "./ports/AdvicePort.js";
 export * from "./ports/FleetStore.js";
 export * from "./ports/MachinePort.js";
