Follow up a write of a caller whose answer is lost or late

A lost answer made the daemon believe that the store was away, and the submission was given up at once as unclear although the next try would have settled it; a silent answer took the whole second of a store call. Ruled out: a shorter deadline for all store calls, which would call a slow store silent. Change: commitPersistently sends the write again after 400 ms without an answer, or at once after a lost one, and takes the first answer that settles it, for at most half of the caller's time; submissions and cancellations share it. A renewal of the owner's lease that failed is repeated after 150 ms instead of 600. Tests: silent, several lost answers, an outcome that stays unclear, on a logical clock; the step 'the store is unreachable after the first write' now refuses the later writes, since the daemon's belief no longer ends the attempts.

--- a/packages/scheduler/src/callers/Desk.ts
+++ b/packages/scheduler/src/callers/Desk.ts
@@ -1,5 +1,6 @@
 import type { Cluster } from "../cluster/Cluster.js";
 import type { OwnerDesk } from "../cluster/serveCluster.js";
+import type { Pause } from "../pause.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 
 /** What answering callers needs. */
@@ -8,4 +9,6 @@
     readonly store: FleetStore;
     /** The owner's knowledge; `undefined` while this daemon does not schedule. */
     readonly ownerDesk: () => OwnerDesk | undefined;
+    /** Waits for a steady time. */
+    readonly pause: Pause;
 };
--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -2,6 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import type { LogicalClock } from "../../../../features/support/LogicalClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import type { MemoryFleetStore, WriteFault } from "../../../stand-ins/src/fleet/MemoryFleetStore.js";
 import type { Cluster } from "../cluster/Cluster.js";
@@ -16,16 +17,40 @@
 import { submitJob } from "./submitJob.js";
 
 const ID = "00000000000000ab" as JobId;
-const DEADLINE_MS = 1_000;
+const DEADLINE_MS = 3_000;
+const TURN_MS = 50;
+const MANY = 100;
 
 function deskOf(world: TestWorld): Desk {
     return {
         cluster: world.note<Cluster>("cluster"),
         store: world.note<MemoryFleetStore>("store").port(),
         ownerDesk: () => undefined,
+        pause: clockOf(world).pause,
     };
 }
 
+function clockOf(world: TestWorld): LogicalClock {
+    return world.note<LogicalClock>("clock");
+}
+
+function deadlineOf(world: TestWorld): number {
+    return world.note<Cluster>("cluster").clock() + DEADLINE_MS;
+}
+
+/** Waits for an answer while the time that a caller waits passes. */
+async function takeReply(world: TestWorld, reply: Promise<Reply>): Promise<void> {
+    const clock = clockOf(world);
+    let isAnswered = false;
+    void reply.finally(() => isAnswered = true);
+    const begunAt = clock.now;
+    while (!isAnswered) {
+        await clock.advance(TURN_MS);
+    }
+    world.notes.set("reply", await reply);
+    world.notes.set("tookMs", clock.now - begunAt);
+}
+
 function nameOf(reply: Reply): string {
     switch (reply.kind) {
         case "refused":
@@ -81,16 +106,16 @@
             spec: "s",
             steps: [{ taskCount: 1 }],
         });
-        this.notes.set("reply", await submitJob(deskOf(this), job, DEADLINE_MS));
+        await takeReply(this, submitJob(deskOf(this), job, deadlineOf(this)));
     },
 );
 
 When("{word} asks for the job", async function(this: TestWorld, customer: string) {
-    this.notes.set("reply", await describeJob(deskOf(this), ID, customer));
+    await takeReply(this, describeJob(deskOf(this), ID, customer));
 });
 
 When("{word} cancels the job", async function(this: TestWorld, customer: string) {
-    this.notes.set("reply", await requestCancellation(deskOf(this), ID, customer, DEADLINE_MS));
+    await takeReply(this, requestCancellation(deskOf(this), ID, customer, deadlineOf(this)));
 });
 
 When("the kept back writes of the store are carried out", function(this: TestWorld) {
@@ -124,5 +149,11 @@
 });
 
 Given("the store is unreachable after the first write", function(this: TestWorld) {
-    this.note<Cluster>("cluster").reachesStore = false;
+    const faults = Array.from({ length: MANY }, (): WriteFault => "refused");
+    this.note<MemoryFleetStore>("store").writeFaults.push(...faults);
+});
+
+Then("the answer came within {int} ms", function(this: TestWorld, limitMs: number) {
+    const tookMs = this.note<number>("tookMs");
+    assert.ok(tookMs <= limitMs, `It took ${tookMs} ms.`);
 });
--- a/packages/scheduler/src/callers/requestCancellation.ts
+++ b/packages/scheduler/src/callers/requestCancellation.ts
@@ -2,15 +2,12 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { JobId } from "../ids.js";
 import { keys } from "../keys.js";
-import { pause } from "../pause.js";
 import { announceJob } from "./announceJob.js";
+import { commitPersistently } from "./commitPersistently.js";
 import type { Desk } from "./Desk.js";
 import type { Reply } from "./Reply.js";
 import { refuse } from "./Reply.js";
 
-/** Pause before a store call is repeated, in milliseconds. */
-const RETRY_PAUSE_MS = 50;
-
 /**
  * Stores that a caller cancels a job, and tells the owner.
  *
@@ -40,24 +37,20 @@
         puts: [{ key: keys.cancellation(id), value: toBinary(CancellationRecordSchema, record) }],
         removals: [],
     };
-    let isUnclear = false;
-    while (true) {
-        const stored = await desk.store.commit(transaction);
-        if (stored.isOk()) {
-            announceJob(desk, job, item.value.revision, true);
-            return { kind: "cancelled" };
-        }
-        const { kind } = stored.error;
-        if (kind === "conflict") {
+    const stored = await commitPersistently(desk, transaction, deadline);
+    if (stored.isOk()) {
+        announceJob(desk, job, item.value.revision, true);
+        return { kind: "cancelled" };
+    }
+    switch (stored.error.kind) {
+        case "conflict":
             return refuse("no-such-job", "The job is not kept any more. Nothing is left to cancel.");
-        }
-        if (kind !== "unclear" && !isUnclear) {
-            return refuse("store-unavailable", "The cancellation is not stored. Come back later.");
-        }
-        isUnclear = true;
-        if (kind === "unavailable" || desk.cluster.clock() + RETRY_PAUSE_MS >= deadline) {
+        case "unclear":
             return refuse("unclear", "The cancellation may be stored or not. Send it again.");
-        }
-        await pause(RETRY_PAUSE_MS);
+        case "unavailable":
+        case "compacted":
+        case "lease-ended":
+        case "invalid":
+            return refuse("store-unavailable", "The cancellation is not stored. Come back later.");
     }
 }
--- a/packages/scheduler/src/callers/submitJob.feature
+++ b/packages/scheduler/src/callers/submitJob.feature
@@ -33,6 +33,25 @@
         Then the answer is accepted
         And the job is stored: yes
 
+    Scenario: A write that is not answered is sent again before the caller has waited long
+        Given the next writes of the store meet "silent"
+        When ana submits a job with the digest d
+        Then the answer is accepted
+        And the answer came within 500 ms
+        And the job is stored: yes
+
+    Scenario: Several lost answers in a row are followed up
+        Given the next writes of the store meet "late late"
+        When ana submits a job with the digest d
+        Then the answer is accepted
+
+    Scenario: A caller is told that an outcome is unclear while it still waits
+        Given the next writes of the store meet "silent"
+        And the store is unreachable after the first write
+        When ana submits a job with the digest d
+        Then the answer is unclear
+        And the answer came within 1600 ms
+
     Scenario: A write that may come late is not called refused
         Given the next writes of the store meet "late"
         And the store is unreachable after the first write
--- a/packages/scheduler/src/callers/submitJob.ts
+++ b/packages/scheduler/src/callers/submitJob.ts
@@ -3,16 +3,13 @@
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import { agreeWallClock } from "../cluster/agreeWallClock.js";
 import { keys } from "../keys.js";
-import { pause } from "../pause.js";
 import type { StoreItem } from "../ports/FleetStore.js";
 import { announceJob } from "./announceJob.js";
+import { commitPersistently } from "./commitPersistently.js";
 import type { Desk } from "./Desk.js";
 import type { Reply } from "./Reply.js";
 import { refuse } from "./Reply.js";
 
-/** Pause before a write whose outcome is unclear is sent again, in milliseconds. */
-const UNCLEAR_PAUSE_MS = 50;
-
 /**
  * Stores a submitted job, once for each id.
  *
@@ -31,37 +28,23 @@
         puts: [{ key: keys.job(job.id), value: toBinary(JobSchema, job) }],
         removals: [],
     };
-    let isUnclear = false;
-    while (true) {
-        const stored = await desk.store.commit(transaction);
-        if (stored.isOk()) {
-            announceJob(desk, job, stored.value, false);
-            return { kind: "accepted" };
-        }
-        const { error } = stored;
-        switch (error.kind) {
-            case "conflict":
-                return judgePresent(desk, job, error.items[0]);
-            case "unclear":
-                isUnclear = true;
-                break;
-            case "unavailable":
-            case "compacted":
-            case "lease-ended":
-                if (!isUnclear) {
-                    return refuse(
-                        "store-unavailable",
-                        "The job is not stored and will not run. Come back later.",
-                    );
-                }
-                break;
-            case "invalid":
-                return refuse("bad-job", "The store does not take the job. Make it smaller.");
-        }
-        if (!desk.cluster.reachesStore || desk.cluster.clock() + UNCLEAR_PAUSE_MS >= deadline) {
+    const stored = await commitPersistently(desk, transaction, deadline);
+    if (stored.isOk()) {
+        announceJob(desk, job, stored.value, false);
+        return { kind: "accepted" };
+    }
+    const { error } = stored;
+    switch (error.kind) {
+        case "conflict":
+            return judgePresent(desk, job, error.items[0]);
+        case "invalid":
+            return refuse("bad-job", "The store does not take the job. Make it smaller.");
+        case "unclear":
             return refuse("unclear", "The job may be stored or not. Send it again under the same id.");
-        }
-        await pause(UNCLEAR_PAUSE_MS);
+        case "unavailable":
+        case "compacted":
+        case "lease-ended":
+            return refuse("store-unavailable", "The job is not stored and will not run. Come back later.");
     }
 }
 
--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -4,6 +4,7 @@
 import { err, ok } from "neverthrow";
 import assert from "node:assert/strict";
 import winston from "winston";
+import { LogicalClock } from "../../../../features/support/LogicalClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { MemoryFleetStore } from "../../../stand-ins/src/fleet/MemoryFleetStore.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
@@ -82,7 +83,10 @@
 }
 
 Given("a daemon with a store", function(this: TestWorld) {
-    this.notes.set("cluster", createCluster());
+    const clock = new LogicalClock();
+    this.notes.set("clock", clock);
+    const begunAt = clock.now;
+    this.notes.set("cluster", { ...createCluster(), clock: () => clock.now - begunAt });
     this.notes.set("store", new MemoryFleetStore(() => 0));
     this.notes.set("direct", new MemoryFleetStore(() => 0));
 });
--- a/packages/scheduler/src/cluster/runOwnership.ts
+++ b/packages/scheduler/src/cluster/runOwnership.ts
@@ -170,10 +170,12 @@
 async function renewTerm(parts: OwnershipParts, term: Term, ownership: Ownership): Promise<void> {
     const { cluster, store } = parts;
     let validUntil = term.grantedAt + term.lease.ttlMs;
+    let pauseMs = LEASE_RENEWAL_MS;
     while (!ownership.signal.aborted) {
-        await pause(LEASE_RENEWAL_MS, ownership.signal);
+        await pause(pauseMs, ownership.signal);
         const sentAt = cluster.clock();
         const renewed = await store.renewLease(term.lease.id);
+        pauseMs = renewed.isOk() ? LEASE_RENEWAL_MS : STORE_RETRY_MS;
         if (renewed.isOk()) {
             validUntil = sentAt + term.lease.ttlMs;
         }
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -119,7 +119,7 @@
         )
     );
     return {
-        desk: { cluster, store, ownerDesk },
+        desk: { cluster, store, ownerDesk, pause },
         isReady: () => cluster.configuration.current() !== undefined && !leaving.signal.aborted,
         meet,
         leave: () => {
--- a/packages/stand-ins/src/fleet/MemoryFleetStore.ts
+++ b/packages/stand-ins/src/fleet/MemoryFleetStore.ts
@@ -16,7 +16,9 @@
     /** The write is done, and its answer is lost. */
     | "lost-answer"
     /** The write is neither answered nor done yet; `releaseLate` does it. */
-    | "late";
+    | "late"
+    /** The write is done, and its caller waits for the answer in vain. */
+    | "silent";
 
 type Lease = { readonly ttlMs: number; expiresAt: number };
 type Row = StoreItem & { readonly lease: LeaseId | undefined };
@@ -61,7 +63,7 @@
             read: key => this.call("read", () => ok(this.get(key))),
             list: prefix =>
                 this.call("list", () => ok({ items: this.listItems(prefix), revision: this.revision })),
-            commit: transaction => this.call("commit", () => this.commit(transaction)),
+            commit: transaction => this.commitWithFault(transaction),
             watch: (prefix, after, _waitMs, signal) => new ResultAsync(this.watch(prefix, after, signal)),
             grantLease: ttlMs => this.call("grant-lease", () => ok(this.grant(ttlMs))),
             renewLease: lease => this.call("renew-lease", () => this.renew(lease)),
@@ -104,8 +106,16 @@
         return new ResultAsync(Promise.resolve(result));
     }
 
-    private commit(transaction: StoreTransaction): Result<number, StoreError> {
+    private commitWithFault(transaction: StoreTransaction): ResultAsync<number, StoreError> {
         const fault = this.writeFaults.shift();
+        const result = this.call("commit", () => this.commit(transaction, fault));
+        return fault === "silent" ? new ResultAsync(new Promise(() => {})) : result;
+    }
+
+    private commit(
+        transaction: StoreTransaction,
+        fault: WriteFault | undefined,
+    ): Result<number, StoreError> {
         if (fault === "refused") {
             return err({ kind: "unavailable", message: "The store refuses calls. Try again later." });
         }
