Keep the deadline of a call alive until the call is over

The deadline of a call with a signal was AbortSignal.any over AbortSignal.timeout; the timeout is kept alive by nothing else, and once the calling function is optimised (after some thousand calls) a garbage collection takes it. A script shows it: after 0 and 1,000 calls the call ends, after 5,000 and 20,000 never. Change: startDeadline, whose timer holds on to it and ends with the call; also in the store client of the product's own interface.

--- a/packages/coordination/src/createHttpStore.ts
+++ b/packages/coordination/src/createHttpStore.ts
@@ -1,3 +1,4 @@
+import { startDeadline } from "@balsamward/scheduler/startDeadline";
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import type { Dispatcher } from "undici";
 import { Agent } from "undici";
@@ -94,16 +95,21 @@
 }
 
 async function exchange(agent: Agent, address: string, call: Call): Promise<Reply> {
-    const deadline = AbortSignal.timeout(call.timeoutMs ?? STORE_CALL_TIMEOUT_MS);
-    const response = await agent.request({
-        origin: address,
-        path: call.path,
-        query: Object.fromEntries(Object.entries(call.query).filter(([, value]) => value !== undefined)),
-        method: call.method,
-        body: call.body ?? null,
-        signal: call.signal === undefined ? deadline : AbortSignal.any([deadline, call.signal]),
-    });
-    return { status: response.statusCode, json: await response.body.json() };
+    const deadline = startDeadline(call.timeoutMs ?? STORE_CALL_TIMEOUT_MS, call.signal);
+    try {
+        const response = await agent.request({
+            origin: address,
+            path: call.path,
+            query: Object.fromEntries(Object.entries(call.query).filter(([, value]) => value !== undefined)),
+            method: call.method,
+            body: call.body ?? null,
+            signal: deadline.signal,
+        });
+        return { status: response.statusCode, json: await response.body.json() };
+    }
+    finally {
+        deadline.end();
+    }
 }
 
 function describeFailure(error: unknown, writes: boolean): StoreError {
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -16,4 +16,5 @@
 export * from "./ports/FleetStore.js";
 export * from "./ports/MachinePort.js";
 export * from "./ports/WorkerPort.js";
+export * from "./startDeadline.js";
 export * from "./startNode.js";
