Copy slow tasks where their job allows it and nothing else waits

Cause: copies were modelled and never made. Change: a run that has taken 1.5 times what is expected, and whose progress tells that a fresh one would end first, gets one copy on another worker; the first end counts, as before. Tests: five scenarios on the stand-ins.

--- /dev/null
+++ b/packages/scheduler/src/engine/findStragglers.feature
@@ -0,0 +1,58 @@
+Feature: Slow tasks are copied where their job allows it
+
+    Background:
+        Given a fleet of 2 workers with an owner
+
+    Scenario: A copy of a slow task runs beside it, and the first end counts
+        When ana submits the normal job J of "1 x 2 copies"
+        And 3 seconds pass
+        And task 0.0.0 of J is 10 percent done
+        And 3 seconds pass
+        And task 0.0.0 of J is 20 percent done
+        And 2 seconds pass
+        Then task 0.0.0 of J was started 2 times
+        And 2 tasks of J run
+        When task 0.0.0 of J ends as done
+        And 1 second passes
+        Then the job J is completed
+        And 0 tasks of J run
+
+    Scenario: A task that is nearly done is not copied
+        When ana submits the normal job J of "1 x 2 copies"
+        And 3 seconds pass
+        And task 0.0.0 of J is 40 percent done
+        And 3 seconds pass
+        And task 0.0.0 of J is 80 percent done
+        And 2 seconds pass
+        Then task 0.0.0 of J was started 1 time
+
+    Scenario: A job that allows no copies has none
+        When ana submits the normal job J of "1 x 2"
+        And 3 seconds pass
+        And task 0.0.0 of J is 10 percent done
+        And 3 seconds pass
+        And task 0.0.0 of J is 20 percent done
+        And 2 seconds pass
+        Then task 0.0.0 of J was started 1 time
+
+    Scenario: Waiting work goes before copies
+        When ana submits the normal job J of "1 x 2 copies"
+        And ana submits the normal job K of "3 x 8"
+        And 3 seconds pass
+        And task 0.0.0 of J is 10 percent done
+        And 3 seconds pass
+        And task 0.0.0 of J is 20 percent done
+        And 2 seconds pass
+        Then task 0.0.0 of J was started 1 time
+
+    Scenario: A new owner keeps one run of a copied task
+        When ana submits the normal job J of "1 x 2 copies"
+        And 3 seconds pass
+        And task 0.0.0 of J is 10 percent done
+        And 3 seconds pass
+        And task 0.0.0 of J is 20 percent done
+        And 2 seconds pass
+        And the owner dies
+        And a new owner takes over
+        And 1 second passes
+        Then 1 task of J runs
--- /dev/null
+++ b/packages/scheduler/src/engine/findStragglers.ts
@@ -0,0 +1,35 @@
+import type { Run, StepEntry, TaskEntry } from "../state/JobEntry.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/** Multiple of the expected run time after which a run counts as a straggler. */
+const STRAGGLER_FACTOR = 1.5;
+
+/** Share of progress below which the time left cannot be told from it, in percent. */
+const MIN_PERCENT = 5;
+
+/**
+ * Finds the tasks of a step of which a copy would probably end before the run that is under way.
+ *
+ * @param scheduler - The scheduler.
+ * @param step - The step.
+ * @returns The tasks; none of a gang, of a lasting step, or of one that allows no copies.
+ */
+export function findStragglers(scheduler: Scheduler, step: StepEntry): readonly TaskEntry[] {
+    const { copiesAllowed, gang, lasting } = step.spec;
+    if (!copiesAllowed || gang || lasting) {
+        return [];
+    }
+    const expectedMs = scheduler.runTimes.predict(step.job.queue, step.spec.estimatedMs);
+    return step.tasks.filter(({ done, runs: [run, copy] }) =>
+        !done && run !== undefined && copy === undefined && isStraggler(run, expectedMs, scheduler.clock())
+    );
+}
+
+function isStraggler(run: Run, expectedMs: number, now: number): boolean {
+    const elapsedMs = now - run.confirmedAt;
+    if (run.phase !== "running" || elapsedMs < STRAGGLER_FACTOR * expectedMs) {
+        return false;
+    }
+    const leftMs = elapsedMs * (100 - run.percent) / Math.max(run.percent, MIN_PERCENT);
+    return leftMs > expectedMs;
+}
--- a/packages/scheduler/src/engine/planPass.ts
+++ b/packages/scheduler/src/engine/planPass.ts
@@ -7,6 +7,7 @@
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { allowedWorkers, requestAdvice, ticketFor } from "./adviseStep.js";
 import { beginDueOccurrences } from "./beginDueOccurrences.js";
+import { findStragglers } from "./findStragglers.js";
 import { holdFor } from "./holdFor.js";
 import type { RankedJob } from "./orderJobs.js";
 import { orderJobs } from "./orderJobs.js";
@@ -56,6 +57,24 @@
             openSteps(ranked.entry).forEach(step => placeStep(scheduler, pass, ranked, step));
         }
     }
+    if (pass.full.size === 0) {
+        jobs.forEach(ranked => placeCopies(scheduler, pass, ranked));
+    }
+}
+
+/** Copies of slow tasks take only what nothing else waits for. */
+function placeCopies(scheduler: Scheduler, pass: Pass, { entry, queue }: RankedJob): void {
+    for (const step of [...entry.occurrences.values()].flat()) {
+        for (const task of findStragglers(scheduler, step)) {
+            const fitting = pass.workers.filter(worker =>
+                isSuited(worker, queue, step) && task.runs.every(run => run.worker !== worker)
+            );
+            const workers = queue.advice === undefined
+                ? fitting
+                : allowedWorkers(step, fitting, scheduler.clock());
+            begin(scheduler, step, placeTasks(step, [task], workers));
+        }
+    }
 }
 
 /** Until every worker of earlier terms has answered, an older job may have runs that are not known. */
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -32,6 +32,7 @@
         gang: traits.includes("gang"),
         sameRack: traits.includes("one-rack"),
         checkpoints: traits.includes("checkpoints"),
+        copiesAllowed: traits.includes("copies"),
         lasting: traits.includes("lasting"),
         fillsIdle: traits.includes("fills"),
         tailTargetMs: traits.includes("serving") ? 100 : 0,
