--- /dev/null
+++ b/packages/command-line/src/explain/selectStory.ts
@@ -0,0 +1,64 @@
+import type { LogLine } from "./LogLine.js";
+
+/** Messages that tell what a daemon believed while it decided, whichever request it was. */
+const BELIEFS: ReadonlySet<string> = new Set([
+    "The daemon starts.",
+    "The daemon stops.",
+    "The daemon has stopped.",
+    "The ownership is taken.",
+    "The ownership is not taken.",
+    "The term ends.",
+    "The state is loaded.",
+    "The state cannot be loaded.",
+    "The owner's process does not listen.",
+    "The lease of a dead owner is ended.",
+    "A configuration is in force.",
+    "The store does not answer.",
+    "The store answers again.",
+    "Progress is not stored.",
+]);
+
+/** Time before the first line and after the last one in which beliefs are shown, in milliseconds. */
+const SURROUNDINGS_MS = 2_000;
+
+/**
+ * Selects the lines that tell the story of a request: those that name it, what the daemons believed
+ * meanwhile, and what was believed of the workers on which it was placed.
+ *
+ * @param lines - Lines of all daemons, in any order.
+ * @param id - The request's id.
+ * @returns The lines in order of time; none if no line names the request.
+ */
+export function selectStory(lines: readonly LogLine[], id: string): readonly LogLine[] {
+    const own = lines.filter(line => names(line, id));
+    if (own.length === 0) {
+        return [];
+    }
+    const begin = own.reduce((least, line) => Math.min(least, line.atMs), Number.POSITIVE_INFINITY);
+    const end = own.reduce((most, line) => Math.max(most, line.atMs), Number.NEGATIVE_INFINITY);
+    const workers = new Set(own.map(line => line.fields["worker"]).filter(worker => worker !== undefined));
+    const around = lines.filter(line =>
+        !names(line, id)
+        && line.atMs >= begin - SURROUNDINGS_MS && line.atMs <= end + SURROUNDINGS_MS
+        && (BELIEFS.has(line.message) || isAboutWorker(line, workers))
+    );
+    return [...own, ...around].sort((left, right) => left.atMs - right.atMs);
+}
+
+/**
+ * Returns whether a line names a request.
+ *
+ * @param line - The line.
+ * @param id - The request's id.
+ * @returns True if the line's job, request or address is the request's.
+ */
+export function names({ fields }: LogLine, id: string): boolean {
+    const { job, request, url } = fields;
+    return job === id || request === id
+        || typeof url === "string" && url.split("?", 1)[0]!.endsWith(`/${id}`);
+}
+
+/** Lines about runs of other requests on the same worker are left out. */
+function isAboutWorker({ fields }: LogLine, workers: ReadonlySet<unknown>): boolean {
+    return fields["job"] === undefined && workers.has(fields["worker"]);
+}
--- a/packages/command-line/src/main.ts
+++ b/packages/command-line/src/main.ts
@@ -1,5 +1,6 @@
 import { Command } from "commander";
 import { addDocumentCommands } from "./commands/addDocumentCommands.js";
+import { addExplainCommand } from "./commands/addExplainCommand.js";
 import { addInspectionCommands } from "./commands/addInspectionCommands.js";
 import { addWorkCommands } from "./commands/addWorkCommands.js";
 import { ExitCode } from "./ExitCode.js";
@@ -17,6 +18,7 @@
 addDocumentCommands(program);
 addWorkCommands(program);
 addInspectionCommands(program);
+addExplainCommand(program);
 for (const command of [program, ...program.commands]) {
     command.exitOverride();
 }
