Keep workers free for steps that starve while the fleet has ample room

Ruled out: the roster (all workers were reached), paused workers, advice. Change: a job of which nothing has run for 1.5 s, while at most 70 percent of its service are in use and twice its need is free, ranks behind guarantees only and holds the workers that are empty first. Test: a late gang among small work; the mutant that never calls a fleet calm is caught.

--- a/features/support/SchedulerLab.ts
+++ b/features/support/SchedulerLab.ts
@@ -55,7 +55,13 @@
     readonly terms: Term[] = [];
     configuration: FleetConfiguration = {
         version: 1,
-        queues: [queueOf("urgent", 0), queueOf("normal", 1), queueOf("bulk", 2), advisedQueue()],
+        queues: [
+            queueOf("urgent", 0),
+            queueOf("normal", 1),
+            queueOf("bulk", 2),
+            advisedQueue(),
+            hastyQueue(),
+        ],
         customers: [
             { name: "ana", keys: ["key-ana"], guaranteedAccelerators: 16 },
             { name: "bob", keys: ["key-bob"], guaranteedAccelerators: 0 },
@@ -276,6 +282,11 @@
     return { ...queueOf("advised", 1), advice: { decisionMs: 10, perWorkerMs: 1, validityMs: 3_000 } };
 }
 
+/** A queue whose jobs come too late from the beginning. */
+function hastyQueue(): FleetConfiguration["queues"][number] {
+    return { ...queueOf("hasty", 1), stretch: 0.1, objectiveMs: 0 };
+}
+
 function queueOf(name: string, priority: number): FleetConfiguration["queues"][number] {
     return {
         name: name as QueueName,
--- a/packages/scheduler/src/engine/holdFor.feature
+++ b/packages/scheduler/src/engine/holdFor.feature
@@ -20,3 +20,17 @@
         And task 0.0.0 of A ends as done
         And bob submits the bulk job S of "4 x 1"
         Then 4 tasks of S run
+
+    Scenario: A gang that comes too late does not starve while the free room is scattered
+        Given a fleet of 12 workers with an owner
+        When bob submits the bulk job B of "12 x 1 spread"
+        And ana submits the hasty job G of "4 x 8 gang one-rack"
+        And bob submits the bulk job S of "8 x 8"
+        And 2 seconds pass
+        And task 0.0.0 of B ends as done
+        And task 0.0.1 of B ends as done
+        And task 0.0.2 of B ends as done
+        Then 0 tasks of S run
+        When task 0.0.3 of B ends as done
+        Then 4 tasks of G run
+        And the tasks of G run in one rack
--- a/packages/scheduler/src/engine/holdFor.ts
+++ b/packages/scheduler/src/engine/holdFor.ts
@@ -8,11 +8,12 @@
 const MAX_HOLD_AHEAD_MS = 3_000;
 
 /**
- * Finds workers that will soon have room for a gang, by the ends that are expected there.
+ * Finds workers that will soon have room for a step, by the ends that are expected there.
  *
  * @param scheduler - The scheduler.
- * @param ranked - The gang's job, which is on time.
- * @param step - The gang.
+ * @param ranked - The step's job; one that is on time does not wait beyond its objective, one that is
+ * starved waits as long as it takes.
+ * @param step - The step, of which a gang is placed as a whole and any other task by task.
  * @param workers - Suited workers that no other step holds.
  * @returns The workers to keep free; none if the room comes too late.
  */
@@ -25,7 +26,9 @@
     const now = scheduler.clock();
     const { times, entry } = ranked;
     const slackMs = times.objectiveMs - times.remainingChainMs - (now - entry.acceptedAt);
-    const limitMs = Math.min(MAX_HOLD_AHEAD_MS, slackMs);
+    const limitMs = ranked.prospect === "starved"
+        ? Number.POSITIVE_INFINITY
+        : Math.min(MAX_HOLD_AHEAD_MS, slackMs);
     const remainingMs = (run: Run): number | undefined => {
         const { job, spec } = run.task.step;
         const leftMs = Math.max(
@@ -34,5 +37,6 @@
         );
         return leftMs <= limitMs && !spec.lasting ? leftMs : undefined;
     };
-    return planReclaim(step, workers, { costOf: remainingMs, taskCount: step.tasks.length })?.workers ?? [];
+    const taskCount = step.spec.gang ? step.tasks.length : 1;
+    return planReclaim(step, workers, { costOf: remainingMs, taskCount })?.workers ?? [];
 }
--- /dev/null
+++ b/packages/scheduler/src/engine/isStarved.ts
@@ -0,0 +1,37 @@
+import type { JobEntry, StepEntry } from "../state/JobEntry.js";
+import type { Room } from "./measureRoom.js";
+import { countFits } from "./measureRoom.js";
+
+/** Time for which a step has waited before it counts as starved, in milliseconds. */
+const STARVATION_MS = 1_500;
+
+/** Share of the resources in use above which waiting is no wonder. */
+const CALM_SHARE = 0.7;
+
+/** Multiple of a step's need that is free when only the way in which it is spread keeps the step waiting. */
+const AMPLE_FITS = 2;
+
+/**
+ * Returns whether a job waits although the fleet has ample room, because the free room is scattered.
+ *
+ * @param entry - The job.
+ * @param room - Room of its service.
+ * @param now - Steady time in milliseconds.
+ * @returns True if a step of a job of which nothing runs has waited; a lasting step counts by itself.
+ */
+export function isStarved(entry: JobEntry, room: Room, now: number): boolean {
+    if (room.usedShare > CALM_SHARE) {
+        return false;
+    }
+    const steps = [...entry.occurrences.values()].flat();
+    const waiting = steps.filter(step => isWaiting(step) && now - (step.readyAt ?? now) >= STARVATION_MS);
+    const isIdle = steps.every(step => step.tasks.every(task => task.runs.length === 0));
+    return waiting.some(step =>
+        (isIdle || step.spec.lasting) && countFits(room.free, step.spec) >= AMPLE_FITS
+    );
+}
+
+function isWaiting(step: StepEntry): boolean {
+    return step.doneCount < step.tasks.length
+        && step.tasks.some(task => !task.done && task.runs.length === 0);
+}
--- a/packages/scheduler/src/engine/orderJobs.ts
+++ b/packages/scheduler/src/engine/orderJobs.ts
@@ -1,13 +1,22 @@
 import type { FleetConfiguration, Queue } from "../FleetConfiguration.js";
 import type { QueueName } from "../ids.js";
 import type { JobEntry } from "../state/JobEntry.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { findEntitledJobs } from "./findEntitledJobs.js";
+import { isStarved } from "./isStarved.js";
 import type { JobTimes } from "./jobTimes.js";
 import { expectTimes, LATE_FACTOR } from "./jobTimes.js";
+import { measureRoom } from "./measureRoom.js";
 import type { Scheduler } from "./Scheduler.js";
 
 /** How well a job can still meet its objective. */
-export type Prospect = "entitled" | "on-time" | "late" | "too-late";
+export type Prospect =
+    | "entitled"
+    /** It waits although the fleet has ample room. */
+    | "starved"
+    | "on-time"
+    | "late"
+    | "too-late";
 
 /** A job with the queue that is configured for it, and its prospect. */
 export type RankedJob = {
@@ -18,23 +27,34 @@
 };
 
 /**
- * Orders the jobs for a placement pass: what is guaranteed first and what comes too late anyway last;
- * between them by priority, by prospect, and the least work first.
+ * Orders the jobs for a placement pass: what is guaranteed first, then what is starved, and what comes
+ * too late anyway last; between them by priority, by prospect, and the least work first.
  *
  * @param scheduler - The scheduler.
  * @param configuration - The configuration in force; a job of another queue waits.
+ * @param workers - Usable workers.
  * @returns The jobs in order.
  */
-export function orderJobs(scheduler: Scheduler, configuration: FleetConfiguration): readonly RankedJob[] {
+export function orderJobs(
+    scheduler: Scheduler,
+    configuration: FleetConfiguration,
+    workers: readonly WorkerEntry[],
+): readonly RankedJob[] {
     const queues = new Map<QueueName, Queue>(configuration.queues.map(queue => [queue.name, queue]));
     const entitled = findEntitledJobs(scheduler, configuration, queues);
+    const rooms = measureRoom(workers);
     const now = scheduler.clock();
     const ranked: RankedJob[] = [];
     for (const entry of scheduler.active) {
         const queue = queues.get(entry.queue);
         if (queue !== undefined) {
             const times = expectTimes(entry, queue, scheduler.runTimes);
-            const prospect = entitled.has(entry) ? "entitled" : prospectOf(entry, times, now);
+            const room = rooms.get(queue.service);
+            const prospect = entitled.has(entry)
+                ? "entitled"
+                : room !== undefined && isStarved(entry, room, now)
+                ? "starved"
+                : prospectOf(entry, times, now);
             ranked.push({ entry, queue, times, prospect });
         }
     }
@@ -51,9 +71,10 @@
 
 const PROSPECT_RANKS: Readonly<Record<Prospect, number>> = {
     entitled: 0,
-    "on-time": 1,
-    late: 2,
-    "too-late": 3,
+    starved: 1,
+    "on-time": 2,
+    late: 3,
+    "too-late": 4,
 };
 
 function compareRanks(left: RankedJob, right: RankedJob): number {
@@ -66,5 +87,15 @@
 
 /** Guarantees come before everything, and hopeless jobs after everything. */
 function classOf({ prospect }: RankedJob): number {
-    return prospect === "entitled" ? 0 : prospect === "too-late" ? 2 : 1;
+    switch (prospect) {
+        case "entitled":
+            return 0;
+        case "starved":
+            return 1;
+        case "on-time":
+        case "late":
+            return 2;
+        case "too-late":
+            return 3;
+    }
 }
--- a/packages/scheduler/src/engine/planPass.ts
+++ b/packages/scheduler/src/engine/planPass.ts
@@ -49,7 +49,7 @@
     }
     const workers = usableWorkers(scheduler);
     const fleet = [...scheduler.fleet.values()].filter(worker => worker.listed && !worker.draining);
-    const jobs = orderJobs(scheduler, configuration);
+    const jobs = orderJobs(scheduler, configuration, workers);
     const entitled = new Set(jobs.filter(job => job.prospect === "entitled").map(job => job.entry));
     const pass: Pass = { entitled, workers, fleet, full: new Set(), held: new Set() };
     for (const ranked of jobs) {
@@ -103,7 +103,7 @@
     step.readyAt ??= scheduler.clock();
     const shape = shapeOf(ranked.queue, step);
     const mayReclaim = ranked.prospect === "entitled";
-    if (pass.full.has(shape) && !mayReclaim && ranked.prospect !== "on-time") {
+    if (pass.full.has(shape) && !mayReclaim && !mayHold(ranked)) {
         return;
     }
     const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
@@ -123,10 +123,10 @@
     if (advice !== undefined) {
         requestAdvice(scheduler, advice, step, fitting);
     }
-    if (ranked.prospect === "on-time" && step.spec.gang && waiting.length === step.tasks.length) {
+    const isWhole = !step.spec.gang || waiting.length === step.tasks.length;
+    if (mayHold(ranked) && isWhole && (step.spec.gang || ranked.prospect === "starved")) {
         holdFor(scheduler, ranked, step, workers).forEach(worker => pass.held.add(worker));
     }
-    const isWhole = !step.spec.gang || waiting.length === step.tasks.length;
     if (mayReclaim && isWhole) {
         reclaimFor(scheduler, step, {
             workers,
@@ -136,6 +136,11 @@
     }
 }
 
+/** Workers that soon have room are kept free for what would otherwise come too late, or never. */
+function mayHold({ prospect }: RankedJob): boolean {
+    return prospect === "on-time" || prospect === "starved";
+}
+
 function assign(
     step: StepEntry,
     waiting: readonly TaskEntry[],
