--- a/packages/scheduler/src/engine/holdFor.feature
+++ b/packages/scheduler/src/engine/holdFor.feature
@@ -26,7 +26,7 @@
         When bob submits the bulk job B of "12 x 1 spread"
         And ana submits the hasty job G of "4 x 8 gang one-rack"
         And bob submits the bulk job S of "8 x 8"
-        And 2 seconds pass
+        And 2.2 seconds pass
         And task 0.0.0 of B ends as done
         And task 0.0.1 of B ends as done
         And task 0.0.2 of B ends as done
--- a/packages/scheduler/src/engine/isStarved.ts
+++ b/packages/scheduler/src/engine/isStarved.ts
@@ -3,10 +3,10 @@
 import { countFits } from "./measureRoom.js";
 
 /** Time for which a step has waited before it counts as starved, in milliseconds. */
-const STARVATION_MS = 1_500;
+const STARVATION_MS = 2_000;
 
 /** Share of the resources in use above which waiting is no wonder. */
-const CALM_SHARE = 0.7;
+const CALM_SHARE = 0.6;
 
 /** Multiple of a step's need that is free when only the way in which it is spread keeps the step waiting. */
 const AMPLE_FITS = 2;
