--- a/packages/scheduler/src/engine/holdFor.feature
+++ b/packages/scheduler/src/engine/holdFor.feature
@@ -26,7 +26,7 @@
         When bob submits the bulk job B of "12 x 1 spread"
         And ana submits the hasty job G of "4 x 8 gang one-rack"
         And bob submits the bulk job S of "8 x 8"
-        And 2.2 seconds pass
+        And 11 seconds pass while all runs make progress
         And task 0.0.0 of B ends as done
         And task 0.0.1 of B ends as done
         And task 0.0.2 of B ends as done
@@ -34,3 +34,12 @@
         When task 0.0.3 of B ends as done
         Then 4 tasks of G run
         And the tasks of G run in one rack
+
+    Scenario: A gang that has not waited long holds nothing against work that is on time
+        Given a fleet of 12 workers with an owner
+        When bob submits the bulk job B of "12 x 1 spread"
+        And ana submits the hasty job G of "4 x 8 gang one-rack"
+        And bob submits the bulk job S of "8 x 8"
+        And 5 seconds pass while all runs make progress
+        And task 0.0.0 of B ends as done
+        Then 1 task of S runs
--- a/packages/scheduler/src/engine/isStarved.ts
+++ b/packages/scheduler/src/engine/isStarved.ts
@@ -3,7 +3,10 @@
 import { countFits } from "./measureRoom.js";
 
 /** Time for which a step has waited before it counts as starved, in milliseconds. */
-const STARVATION_MS = 2_000;
+const STARVATION_MS = 10_000;
+
+/** The same for a step of lasting tasks, which serve nobody while they wait, in milliseconds. */
+const LASTING_STARVATION_MS = 2_000;
 
 /** Share of the resources in use above which waiting is no wonder. */
 const CALM_SHARE = 0.6;
@@ -24,7 +27,7 @@
         return false;
     }
     const steps = [...entry.occurrences.values()].flat();
-    const waiting = steps.filter(step => isWaiting(step) && now - (step.readyAt ?? now) >= STARVATION_MS);
+    const waiting = steps.filter(step => isWaiting(step) && hasWaitedLong(step, now));
     const isIdle = steps.every(step => step.tasks.every(task => task.runs.length === 0));
     return waiting.some(step =>
         (isIdle || step.spec.lasting) && countFits(room.free, step.spec) >= AMPLE_FITS
@@ -35,3 +38,7 @@
     return step.doneCount < step.tasks.length
         && step.tasks.some(task => !task.done && task.runs.length === 0);
 }
+
+function hasWaitedLong(step: StepEntry, now: number): boolean {
+    return now - (step.readyAt ?? now) >= (step.spec.lasting ? LASTING_STARVATION_MS : STARVATION_MS);
+}
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -62,6 +62,14 @@
     await labOf(this).advance(seconds * SECOND_MS);
 });
 
+When("{int} seconds pass while all runs make progress", async function(this: TestWorld, seconds: number) {
+    for (let passed = 0; passed < seconds; passed++) {
+        const runs = [...labOf(this).workers.values()].flatMap(worker => [...worker.running.values()]);
+        runs.forEach(run => run.percent += 1);
+        await labOf(this).advance(SECOND_MS);
+    }
+});
+
 When("{word} is cancelled by its caller", async function(this: TestWorld, name: string) {
     labOf(this).cancel(jobOf(this, name));
     await labOf(this).advance(100);
