--- /dev/null
+++ b/packages/scheduler/src/engine/beginRuns.ts
@@ -0,0 +1,45 @@
+import { JobState } from "@balsamward/schema/scheduling";
+import type { Assignment } from "../placement/countRoom.js";
+import type { StepEntry } from "../state/JobEntry.js";
+import { ticketFor } from "./adviseStep.js";
+import { createRun } from "./runs.js";
+import type { Scheduler } from "./Scheduler.js";
+import { startRun } from "./startRun.js";
+
+/** Runs of different terms of ownership have numbers of different thousands. */
+const RUNS_PER_TERM = 1_000;
+
+/**
+ * Begins runs of tasks on the workers chosen for them, all under one number, and orders their starts.
+ *
+ * @param scheduler - The scheduler.
+ * @param step - The step of the tasks.
+ * @param assignments - Tasks with their workers; nothing happens if there are none.
+ */
+export function beginRuns(scheduler: Scheduler, step: StepEntry, assignments: readonly Assignment[]): void {
+    if (assignments.length === 0) {
+        return;
+    }
+    const lastRun = Math.max(
+        scheduler.ownership.term * RUNS_PER_TERM,
+        ...assignments.map(({ task }) => task.lastRun),
+    );
+    const entry = step.job;
+    if (entry.state === JobState.QUEUED) {
+        entry.state = JobState.RUNNING;
+    }
+    scheduler.log.info("A step is placed.", {
+        job: entry.id,
+        step: step.number,
+        occurrence: step.occurrence,
+        tasks: assignments.length,
+        run: lastRun + 1,
+        waitedMs: Math.round(scheduler.clock() - (step.readyAt ?? 0)),
+        workers: [...new Set(assignments.map(({ worker }) => worker.id))].slice(0, 8),
+    });
+    for (const { task, worker } of assignments) {
+        const run = createRun(task, worker, lastRun + 1, scheduler.clock(), true);
+        worker.bell.ring();
+        scheduler.spawn(() => startRun(scheduler, run, ticketFor(step, worker)));
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/findOpenSteps.ts
@@ -0,0 +1,21 @@
+import type { JobEntry, StepEntry } from "../state/JobEntry.js";
+
+/**
+ * Finds the steps of a job that have waiting tasks and whose earlier steps are done.
+ *
+ * @param entry - The job.
+ * @returns The steps, over all of its occurrences.
+ */
+export function findOpenSteps(entry: JobEntry): readonly StepEntry[] {
+    return [...entry.occurrences.values()].flatMap(steps =>
+        steps.filter(step =>
+            step.doneCount < step.tasks.length
+            && step.spec.after.every(number => isDone(steps[number]))
+            && step.tasks.some(task => !task.done && task.runs.length === 0)
+        )
+    );
+}
+
+function isDone(step: StepEntry | undefined): boolean {
+    return step !== undefined && step.doneCount === step.tasks.length;
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/placeStep.ts
@@ -0,0 +1,90 @@
+import type { Assignment } from "../placement/countRoom.js";
+import { placeGang } from "../placement/placeGang.js";
+import { placeTasks } from "../placement/placeTasks.js";
+import type { JobEntry, StepEntry, TaskEntry } from "../state/JobEntry.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { allowedWorkers, requestAdvice } from "./adviseStep.js";
+import { beginRuns } from "./beginRuns.js";
+import { describeShape } from "./describeShape.js";
+import { holdFor } from "./holdFor.js";
+import { isSuited } from "./isSuited.js";
+import type { RankedJob } from "./orderJobs.js";
+import { reclaimFor } from "./reclaimFor.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/** What a pass has found out so far. */
+export type Pass = {
+    /** Jobs within their customers' guarantees. */
+    readonly entitled: ReadonlySet<JobEntry>;
+    /** Workers that may get starts now. */
+    readonly workers: readonly WorkerEntry[];
+    /** Workers that may get starts now or later. */
+    readonly fleet: readonly WorkerEntry[];
+    /** Shapes of steps that found no room. */
+    readonly full: Set<string>;
+    /** Workers that are kept free for a step that waits for them. */
+    readonly held: Set<WorkerEntry>;
+};
+
+/**
+ * Places the waiting tasks of a step as far as they fit. A guaranteed step that does not fit reclaims
+ * workers; one that is on time or starved keeps workers free that soon have room.
+ *
+ * @param scheduler - The scheduler.
+ * @param pass - The pass, which notes full shapes and held workers.
+ * @param ranked - The step's job.
+ * @param step - The step, whose earlier steps are done.
+ */
+export function placeStep(scheduler: Scheduler, pass: Pass, ranked: RankedJob, step: StepEntry): void {
+    step.readyAt ??= scheduler.clock();
+    const shape = describeShape(ranked.queue, step);
+    const mayReclaim = ranked.prospect === "entitled";
+    if (pass.full.has(shape) && !mayReclaim && !mayHold(ranked)) {
+        return;
+    }
+    const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
+    const fitting = pass.workers.filter(worker => isSuited(worker, ranked.queue, step));
+    const { advice } = ranked.queue;
+    const suited = advice === undefined
+        ? fitting
+        : allowedWorkers(step, fitting, scheduler.clock());
+    const workers = suited.filter(worker => !pass.held.has(worker));
+    const fleet = pass.fleet.filter(worker => isSuited(worker, ranked.queue, step));
+    const assignments = pass.full.has(shape) ? [] : assign(step, waiting, workers, fleet);
+    beginRuns(scheduler, step, assignments);
+    if (assignments.length === waiting.length) {
+        return;
+    }
+    pass.full.add(shape);
+    if (advice !== undefined) {
+        requestAdvice(scheduler, advice, step, fitting);
+    }
+    const isWhole = !step.spec.gang || waiting.length === step.tasks.length;
+    if (mayHold(ranked) && isWhole && (step.spec.gang || ranked.prospect === "starved")) {
+        holdFor(scheduler, ranked, step, workers).forEach(worker => pass.held.add(worker));
+    }
+    if (mayReclaim && isWhole) {
+        reclaimFor(scheduler, step, {
+            workers,
+            taskCount: waiting.length - assignments.length,
+            entitled: pass.entitled,
+        }).forEach(worker => pass.held.add(worker));
+    }
+}
+
+/** Workers that soon have room are kept free for what would otherwise come too late, or never. */
+function mayHold({ prospect }: RankedJob): boolean {
+    return prospect === "on-time" || prospect === "starved";
+}
+
+function assign(
+    step: StepEntry,
+    waiting: readonly TaskEntry[],
+    workers: readonly WorkerEntry[],
+    fleet: readonly WorkerEntry[],
+): readonly Assignment[] {
+    if (!step.spec.gang) {
+        return placeTasks(step, waiting, workers);
+    }
+    return waiting.length === step.tasks.length ? placeGang(step, workers, fleet) ?? [] : [];
+}
