--- a/packages/scheduler/src/engine/placeStep.ts
+++ b/packages/scheduler/src/engine/placeStep.ts
@@ -38,8 +38,7 @@
 export function placeStep(scheduler: Scheduler, pass: Pass, ranked: RankedJob, step: StepEntry): void {
     step.readyAt ??= scheduler.clock();
     const shape = describeShape(ranked.queue, step);
-    const mayReclaim = ranked.prospect === "entitled";
-    if (pass.full.has(shape) && !mayReclaim && !mayHold(ranked)) {
+    if (pass.full.has(shape) && !mayHold(ranked)) {
         return;
     }
     const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
@@ -59,22 +58,43 @@
     if (advice !== undefined) {
         requestAdvice(scheduler, advice, step, fitting);
     }
-    const isWhole = !step.spec.gang || waiting.length === step.tasks.length;
-    if (mayHold(ranked) && isWhole && (step.spec.gang || ranked.prospect === "starved")) {
-        holdFor(scheduler, ranked, step, workers).forEach(worker => pass.held.add(worker));
+    if (!step.spec.gang || waiting.length === step.tasks.length) {
+        const taskCount = waiting.length - assignments.length;
+        chooseHeld(scheduler, pass, ranked, { step, workers, taskCount }).forEach(worker =>
+            pass.held.add(worker)
+        );
     }
-    if (mayReclaim && isWhole) {
-        reclaimFor(scheduler, step, {
-            workers,
-            taskCount: waiting.length - assignments.length,
-            entitled: pass.entitled,
-        }).forEach(worker => pass.held.add(worker));
+}
+
+/** What found no room, and the workers that could have it. */
+type Unplaced = {
+    readonly step: StepEntry;
+    readonly workers: readonly WorkerEntry[];
+    readonly taskCount: number;
+};
+
+function chooseHeld(
+    scheduler: Scheduler,
+    { entitled }: Pass,
+    ranked: RankedJob,
+    { step, workers, taskCount }: Unplaced,
+): readonly WorkerEntry[] {
+    switch (ranked.prospect) {
+        case "entitled":
+            return reclaimFor(scheduler, step, { workers, taskCount, entitled });
+        case "starved":
+            return holdFor(scheduler, ranked, step, workers);
+        case "on-time":
+            return step.spec.gang ? holdFor(scheduler, ranked, step, workers) : [];
+        case "late":
+        case "too-late":
+            return [];
     }
 }
 
-/** Workers that soon have room are kept free for what would otherwise come too late, or never. */
+/** What comes too late anyway keeps no workers free. */
 function mayHold({ prospect }: RankedJob): boolean {
-    return prospect === "on-time" || prospect === "starved";
+    return prospect !== "late" && prospect !== "too-late";
 }
 
 function assign(
