Tell when workers are kept free for a step

Cause: why a job waited beside free workers could not be read from the logs. Change: one line for each wait of a step, with the prospect of its job; explain shows it for other requests too.

--- a/packages/command-line/src/explain/selectStory.ts
+++ b/packages/command-line/src/explain/selectStory.ts
@@ -16,6 +16,7 @@
     "The store does not answer.",
     "The store answers again.",
     "Progress is not stored.",
+    "Workers are kept free for a step.",
 ]);
 
 /** Time before the first line and after the last one in which beliefs are shown, in milliseconds. */
--- a/packages/scheduler/src/engine/placeStep.ts
+++ b/packages/scheduler/src/engine/placeStep.ts
@@ -52,6 +52,7 @@
     const assignments = pass.full.has(shape) ? [] : assign(step, waiting, workers, fleet);
     beginRuns(scheduler, step, assignments);
     if (assignments.length === waiting.length) {
+        step.isHolding = false;
         return;
     }
     pass.full.add(shape);
@@ -60,12 +61,31 @@
     }
     if (!step.spec.gang || waiting.length === step.tasks.length) {
         const taskCount = waiting.length - assignments.length;
-        chooseHeld(scheduler, pass, ranked, { step, workers, taskCount }).forEach(worker =>
-            pass.held.add(worker)
-        );
+        const held = chooseHeld(scheduler, pass, ranked, { step, workers, taskCount });
+        held.forEach(worker => pass.held.add(worker));
+        noteHeld(scheduler, ranked, step, held);
     }
 }
 
+/** One line tells of a wait; the workers may change from pass to pass. */
+function noteHeld(
+    scheduler: Scheduler,
+    { prospect }: RankedJob,
+    step: StepEntry,
+    held: readonly WorkerEntry[],
+): void {
+    if (held.length > 0 && !step.isHolding) {
+        scheduler.log.info("Workers are kept free for a step.", {
+            job: step.job.id,
+            step: step.number,
+            occurrence: step.occurrence,
+            prospect,
+            workers: held.length,
+        });
+    }
+    step.isHolding = held.length > 0;
+}
+
 /** What found no room, and the workers that could have it. */
 type Unplaced = {
     readonly step: StepEntry;
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -68,6 +68,8 @@
     advice: StepAdvice | undefined;
     /** Steady time at which the step could first have begun; `undefined` before. */
     readyAt: number | undefined;
+    /** Whether workers are kept free for the step. */
+    isHolding: boolean;
 };
 
 /** A job as its owner knows it. */
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -73,6 +73,7 @@
             doneCount: 0,
             advice: undefined,
             readyAt: undefined,
+            isHolding: false,
         };
         for (let index = 0; index < spec.taskCount; index++) {
             tasks.push(createTask(step, index));
