--- a/packages/scheduler/src/engine/findStragglers.feature
+++ b/packages/scheduler/src/engine/findStragglers.feature
@@ -37,7 +37,7 @@
 
     Scenario: Waiting work goes before copies
         When ana submits the normal job J of "1 x 2 copies"
-        And ana submits the normal job K of "3 x 8"
+        And ana submits the normal job K of "2 x 8 gang"
         And 3 seconds pass
         And task 0.0.0 of J is 10 percent done
         And 3 seconds pass
