Make one piece of what the change wrote twice

What stood twice: the steps of a job (5 places), its waiting tasks (3), the choice between a queue's advice and none (2), the members that share an end (3), empty resources (2), the initial knowledge of a daemon (program and test), and a type 'Room' with two meanings. isStarved repeated by hand what findOpenSteps tells. Change: stepsOf, waitingTasks, allowedWorkers with the policy, membersOf, emptyResources, createCluster, ServiceRoom; countFits and namesRequest have files of their own.

--- a/packages/command-line/src/explain/formatStory.ts
+++ b/packages/command-line/src/explain/formatStory.ts
@@ -1,5 +1,5 @@
 import type { LogLine } from "./LogLine.js";
-import { names } from "./selectStory.js";
+import { namesRequest } from "./namesRequest.js";
 
 /** Time without a line of the request itself that is marked as a gap, in milliseconds. */
 const GAP_MS = 1_000;
@@ -15,12 +15,12 @@
  * @returns The text; times are seconds since the first line that names the request.
  */
 export function formatStory(story: readonly LogLine[], id: string): string {
-    const begin = story.find(line => names(line, id))?.atMs ?? 0;
+    const begin = story.find(line => namesRequest(line, id))?.atMs ?? 0;
     const width = Math.max(0, ...story.map(line => line.node.length));
     let last: number | undefined;
     const text: string[] = [];
     for (const line of story) {
-        const isOwn = names(line, id);
+        const isOwn = namesRequest(line, id);
         if (isOwn && last !== undefined && line.atMs - last > GAP_MS) {
             text.push(`  ${"".padStart(10)}  (${seconds(line.atMs - last)} s without a line of ${id})`);
         }
--- a/packages/command-line/src/explain/selectStory.ts
+++ b/packages/command-line/src/explain/selectStory.ts
@@ -1,4 +1,5 @@
 import type { LogLine } from "./LogLine.js";
+import { namesRequest } from "./namesRequest.js";
 
 /** Messages that tell what a daemon believed while it decided, whichever request it was. */
 const BELIEFS: ReadonlySet<string> = new Set([
@@ -31,7 +32,7 @@
  * @returns The lines in order of time; none if no line names the request.
  */
 export function selectStory(lines: readonly LogLine[], id: string): readonly LogLine[] {
-    const own = lines.filter(line => names(line, id));
+    const own = lines.filter(line => namesRequest(line, id));
     if (own.length === 0) {
         return [];
     }
@@ -39,26 +40,13 @@
     const end = own.reduce((most, line) => Math.max(most, line.atMs), Number.NEGATIVE_INFINITY);
     const workers = new Set(own.map(line => line.fields["worker"]).filter(worker => worker !== undefined));
     const around = lines.filter(line =>
-        !names(line, id)
+        !namesRequest(line, id)
         && line.atMs >= begin - SURROUNDINGS_MS && line.atMs <= end + SURROUNDINGS_MS
         && (BELIEFS.has(line.message) || isAboutWorker(line, workers))
     );
     return [...own, ...around].sort((left, right) => left.atMs - right.atMs);
 }
 
-/**
- * Returns whether a line names a request.
- *
- * @param line - The line.
- * @param id - The request's id.
- * @returns True if the line's job, request or address is the request's.
- */
-export function names({ fields }: LogLine, id: string): boolean {
-    const { job, request, url } = fields;
-    return job === id || request === id
-        || typeof url === "string" && url.split("?", 1)[0]!.endsWith(`/${id}`);
-}
-
 /** Lines about runs of other requests on the same worker are left out. */
 function isAboutWorker({ fields }: LogLine, workers: ReadonlySet<unknown>): boolean {
     return fields["job"] === undefined && workers.has(fields["worker"]);
--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -12,7 +12,7 @@
 import { createMetrics } from "../Metrics.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 import type { Cluster, Peer } from "./Cluster.js";
-import { createConfigurationKeeper } from "./createConfigurationKeeper.js";
+import { createCluster } from "./createCluster.js";
 import { createRelayingStore } from "./createRelayingStore.js";
 import { isAlone } from "./isAlone.js";
 import { carryOutRelayedCall } from "./relayedCalls.js";
@@ -29,25 +29,15 @@
         : ok({ version, queues: [], customers: [], services: [], maxBodyBytes: 0 } as FleetConfiguration);
 }
 
-function createCluster(): Cluster {
-    const log = winston.createLogger({ silent: true });
-    const metrics = createMetrics();
-    return {
+function createTestCluster(clock: () => number): Cluster {
+    return createCluster({
         node: "here",
         address: "10.0.0.1:1",
-        peers: new Map(),
-        configuration: createConfigurationKeeper(decode, { log, metrics }),
-        log,
-        metrics,
-        clock: () => 0,
-        owner: undefined,
-        depths: [],
-        ownDepths: () => undefined,
-        reachesStore: true,
-        leaving: false,
-        onOwnerDead: () => {},
-        meet: () => undefined,
-    };
+        decodeConfiguration: decode,
+        log: winston.createLogger({ silent: true }),
+        metrics: createMetrics(),
+        clock,
+    });
 }
 
 /** Adds a peer that makes store calls over its own way to the store. */
@@ -86,7 +76,7 @@
     const clock = new LogicalClock();
     this.notes.set("clock", clock);
     const begunAt = clock.now;
-    this.notes.set("cluster", { ...createCluster(), clock: () => clock.now - begunAt });
+    this.notes.set("cluster", createTestCluster(() => clock.now - begunAt));
     this.notes.set("store", new MemoryFleetStore(() => 0));
     this.notes.set("direct", new MemoryFleetStore(() => 0));
 });
--- a/packages/scheduler/src/engine/adviseStep.ts
+++ b/packages/scheduler/src/engine/adviseStep.ts
@@ -18,17 +18,21 @@
 /**
  * Returns the workers that are allowed to run a step.
  *
+ * @param policy - The queue's policy, if it has one.
  * @param step - The step.
  * @param workers - Suited workers.
  * @param now - Steady time in milliseconds.
- * @returns Workers with a permission that is still valid.
+ * @returns Workers with a permission that is still valid; all of them without a policy.
  */
 export function allowedWorkers(
+    policy: AdvicePolicy | undefined,
     step: StepEntry,
     workers: readonly WorkerEntry[],
     now: number,
 ): readonly WorkerEntry[] {
-    return workers.filter(({ id }) => (step.advice?.tickets.get(id)?.validUntil ?? 0) > now);
+    return policy === undefined
+        ? workers
+        : workers.filter(({ id }) => (step.advice?.tickets.get(id)?.validUntil ?? 0) > now);
 }
 
 /**
@@ -47,7 +51,7 @@
     workers: readonly WorkerEntry[],
 ): void {
     const advice = step.advice ??= { tickets: new Map(), denied: new Set(), isAsking: false };
-    const allowed = allowedWorkers(step, workers, scheduler.clock());
+    const allowed = allowedWorkers(policy, step, workers, scheduler.clock());
     const asked = workers
         .filter(worker => !allowed.includes(worker) && !advice.denied.has(worker.id))
         .sort((left, right) => right.free.accelerators - left.free.accelerators)
--- a/packages/scheduler/src/engine/applyEnd.ts
+++ b/packages/scheduler/src/engine/applyEnd.ts
@@ -1,6 +1,6 @@
 import { JobState } from "@balsamward/schema/scheduling";
 import type { EndedRow } from "../ports/WorkerPort.js";
-import type { Run, StepEntry, TaskEntry } from "../state/JobEntry.js";
+import type { Run, TaskEntry } from "../state/JobEntry.js";
 import { hasEnded } from "../state/jobStates.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { endIfComplete, endJob, markDirty } from "./endJob.js";
@@ -60,7 +60,7 @@
     switch (row.how) {
         case "done":
             worker.faults = 0;
-            finishTasks(scheduler, step.spec.gang ? step.tasks : [task]);
+            finishTasks(scheduler, membersOf(task));
             return;
         case "failed":
             // A lasting task may fail at any time, which says nothing of its worker.
@@ -96,10 +96,14 @@
     }
 }
 
+/** What happens to one member of a gang happens to all of them. */
+function membersOf(task: TaskEntry): readonly TaskEntry[] {
+    return task.step.spec.gang ? task.step.tasks : [task];
+}
+
 /** A checkpoint of any member of a gang resumes the whole gang. */
 function keepCheckpoint(task: TaskEntry, checkpoint: string): void {
-    const tasks = task.step.spec.gang ? task.step.tasks : [task];
-    tasks.forEach(member => {
+    membersOf(task).forEach(member => {
         member.checkpoint = checkpoint;
     });
 }
@@ -127,8 +131,7 @@
     if (task.countedRun >= run || task.done) {
         return;
     }
-    const members: StepEntry["tasks"] = step.spec.gang ? step.tasks : [task];
-    for (const member of members) {
+    for (const member of membersOf(task)) {
         member.countedRun = run;
         member.failures += 1;
     }
--- a/packages/scheduler/src/engine/endJob.ts
+++ b/packages/scheduler/src/engine/endJob.ts
@@ -1,6 +1,7 @@
 import { JobState } from "@balsamward/schema/scheduling";
 import type { JobEntry } from "../state/JobEntry.js";
 import { hasEnded } from "../state/jobStates.js";
+import { stepsOf } from "../state/stepsOf.js";
 import type { Scheduler } from "./Scheduler.js";
 import { stopRun } from "./stopRun.js";
 
@@ -37,7 +38,7 @@
         reason,
         ageMs: Math.round(scheduler.clock() - entry.acceptedAt),
     });
-    for (const step of [...entry.occurrences.values()].flat()) {
+    for (const step of stepsOf(entry)) {
         for (const task of step.tasks) {
             task.runs.forEach(run => stopRun(scheduler, run, "job-ended"));
         }
@@ -54,8 +55,9 @@
  */
 export function endIfComplete(scheduler: Scheduler, entry: JobEntry): void {
     const times = entry.job.schedule?.times ?? 1;
-    const steps = [...entry.occurrences.values()].flat();
-    if (entry.occurrences.size === times && steps.every(step => step.doneCount === step.tasks.length)) {
+    if (
+        entry.occurrences.size === times && stepsOf(entry).every(step => step.doneCount === step.tasks.length)
+    ) {
         endJob(scheduler, entry, JobState.COMPLETED, "all-tasks-done");
     }
 }
--- a/packages/scheduler/src/engine/findOpenSteps.ts
+++ b/packages/scheduler/src/engine/findOpenSteps.ts
@@ -1,4 +1,5 @@
 import type { JobEntry, StepEntry } from "../state/JobEntry.js";
+import { waitingTasks } from "../state/waitingTasks.js";
 
 /**
  * Finds the steps of a job that have waiting tasks and whose earlier steps are done.
@@ -11,7 +12,7 @@
         steps.filter(step =>
             step.doneCount < step.tasks.length
             && step.spec.after.every(number => isDone(steps[number]))
-            && step.tasks.some(task => !task.done && task.runs.length === 0)
+            && waitingTasks(step).length > 0
         )
     );
 }
--- a/packages/scheduler/src/engine/isStarved.ts
+++ b/packages/scheduler/src/engine/isStarved.ts
@@ -1,6 +1,8 @@
 import type { JobEntry, StepEntry } from "../state/JobEntry.js";
-import type { Room } from "./measureRoom.js";
-import { countFits } from "./measureRoom.js";
+import { stepsOf } from "../state/stepsOf.js";
+import { countFits } from "./countFits.js";
+import { findOpenSteps } from "./findOpenSteps.js";
+import type { ServiceRoom } from "./measureRoom.js";
 
 /** Time for which a step has waited before it counts as starved, in milliseconds. */
 const STARVATION_MS = 10_000;
@@ -22,23 +24,17 @@
  * @param now - Steady time in milliseconds.
  * @returns True if a step of a job of which nothing runs has waited; a lasting step counts by itself.
  */
-export function isStarved(entry: JobEntry, room: Room, now: number): boolean {
+export function isStarved(entry: JobEntry, room: ServiceRoom, now: number): boolean {
     if (room.usedShare > CALM_SHARE) {
         return false;
     }
-    const steps = [...entry.occurrences.values()].flat();
-    const waiting = steps.filter(step => isWaiting(step) && hasWaitedLong(step, now));
-    const isIdle = steps.every(step => step.tasks.every(task => task.runs.length === 0));
+    const waiting = findOpenSteps(entry).filter(step => hasWaitedLong(step, now));
+    const isIdle = stepsOf(entry).every(step => step.tasks.every(task => task.runs.length === 0));
     return waiting.some(step =>
         (isIdle || step.spec.lasting) && countFits(room.free, step.spec) >= AMPLE_FITS
     );
 }
 
-function isWaiting(step: StepEntry): boolean {
-    return step.doneCount < step.tasks.length
-        && step.tasks.some(task => !task.done && task.runs.length === 0);
-}
-
 function hasWaitedLong(step: StepEntry, now: number): boolean {
     return now - (step.readyAt ?? now) >= (step.spec.lasting ? LASTING_STARVATION_MS : STARVATION_MS);
 }
--- a/packages/scheduler/src/engine/measureRoom.ts
+++ b/packages/scheduler/src/engine/measureRoom.ts
@@ -1,15 +1,17 @@
-import type { Resources, Step } from "@balsamward/schema/scheduling";
+import type { Resources } from "@balsamward/schema/scheduling";
+import { emptyResources } from "../state/emptyResources.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 
 /** Resources of the workers of one service. */
-export type Room = {
+export type ServiceRoom = {
     /** Largest share of a resource that is in use, from 0 to 1. */
     readonly usedShare: number;
     /** What no run takes up. */
     readonly free: Resources;
 };
 
-const KINDS = ["cpuMillis", "memoryMb", "accelerators"] as const;
+/** The kinds of resources. */
+export const RESOURCE_KINDS = ["cpuMillis", "memoryMb", "accelerators"] as const;
 
 /**
  * Measures the room of each service.
@@ -17,7 +19,7 @@
  * @param workers - Usable workers.
  * @returns The room by service.
  */
-export function measureRoom(workers: readonly WorkerEntry[]): ReadonlyMap<string, Room> {
+export function measureRoom(workers: readonly WorkerEntry[]): ReadonlyMap<string, ServiceRoom> {
     const services = new Map<string, WorkerEntry[]>();
     for (const worker of workers) {
         const members = services.get(worker.service) ?? [];
@@ -27,34 +29,17 @@
     return new Map([...services].map(([service, members]) => [service, sumUp(members)]));
 }
 
-/**
- * Returns how often a whole step would fit into free resources if these lay on one worker.
- *
- * @param free - The resources.
- * @param step - The step.
- * @returns The least multiple over all resources.
- */
-export function countFits(free: Resources, { request, taskCount }: Step): number {
-    return Math.min(...KINDS.map(kind => {
-        const needed = (request?.[kind] ?? 0) * taskCount;
-        return needed > 0 ? free[kind] / needed : Number.POSITIVE_INFINITY;
-    }));
-}
-
-function sumUp(workers: readonly WorkerEntry[]): Room {
-    const free: Resources = {
-        $typeName: "balsamward.scheduling.v1.Resources",
-        cpuMillis: 0,
-        memoryMb: 0,
-        accelerators: 0,
-    };
-    const capacity = { ...free };
+function sumUp(workers: readonly WorkerEntry[]): ServiceRoom {
+    const free = emptyResources();
+    const capacity = emptyResources();
     for (const worker of workers) {
-        for (const kind of KINDS) {
+        for (const kind of RESOURCE_KINDS) {
             free[kind] += Math.max(0, worker.free[kind]);
             capacity[kind] += worker.capacity[kind];
         }
     }
-    const shares = KINDS.filter(kind => capacity[kind] > 0).map(kind => 1 - free[kind] / capacity[kind]);
+    const shares = RESOURCE_KINDS.filter(kind => capacity[kind] > 0).map(kind =>
+        1 - free[kind] / capacity[kind]
+    );
     return { usedShare: Math.max(0, ...shares), free };
 }
--- a/packages/scheduler/src/engine/placeCopies.ts
+++ b/packages/scheduler/src/engine/placeCopies.ts
@@ -1,4 +1,5 @@
 import { placeTasks } from "../placement/placeTasks.js";
+import { stepsOf } from "../state/stepsOf.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { allowedWorkers } from "./adviseStep.js";
 import { beginRuns } from "./beginRuns.js";
@@ -19,14 +20,12 @@
     usable: readonly WorkerEntry[],
     { entry, queue }: RankedJob,
 ): void {
-    for (const step of [...entry.occurrences.values()].flat()) {
+    for (const step of stepsOf(entry)) {
         for (const task of findStragglers(scheduler, step)) {
             const fitting = usable.filter(worker =>
                 isSuited(worker, queue, step) && task.runs.every(run => run.worker !== worker)
             );
-            const workers = queue.advice === undefined
-                ? fitting
-                : allowedWorkers(step, fitting, scheduler.clock());
+            const workers = allowedWorkers(queue.advice, step, fitting, scheduler.clock());
             beginRuns(scheduler, step, placeTasks(step, [task], workers));
         }
     }
--- a/packages/scheduler/src/engine/placeStep.ts
+++ b/packages/scheduler/src/engine/placeStep.ts
@@ -2,6 +2,7 @@
 import { placeGang } from "../placement/placeGang.js";
 import { placeTasks } from "../placement/placeTasks.js";
 import type { JobEntry, StepEntry, TaskEntry } from "../state/JobEntry.js";
+import { waitingTasks } from "../state/waitingTasks.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { allowedWorkers, requestAdvice } from "./adviseStep.js";
 import { beginRuns } from "./beginRuns.js";
@@ -41,13 +42,11 @@
     if (pass.full.has(shape) && !mayHold(ranked)) {
         return;
     }
-    const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
+    const waiting = waitingTasks(step);
     const fitting = pass.workers.filter(worker => isSuited(worker, ranked.queue, step));
     const { advice } = ranked.queue;
-    const suited = advice === undefined
-        ? fitting
-        : allowedWorkers(step, fitting, scheduler.clock());
-    const workers = suited.filter(worker => !pass.held.has(worker));
+    const workers = allowedWorkers(advice, step, fitting, scheduler.clock())
+        .filter(worker => !pass.held.has(worker));
     const fleet = pass.fleet.filter(worker => isSuited(worker, ranked.queue, step));
     const assignments = pass.full.has(shape) ? [] : assign(step, waiting, workers, fleet);
     beginRuns(scheduler, step, assignments);
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -1,9 +1,8 @@
 import type { Logger } from "winston";
 import type { Desk } from "./callers/Desk.js";
 import { agreeWallClock } from "./cluster/agreeWallClock.js";
-import type { Cluster } from "./cluster/Cluster.js";
+import { createCluster } from "./cluster/createCluster.js";
 import type { DecodeConfiguration } from "./cluster/createConfigurationKeeper.js";
-import { createConfigurationKeeper } from "./cluster/createConfigurationKeeper.js";
 import { createRelayingStore } from "./cluster/createRelayingStore.js";
 import { runMembership } from "./cluster/runMembership.js";
 import { runOwnership } from "./cluster/runOwnership.js";
@@ -69,7 +68,7 @@
     const { log, metrics, clock } = parts;
     const end = new AbortController();
     const leaving = new AbortController();
-    const cluster = createCluster(parts);
+    const cluster = createCluster({ ...parts, address: parts.peerAddress });
     const store = createRelayingStore(parts.store, cluster);
     let scheduler: Scheduler | undefined;
     let desk: OwnerDesk | undefined;
@@ -135,25 +134,6 @@
     };
 }
 
-function createCluster(parts: NodeParts): Cluster {
-    return {
-        node: parts.node,
-        address: parts.peerAddress,
-        peers: new Map(),
-        configuration: createConfigurationKeeper(parts.decodeConfiguration, parts),
-        log: parts.log,
-        metrics: parts.metrics,
-        clock: parts.clock,
-        owner: undefined,
-        depths: [],
-        ownDepths: () => undefined,
-        reachesStore: true,
-        leaving: false,
-        onOwnerDead: () => {},
-        meet: () => undefined,
-    };
-}
-
 async function listWorkers(
     parts: NodeParts,
     store: FleetStore,
--- a/packages/scheduler/src/state/WorkerEntry.ts
+++ b/packages/scheduler/src/state/WorkerEntry.ts
@@ -1,6 +1,7 @@
 import type { Resources } from "@balsamward/schema/scheduling";
 import type { Bell } from "../_lib/createBell.js";
 import type { WorkerId } from "../ids.js";
+import { emptyResources } from "./emptyResources.js";
 import type { Run } from "./JobEntry.js";
 
 /** One life of a worker as the owner knows it. */
@@ -96,7 +97,3 @@
         faults: 0,
     };
 }
-
-function emptyResources(): Resources {
-    return { $typeName: "balsamward.scheduling.v1.Resources", cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-}
--- a/packages/scheduler/src/state/composeProgress.ts
+++ b/packages/scheduler/src/state/composeProgress.ts
@@ -3,6 +3,7 @@
 import { create } from "@bufbuild/protobuf";
 import type { JobEntry, StepEntry } from "./JobEntry.js";
 import { hasEnded } from "./jobStates.js";
+import { stepsOf } from "./stepsOf.js";
 
 /**
  * Composes what has to last of a job's progress.
@@ -13,7 +14,7 @@
 export function composeProgress(entry: JobEntry): Progress {
     const steps = hasEnded(entry.state)
         ? []
-        : [...entry.occurrences.values()].flat().map(composeStep).filter(step => step.tasks.length > 0);
+        : stepsOf(entry).map(composeStep).filter(step => step.tasks.length > 0);
     return create(ProgressSchema, { job: entry.id, state: entry.state, steps, endedAtMs: entry.endedAtMs });
 }
 
--- /dev/null
+++ b/packages/scheduler/src/state/waitingTasks.ts
@@ -0,0 +1,11 @@
+import type { StepEntry, TaskEntry } from "./JobEntry.js";
+
+/**
+ * Returns the tasks of a step that are not done and have no run.
+ *
+ * @param step - The step.
+ * @returns The tasks, in the step's order.
+ */
+export function waitingTasks(step: StepEntry): readonly TaskEntry[] {
+    return step.tasks.filter(task => !task.done && task.runs.length === 0);
+}
