--- a/features/support/SchedulerLab.ts
+++ b/features/support/SchedulerLab.ts
@@ -6,7 +6,6 @@
     JobId,
     MachineState,
     OrderOutcome,
-    QueueName,
     UpkeepOutcome,
     UpkeepWave,
     WorkerId,
@@ -25,6 +24,7 @@
 import { createScheduler, runScheduler } from "../../packages/scheduler/src/engine/runScheduler.js";
 import type { Ownership, Scheduler } from "../../packages/scheduler/src/engine/Scheduler.js";
 import { keys } from "../../packages/scheduler/src/keys.js";
+import { createLabConfiguration } from "./createLabConfiguration.js";
 import { LogicalClock } from "./LogicalClock.js";
 
 const WORKER_CPU_MILLIS = 32_000;
@@ -53,22 +53,7 @@
     /** Machines that went down while something ran there. */
     readonly wentDownBusy: string[] = [];
     readonly terms: Term[] = [];
-    configuration: FleetConfiguration = {
-        version: 1,
-        queues: [
-            queueOf("urgent", 0),
-            queueOf("normal", 1),
-            queueOf("bulk", 2),
-            advisedQueue(),
-            hastyQueue(),
-        ],
-        customers: [
-            { name: "ana", keys: ["key-ana"], guaranteedAccelerators: 16 },
-            { name: "bob", keys: ["key-bob"], guaranteedAccelerators: 0 },
-        ],
-        services: [{ name: "service", checksAdmission: true, standby: false }],
-        maxBodyBytes: 1_000_000,
-    };
+    configuration: FleetConfiguration = createLabConfiguration();
     private jobCount = 0;
 
     /** Adds workers to the fleet, four to a rack. */
@@ -277,27 +262,3 @@
         };
     }
 }
-
-function advisedQueue(): FleetConfiguration["queues"][number] {
-    return { ...queueOf("advised", 1), advice: { decisionMs: 10, perWorkerMs: 1, validityMs: 3_000 } };
-}
-
-/** A queue whose jobs come too late from the beginning. */
-function hastyQueue(): FleetConfiguration["queues"][number] {
-    return { ...queueOf("hasty", 1), stretch: 0.1, objectiveMs: 0 };
-}
-
-function queueOf(name: string, priority: number): FleetConfiguration["queues"][number] {
-    return {
-        name: name as QueueName,
-        host: "host",
-        prefix: `/${name}/`,
-        service: "service",
-        priority,
-        attempts: 2,
-        stretch: 3,
-        objectiveMs: 1_000,
-        open: false,
-        advice: undefined,
-    };
-}
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -4,23 +4,15 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { SchedulerLab } from "../../../../features/support/SchedulerLab.js";
+import { jobOf, labOf } from "../../../../features/support/schedulerNotes.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
-import type { JobId, WorkerId } from "../index.js";
-import type { EndKind } from "../index.js";
+import type { EndKind, WorkerId } from "../index.js";
 import { keys } from "../keys.js";
 
 type StepInit = MessageInitShape<typeof StepSchema>;
 
 const SECOND_MS = 1_000;
 
-function labOf(world: TestWorld): SchedulerLab {
-    return world.note<SchedulerLab>("lab");
-}
-
-function jobOf(world: TestWorld, name: string): JobId {
-    return world.note<JobId>(`job ${name}`);
-}
-
 /** Reads a shape such as '4 x 8 gang one-rack checkpoints after 0'. */
 function parseStep(text: string): StepInit {
     const [, count, accelerators, rest] = /^(\d+) x (\d+)(.*)$/.exec(text.trim())!;
@@ -122,11 +114,6 @@
     await labOf(this).advance(500);
 });
 
-When("the worker {word} drains", async function(this: TestWorld, id: string) {
-    labOf(this).workers.get(id as WorkerId)!.isDraining = true;
-    await labOf(this).advance(600);
-});
-
 When("the next orders at {word} meet {string}", function(this: TestWorld, id: string, faults: string) {
     labOf(this).workers.get(id as WorkerId)!.orderFaults.push(...faults.split(" ") as OrderFault[]);
 });
@@ -232,78 +219,6 @@
     labOf(this).unlisted.add(this.note<WorkerId>("cut"));
 });
 
-When(
-    "the worker {word} drains and leaves in {float} seconds",
-    async function(this: TestWorld, id: string, seconds: number) {
-        const worker = labOf(this).workers.get(id as WorkerId)!;
-        worker.isDraining = true;
-        worker.remainingMs = seconds * SECOND_MS;
-        await labOf(this).advance(1_000);
-    },
-);
-
-When("the worker {word} has left", function(this: TestWorld, id: string) {
-    labOf(this).workers.delete(id as WorkerId);
-});
-
-When("the advice denies {word}", function(this: TestWorld, id: string) {
-    labOf(this).denied.add(id as WorkerId);
-});
-
-When(
-    "task {word} of {word} is {int} percent done",
-    function(this: TestWorld, task: string, job: string, percent: number) {
-        const name = `${jobOf(this, job)}.${task}`;
-        labOf(this).workerOf(name)!.running.get(name)!.percent = percent;
-    },
-);
-
-When(
-    "the response time of task {word} of {word} is {int} ms",
-    async function(this: TestWorld, task: string, job: string, tailMs: number) {
-        const name = `${jobOf(this, job)}.${task}`;
-        labOf(this).workerOf(name)!.running.get(name)!.load = tailMs;
-        await labOf(this).advance(200);
-    },
-);
-
-Then(
-    "task {word} of {word} works at {int} percent",
-    function(this: TestWorld, task: string, job: string, pace: number) {
-        const name = `${jobOf(this, job)}.${task}`;
-        assert.equal(labOf(this).workerOf(name)!.running.get(name)!.pace, pace);
-    },
-);
-
-Then("every start of {word} carries its ticket", function(this: TestWorld, job: string) {
-    for (const worker of labOf(this).workers.values()) {
-        for (const start of worker.starts.filter(({ task }) => task.job === jobOf(this, job))) {
-            assert.equal(start.ticket, `t-${worker.id}`);
-        }
-    }
-});
-
-When(
-    "the operator wants the upkeep of all machines, {int} at a time",
-    function(this: TestWorld, maxDown: number) {
-        const lab = labOf(this);
-        const wave = { number: 1, machines: [...lab.machines.keys()], durationMs: 60 * SECOND_MS, maxDown };
-        lab.store.put("waves/1", Buffer.from(JSON.stringify(wave)));
-    },
-);
-
-Then("the wave is {word}", function(this: TestWorld, state: string) {
-    assert.equal(Buffer.from(labOf(this).store.get("status/1")?.value ?? []).toString(), state);
-});
-
-Then(
-    "at most {int} machine(s) was/were down at once, none with work on it",
-    function(this: TestWorld, most: number) {
-        assert.equal(labOf(this).mostDown, most);
-        assert.deepEqual(labOf(this).wentDownBusy, []);
-    },
-);
-
 When(
     "{word} submits the scheduled job {word} of {string}, {int} times every {int} seconds from {int} second on",
     async function(
