Demo: give the gang time to outlive its owner

From its logs: the gang ran from 14:15:09.1 for 12 s, so until 21.1; its owner was killed, and the next one had the cell at 20.6. The demo looks through the command line, which takes about 1.2 s a call, so that 'the gang goes on whole' was asked when the gang had ended as it should. Ruled out: the takeover (7.4 s, within its bound), a lost gang (its usage was right in the same run). Change: the gang runs 20 s instead of 12; the checks are as before.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -69,7 +69,7 @@
         "--adjacency",
         "rack",
         "--run-ms",
-        "12000",
+        "20000",
         "--key",
         "season-gang",
         "--wait",
