Log what the owner believed when it releases a run without a report

A run that is released without a report from its worker is the step at which a wrong belief starts a task twice. The logs did not tell on which incarnation of the worker the run was counted, whether the worker had ever confirmed it, and how old the last answer was; a restart that a hold shows left no line with both incarnations.

The line of such a release now carries 'bornMs', 'isConfirmed', 'sinceOrderedMs' and 'sinceAnsweredMs', that of a first hold and of a removal 'bornMs', and a restart has a line with the previous and the new incarnation.

--- a/packages/scheduler/src/engine/applyHoldAnswer.ts
+++ b/packages/scheduler/src/engine/applyHoldAnswer.ts
@@ -62,7 +62,11 @@
         ...run.task.name,
         run: run.number,
         worker: run.worker.id,
+        bornMs: run.worker.bornMs,
         phase: run.phase,
+        isConfirmed: run.isConfirmed,
+        sinceOrderedMs: Math.round(scheduler.clock() - run.orderedAt),
+        sinceAnsweredMs: Math.round(scheduler.clock() - run.worker.lastAnswerAt),
         reason,
     });
     releaseRun(run);
--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/syncWorker.ts
@@ -78,6 +78,12 @@
                 worker.bornMs !== 0 && outcome.answer.bornMs !== 0
                 && worker.bornMs !== outcome.answer.bornMs
             ) {
+                scheduler.log.info("A worker has restarted.", {
+                    worker: worker.id,
+                    previousBornMs: worker.bornMs,
+                    bornMs: outcome.answer.bornMs,
+                    runs: worker.runs.size,
+                });
                 removeWorker(scheduler, worker, "reborn");
                 return;
             }
@@ -117,7 +123,11 @@
     }
     worker.hasAnswered = true;
     scheduler.unreconciledWorkers.delete(worker.id);
-    scheduler.log.info("A worker answers its first hold.", { worker: worker.id, runs: worker.runs.size });
+    scheduler.log.info("A worker answers its first hold.", {
+        worker: worker.id,
+        bornMs: worker.bornMs,
+        runs: worker.runs.size,
+    });
     scheduler.requestPass();
 }
 
@@ -141,6 +151,7 @@
 export function removeWorker(scheduler: Scheduler, worker: WorkerEntry, reason: string): void {
     scheduler.log.info("A worker is removed from the fleet.", {
         worker: worker.id,
+        bornMs: worker.bornMs,
         runs: worker.runs.size,
         reason,
     });
