Keep the runs of a restarted worker until its new incarnation shows that they ended

Callers saw: a task that must run once ran on two workers at the same time, or again after it had ended as done and that end had been acknowledged.

Cause: the owner applied to one incarnation of a worker what it had derived from another. Answers to starts carry no incarnation. An idle worker gets no holds, so a start could reach an incarnation that the owner did not know yet; the first hold after it, or the next list of workers, showed the restart, and the owner released all runs of the entry, the one that had just begun included, and placed its task elsewhere. An entry that was known from the roster took its incarnation from the list of workers, possibly after a restart: ends of the new incarnation with numbers up to the old highest one were skipped and acknowledged, and their tasks started again. A hold that was meant for the earlier incarnation acknowledged ends that the new one had numbered anew.

Change: the entry of a worker outlives a restart. Only a hold's answer tells the incarnation; a list that names another one makes the owner ask before it starts anything more there. At a restart the numbers of ends begin anew, stops that were answered are sent again, the lease counts for the longest time that a worker grants, and runs are released by the rule for all workers: the new incarnation does not list them in an answer to a hold that was sent after they were confirmed. A hold acknowledges ends and extends leases only if the hold before it was answered. A start is not sent a second time for a run that was released meanwhile.

--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -238,6 +238,7 @@
             .filter(worker => !this.unlistedWorkers.has(worker.id))
             .map(worker => ({
                 ...worker.report,
+                bornMs: worker.registeredBornMs,
                 draining: worker.isDraining,
                 remainingMs: worker.remainingMs,
             }));
--- a/packages/scheduler/src/engine/applyHoldAnswer.ts
+++ b/packages/scheduler/src/engine/applyHoldAnswer.ts
@@ -29,8 +29,8 @@
     const now = scheduler.clock();
     recordClock(worker, answer.clockMs, now);
     for (const endedRun of answer.ended) {
-        if (endedRun.number > worker.lastAppliedEnd) {
-            worker.lastAppliedEnd = endedRun.number;
+        if (endedRun.number > worker.ends.lastApplied) {
+            worker.ends.lastApplied = endedRun.number;
             applyRunEnd(scheduler, worker, endedRun);
         }
     }
--- a/packages/scheduler/src/engine/flushProgress.ts
+++ b/packages/scheduler/src/engine/flushProgress.ts
@@ -5,13 +5,21 @@
 import type { StoreError, StoreItem } from "../ports/FleetStore.js";
 import { composeProgress } from "../state/composeProgress.js";
 import type { JobEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { EndNumbers } from "../state/WorkerEntry.js";
 import { storeKeys } from "../storeKeys.js";
 import type { Scheduler } from "./Scheduler.js";
 
 /** Maximum number of jobs in a transaction: each needs an expectation and a write, the owner's key an expectation. */
 const JOBS_PER_TRANSACTION = Math.floor((MAX_TRANSACTION_ENTRIES - 1) / 2);
 
+/** Ends of a worker whose effects are about to be stored. */
+type AppliedEnds = {
+    readonly ends: EndNumbers;
+    readonly wakeSignal: WakeSignal;
+    /** Number of the last end that was applied before the write. */
+    readonly lastApplied: number;
+};
+
 type Snapshot = { readonly entry: JobEntry; readonly state: JobEntry["state"]; readonly value: Uint8Array };
 
 /**
@@ -25,11 +33,15 @@
     const { signal } = scheduler.ownership;
     while (!signal.aborted) {
         const appliedEnds = [...scheduler.fleet.values()]
-            .filter(worker => worker.lastAppliedEnd > worker.lastDurableEnd)
-            .map(worker => ({ worker, number: worker.lastAppliedEnd }));
+            .filter(({ ends }) => ends.lastApplied > ends.lastDurable)
+            .map(({ ends, wakeSignal }): AppliedEnds => ({
+                ends,
+                wakeSignal,
+                lastApplied: ends.lastApplied,
+            }));
         const jobsToStore = [...scheduler.jobs.values()].filter(entry => entry.hasUnstoredProgress);
         if (await storeAll(scheduler, jobsToStore)) {
-            appliedEnds.forEach(({ worker, number }) => markEndsStored(worker, number));
+            appliedEnds.forEach(markEndsStored);
             await trigger.wait(MAX_PASS_INTERVAL_MS, signal);
         }
         else {
@@ -38,9 +50,9 @@
     }
 }
 
-function markEndsStored(worker: WorkerEntry, lastEnd: number): void {
-    worker.lastDurableEnd = Math.max(worker.lastDurableEnd, lastEnd);
-    worker.wakeSignal.notify();
+function markEndsStored({ ends, wakeSignal, lastApplied }: AppliedEnds): void {
+    ends.lastDurable = Math.max(ends.lastDurable, lastApplied);
+    wakeSignal.notify();
 }
 
 async function storeAll(scheduler: Scheduler, entries: readonly JobEntry[]): Promise<boolean> {
--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -121,7 +121,7 @@
         const id = worker as WorkerId;
         scheduler.roster.add(id);
         scheduler.unreconciledWorkers.add(id);
-        addWorker(scheduler, createWorkerEntry(id, address, 0, createWakeSignal(scheduler.pause)));
+        addWorker(scheduler, createWorkerEntry(id, address, createWakeSignal(scheduler.pause)));
     }
     const leaseMs = getMaxMonotonicMs(getMaxLeaseMs(scheduler.bounds.maxHoldMs));
     scheduler.unknownRunsEndAt = scheduler.clock() + OWNER_LEASE_TTL_MS + leaseMs;
--- /dev/null
+++ b/packages/scheduler/src/engine/restarts.feature
@@ -0,0 +1,66 @@
+Feature: Workers restart under their ids
+
+    Scenario: A run that a restarted worker has just begun is not placed a second time
+        Given a fleet of 2 workers with an owner
+        When the worker w0 restarts
+        And the worker w1 restarts
+        And ana submits the normal job J of "1 x 2"
+        And 1 second passes
+        Then each task of J runs at most once
+        And task 0.0.0 of J was started 1 time
+
+    Scenario: A start whose answer a restarted worker loses is not placed a second time
+        Given a fleet of 2 workers with an owner
+        When the worker w0 restarts
+        And the worker w1 restarts
+        And the next orders to w0 hit the faults "lost-answer"
+        And the next orders to w1 hit the faults "lost-answer"
+        And ana submits the normal job J of "1 x 2"
+        And 1 second passes
+        Then each task of J runs at most once
+        And task 0.0.0 of J was started 1 time
+
+    Scenario: A restart that the platform lists does not release the run of the new incarnation
+        Given a fleet of 2 workers with an owner
+        When ana submits the normal job J of "2 x 8"
+        And the worker w0 restarts and registers
+        And 1 second passes
+        Then each task of J runs at most once
+        And 2 tasks of J run
+
+    Scenario: A task that ended on a new incarnation is not started again
+        Given a fleet of 1 workers with an owner
+        When ana submits the normal job J of "3 x 2"
+        And the worker w0 is not listed
+        And the owner dies
+        And a new owner takes over
+        And task 0.0.0 of J ends as done
+        And task 0.0.1 of J ends as done
+        And the worker w0 restarts
+        And the worker w0 is listed again
+        And 1 second passes
+        And task 0.0.2 of J ends as done
+        And 1 second passes
+        Then the job J is completed
+        And no task runs on w0
+
+    Scenario: An end of a new incarnation is not discarded by a hold that was meant for an earlier one
+        Given a fleet of 1 workers with an owner
+        When ana submits the normal job J of "2 x 2"
+        And task 0.0.0 of J ends as done
+        And the worker w0 restarts
+        And the answer to the next 1 hold of w0 is lost
+        And ana submits the normal job K of "1 x 2"
+        And task 0.0.0 of K ends as done
+        And 1 second passes
+        Then the job K is completed
+        And task 0.0.0 of K was started 1 time
+
+    Scenario: A restarted worker keeps reporting ends until they are stored
+        Given a fleet of 1 workers with an owner
+        When ana submits the normal job J of "3 x 2"
+        And task 0.0.0 of J ends as done
+        And the worker w0 restarts and registers
+        And task 0.0.1 of J ends as done
+        And task 0.0.2 of J ends as done
+        Then the job J is completed
--- a/packages/scheduler/src/engine/startRun.ts
+++ b/packages/scheduler/src/engine/startRun.ts
@@ -19,7 +19,7 @@
 export async function startRun(scheduler: Scheduler, run: Run, ticket: string): Promise<void> {
     const { worker, task } = run;
     let mayHaveStarted = false;
-    for (let send = 0; send < MAX_START_SENDS && run.phase === "starting"; send++) {
+    for (let send = 0; send < MAX_START_SENDS && mayStillStart(run); send++) {
         const outcome = await scheduler.workers.start(worker, {
             task: task.name,
             run: run.number,
@@ -54,6 +54,11 @@
     }
 }
 
+/** Returns whether a run is still to be started: neither confirmed, nor stopped, nor released with its worker. */
+function mayStillStart(run: Run): boolean {
+    return run.phase === "starting" && run.worker.runs.has(run);
+}
+
 /**
  * Marks a run as confirmed by its worker; a confirmed run stays unchanged.
  *
--- a/packages/scheduler/src/engine/stopRun.ts
+++ b/packages/scheduler/src/engine/stopRun.ts
@@ -40,6 +40,19 @@
     scheduler.spawn(() => sendStop(scheduler, run));
 }
 
+/**
+ * Sends the order to stop a run once more if it has been answered; a run that is not being stopped is ignored.
+ *
+ * @param scheduler - The scheduler.
+ * @param run - The run.
+ */
+export function repeatStop(scheduler: Scheduler, run: Run): void {
+    if (run.stopAnsweredAt !== undefined) {
+        run.stopAnsweredAt = undefined;
+        scheduler.spawn(() => sendStop(scheduler, run));
+    }
+}
+
 async function sendStop(scheduler: Scheduler, run: Run): Promise<void> {
     const { worker } = run;
     const order = { task: run.task.name, run: run.number, fence: scheduler.ownership.revision };
--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/syncWorker.ts
@@ -5,8 +5,10 @@
     MAX_PASS_INTERVAL_MS,
 } from "../constants.js";
 import type { HoldOutcome } from "../ports/WorkerPort.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { EndNumbers, WorkerEntry } from "../state/WorkerEntry.js";
 import { applyHoldAnswer, releaseLostRun } from "./applyHoldAnswer.js";
+import { beginIncarnation } from "./beginIncarnation.js";
+import { isOtherIncarnation } from "./isOtherIncarnation.js";
 import type { Scheduler } from "./Scheduler.js";
 import { extendLease } from "./workerClock.js";
 
@@ -25,7 +27,7 @@
             await worker.wakeSignal.wait(MAX_PASS_INTERVAL_MS, signal);
             continue;
         }
-        if (worker.lastAppliedEnd > worker.lastDurableEnd) {
+        if (worker.ends.lastApplied > worker.ends.lastDurable) {
             await worker.wakeSignal.wait(HOLD_DURABILITY_PAUSE_MS, signal);
         }
         await sendHold(scheduler, worker, signal);
@@ -34,19 +36,19 @@
 
 function isIdle(worker: WorkerEntry): boolean {
     return worker.hasAnswered && !worker.isUnresponsive && worker.runs.size === 0
-        && worker.lastAcknowledgedEnd === worker.lastAppliedEnd;
+        && worker.ends.lastAcknowledged === worker.ends.lastApplied;
 }
 
 async function sendHold(scheduler: Scheduler, worker: WorkerEntry, signal: AbortSignal): Promise<void> {
     const sentAt = scheduler.clock();
-    const acknowledgedEnd = worker.lastDurableEnd;
+    const { ends } = worker;
+    const isKnown = isIncarnationKnown(worker);
+    const acknowledgedEnd = isKnown ? ends.lastDurable : 0;
     const order = {
         fence: scheduler.ownership.revision,
         lastDurableEnd: acknowledgedEnd,
-        leaseUntilMs: mayExtendLease(worker)
-            ? extendLease(worker, sentAt, scheduler.bounds.maxHoldMs)
-            : undefined,
-        waitMs: mayExtendLease(worker) && worker.runs.size > 0 && worker.lastAppliedEnd === acknowledgedEnd
+        leaseUntilMs: isKnown ? extendLease(worker, sentAt, scheduler.bounds.maxHoldMs) : undefined,
+        waitMs: isKnown && worker.runs.size > 0 && ends.lastApplied === acknowledgedEnd
             ? MAX_HOLD_WAIT_MS
             : 0,
     };
@@ -54,41 +56,38 @@
     if (signal.aborted || scheduler.fleet.get(worker.id) !== worker) {
         return;
     }
-    await handleHoldOutcome(scheduler, worker, outcome, { sentAt, acknowledgedEnd });
+    await handleHoldOutcome(scheduler, worker, outcome, { sentAt, ends, acknowledgedEnd });
 }
 
 /**
- * Returns whether a hold may extend the worker's lease. The first hold only reads the worker's clock. The lease of
- * an unresponsive worker is not extended either: an unanswered hold may still take effect, and the end of the lease
- * must show when the worker's runs have ended.
+ * Returns whether the worker's incarnation is known: it has answered the last hold.
+ *
+ * Any other hold only reads. The worker may have restarted, and then has another clock and numbers its ends anew. An
+ * unanswered hold may also still take effect, and the end of the lease must show when the worker's runs have ended.
  */
-function mayExtendLease(worker: WorkerEntry): boolean {
+function isIncarnationKnown(worker: WorkerEntry): boolean {
     return worker.hasAnswered && !worker.isUnresponsive;
 }
 
+/** What a hold was sent with. */
+type SentHold = {
+    readonly sentAt: number;
+    /** Numbers of the incarnation that the hold was meant for. */
+    readonly ends: EndNumbers;
+    readonly acknowledgedEnd: number;
+};
+
 async function handleHoldOutcome(
     scheduler: Scheduler,
     worker: WorkerEntry,
     outcome: HoldOutcome,
-    sent: { readonly sentAt: number; readonly acknowledgedEnd: number },
+    sent: SentHold,
 ): Promise<void> {
     switch (outcome.kind) {
         case "held":
-            if (
-                worker.bornMs !== 0 && outcome.answer.bornMs !== 0
-                && worker.bornMs !== outcome.answer.bornMs
-            ) {
-                scheduler.log.info("A worker has restarted.", {
-                    worker: worker.id,
-                    previousBornMs: worker.bornMs,
-                    bornMs: outcome.answer.bornMs,
-                    runs: worker.runs.size,
-                });
-                removeWorker(scheduler, worker, "reborn");
-                return;
-            }
+            updateIncarnation(scheduler, worker, outcome.answer.bornMs);
             worker.isUnresponsive = false;
-            worker.lastAcknowledgedEnd = Math.max(worker.lastAcknowledgedEnd, sent.acknowledgedEnd);
+            sent.ends.lastAcknowledged = Math.max(sent.ends.lastAcknowledged, sent.acknowledgedEnd);
             applyHoldAnswer(scheduler, worker, outcome.answer, sent.sentAt);
             markAnswered(scheduler, worker);
             return;
@@ -117,6 +116,15 @@
     }
 }
 
+function updateIncarnation(scheduler: Scheduler, worker: WorkerEntry, bornMs: number): void {
+    if (isOtherIncarnation(worker, bornMs)) {
+        beginIncarnation(scheduler, worker, bornMs);
+    }
+    else if (bornMs !== 0) {
+        worker.bornMs = bornMs;
+    }
+}
+
 function markAnswered(scheduler: Scheduler, worker: WorkerEntry): void {
     if (worker.hasAnswered) {
         return;
--- a/packages/scheduler/src/engine/watchFleet.ts
+++ b/packages/scheduler/src/engine/watchFleet.ts
@@ -6,6 +6,7 @@
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { createWorkerEntry } from "../state/WorkerEntry.js";
 import { storeKeys } from "../storeKeys.js";
+import { isOtherIncarnation } from "./isOtherIncarnation.js";
 import type { Scheduler } from "./Scheduler.js";
 import { removeWorker, syncWorker } from "./syncWorker.js";
 
@@ -59,24 +60,23 @@
 
 function applyReport(scheduler: Scheduler, report: WorkerReport): void {
     let worker = scheduler.fleet.get(report.id);
-    if (worker !== undefined && isOtherIncarnation(worker, report)) {
-        removeWorker(scheduler, worker, "reborn");
+    if (worker !== undefined && worker.address !== report.address) {
+        removeWorker(scheduler, worker, "other-address");
         worker = undefined;
     }
     if (worker === undefined) {
-        worker = createWorkerEntry(
-            report.id,
-            report.address,
-            report.bornMs,
-            createWakeSignal(scheduler.pause),
-        );
+        worker = createWorkerEntry(report.id, report.address, createWakeSignal(scheduler.pause));
         addWorker(scheduler, worker);
         scheduler.log.info("A worker is listed.", { worker: report.id, address: report.address });
     }
     if (report.draining && !worker.draining) {
         scheduler.log.info("A worker starts draining.", { worker: report.id });
     }
-    worker.bornMs = worker.bornMs === 0 ? report.bornMs : worker.bornMs;
+    if (isOtherIncarnation(worker, report.bornMs)) {
+        // The list may be older or newer than the last hold: the next one shows which incarnation is there.
+        worker.hasAnswered = false;
+        worker.wakeSignal.notify();
+    }
     worker.service = report.service;
     worker.dataCentre = report.dataCentre;
     worker.labels = report.labels;
@@ -89,11 +89,6 @@
     updateCapacity(worker, report);
 }
 
-function isOtherIncarnation(worker: WorkerEntry, report: WorkerReport): boolean {
-    return worker.address !== report.address
-        || worker.bornMs !== 0 && report.bornMs !== 0 && worker.bornMs !== report.bornMs;
-}
-
 function updateCapacity(worker: WorkerEntry, report: WorkerReport): void {
     worker.free.cpuMillis += report.capacity.cpuMillis - worker.capacity.cpuMillis;
     worker.free.memoryMb += report.capacity.memoryMb - worker.capacity.memoryMb;
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -25,6 +25,36 @@
     getHarness(this).workers.delete(id as WorkerId);
 });
 
+When("the worker {word} restarts", function(this: TestWorld, id: string) {
+    getHarness(this).workers.get(id as WorkerId)!.restart();
+});
+
+When(
+    "the answer(s) to the next {int} hold(s) of {word} is/are lost",
+    function(this: TestWorld, count: number, id: string) {
+        getHarness(this).workers.get(id as WorkerId)!.unansweredHoldCount = count;
+    },
+);
+
+When("the worker {word} restarts and registers", async function(this: TestWorld, id: string) {
+    const worker = getHarness(this).workers.get(id as WorkerId)!;
+    worker.restart();
+    worker.register();
+    await getHarness(this).advance(600);
+});
+
+When("the worker {word} is not listed", async function(this: TestWorld, id: string) {
+    getHarness(this).unlistedWorkers.add(id as WorkerId);
+    await getHarness(this).advance(600);
+});
+
+When("the worker {word} is listed again", async function(this: TestWorld, id: string) {
+    const worker = getHarness(this).workers.get(id as WorkerId)!;
+    worker.register();
+    getHarness(this).unlistedWorkers.delete(worker.id);
+    await getHarness(this).advance(600);
+});
+
 When("the advice service denies {word}", function(this: TestWorld, id: string) {
     getHarness(this).deniedWorkers.add(id as WorkerId);
 });
--- a/packages/scheduler/src/state/WorkerEntry.ts
+++ b/packages/scheduler/src/state/WorkerEntry.ts
@@ -4,11 +4,21 @@
 import { createEmptyResources } from "./createEmptyResources.js";
 import type { Run } from "./JobEntry.js";
 
-/** State of one incarnation of a worker, as held by the owner. */
+/** How far the ends that one incarnation of a worker has numbered are processed. */
+export type EndNumbers = {
+    /** Number of the last end that was applied. */
+    lastApplied: number;
+    /** Number of the last end whose effect is durable. */
+    lastDurable: number;
+    /** Number of the last end that a hold answered by the worker has acknowledged; the worker discards it. */
+    lastAcknowledged: number;
+};
+
+/** State of a worker, as held by the owner. */
 export type WorkerEntry = {
     readonly id: WorkerId;
     readonly address: string;
-    /** Wall time at which this incarnation started, in milliseconds since 1970; 0 if unknown. */
+    /** Wall time at which the incarnation that last answered a hold started, in milliseconds since 1970; 0 if unknown. */
     bornMs: number;
     service: string;
     dataCentre: string;
@@ -32,7 +42,7 @@
     bestEffortPaceChangedAt: number;
     /** Whether the platform lists the worker. */
     isListed: boolean;
-    /** Whether this incarnation has answered a hold of this owner. */
+    /** Whether the worker has answered a hold of this owner since it was added or its latest restart was noticed. */
     hasAnswered: boolean;
     /** Whether the last hold failed or was not answered. */
     isUnresponsive: boolean;
@@ -44,12 +54,8 @@
     clockReadAt: number;
     /** Monotonic time after which nothing can run on the worker any more, in milliseconds. */
     leaseEndsAt: number;
-    /** Number of the last end that was applied. */
-    lastAppliedEnd: number;
-    /** Number of the last end whose effect is durable. */
-    lastDurableEnd: number;
-    /** Number of the last end that a hold answered by the worker has acknowledged; the worker discards it. */
-    lastAcknowledgedEnd: number;
+    /** Numbers of the ends that the current incarnation has reported; a restart begins new ones. */
+    ends: EndNumbers;
     /** Monotonic time before which nothing is started on the worker, in milliseconds. */
     pausedUntil: number;
     /** Number of consecutive failures and refusals. */
@@ -61,20 +67,18 @@
  *
  * @param id - Id of the worker.
  * @param address - Address of the worker as `IP:port`.
- * @param bornMs - Wall time at which this incarnation started, in milliseconds since 1970; 0 if unknown.
  * @param wakeSignal - Wakes the task that calls the worker.
  * @returns The entry, without capacity.
  */
 export function createWorkerEntry(
     id: WorkerId,
     address: string,
-    bornMs: number,
     wakeSignal: WakeSignal,
 ): WorkerEntry {
     return {
         id,
         address,
-        bornMs,
+        bornMs: 0,
         service: "",
         dataCentre: "",
         rack: "",
@@ -96,10 +100,17 @@
         clockMs: 0,
         clockReadAt: 0,
         leaseEndsAt: Number.NEGATIVE_INFINITY,
-        lastAppliedEnd: 0,
-        lastDurableEnd: 0,
-        lastAcknowledgedEnd: 0,
+        ends: createEndNumbers(),
         pausedUntil: Number.NEGATIVE_INFINITY,
         consecutiveFaults: 0,
     };
 }
+
+/**
+ * Creates the numbers of an incarnation that has not reported any end.
+ *
+ * @returns The numbers; an incarnation numbers its ends from 1.
+ */
+export function createEndNumbers(): EndNumbers {
+    return { lastApplied: 0, lastDurable: 0, lastAcknowledged: 0 };
+}
--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -21,6 +21,9 @@
     /** The order is not executed, and the caller gets status 503. */
     | "refused";
 
+/** Longest lease that a worker grants, in milliseconds; a longer one is shortened. */
+const MAX_LEASE_MS = 10_000;
+
 type RunningTask = {
     readonly task: TaskName;
     readonly run: number;
@@ -40,6 +43,8 @@
 export class FakeWorker {
     /** Faults of the next starts and stops, in order; later orders have none. */
     readonly orderFaults: OrderFault[] = [];
+    /** Number of holds that will be executed without an answer reaching the caller. */
+    unansweredHoldCount = 0;
     /** Whether the worker is unreachable: start, stop and hold calls do not arrive. */
     isDisconnected = false;
     /** Executed starts, in order. */
@@ -57,6 +62,10 @@
     fence = 0;
     /** Time on the worker's clock at which the lease of its runs expires, in milliseconds. */
     leaseUntilMs = 0;
+    /** Wall time at which the current incarnation started, in milliseconds since 1970. */
+    bornMs: number;
+    /** `bornMs` of the incarnation that last registered with the platform. */
+    registeredBornMs: number;
     isDraining = false;
     /** Minimum time until a draining worker leaves, in milliseconds. */
     remainingMs = 0;
@@ -65,14 +74,19 @@
     /** Highest run number by task that must not start any more. */
     private readonly highestRejectedRuns = new Map<string, number>();
     private readonly delayedOrders: (() => void)[] = [];
+    /** Monotonic time at which the clock of the current incarnation reads 0, in milliseconds. */
+    private clockStartedAt = 0;
 
     /**
      * Creates a worker on which nothing runs.
      *
      * @param report - The worker's description of itself.
-     * @param clock - Returns the time of the worker's clock in milliseconds.
+     * @param monotonicClock - Returns the monotonic time in milliseconds; the first incarnation's clock reads the same.
      */
-    constructor(readonly report: WorkerReport, private readonly clock: () => number) {}
+    constructor(readonly report: WorkerReport, private readonly monotonicClock: () => number) {
+        this.bornMs = report.bornMs;
+        this.registeredBornMs = report.bornMs;
+    }
 
     /** Returns the worker's id. */
     get id(): WorkerId {
@@ -112,18 +126,40 @@
         const previousEndCount = this.endedRuns.length;
         this.endedRuns = this.endedRuns.filter(end => end.number > order.lastDurableEnd);
         this.forgottenEndCount += previousEndCount - this.endedRuns.length;
+        if (this.unansweredHoldCount > 0) {
+            this.unansweredHoldCount -= 1;
+            return { kind: "unclear", cause: "lost" };
+        }
         const running = [...this.running.values()].map(run => ({ ...run }));
         return {
             kind: "held",
             answer: {
                 clockMs: this.clock(),
-                bornMs: this.report.bornMs,
+                bornMs: this.bornMs,
                 running,
                 ended: [...this.endedRuns],
             },
         };
     }
 
+    /** Crashes and starts again under the same id and address: nothing of before is known, and all counts start anew. */
+    restart(): void {
+        this.bornMs += 1;
+        this.clockStartedAt = this.monotonicClock();
+        this.running.clear();
+        this.highestRejectedRuns.clear();
+        this.delayedOrders.splice(0);
+        this.endedRuns = [];
+        this.lastEndNumber = 0;
+        this.fence = 0;
+        this.leaseUntilMs = 0;
+    }
+
+    /** Registers the current incarnation with the platform. */
+    register(): void {
+        this.registeredBornMs = this.bornMs;
+    }
+
     /**
      * Ends the run of a task from the worker's side.
      *
@@ -157,6 +193,10 @@
         }
     }
 
+    private clock(): number {
+        return this.monotonicClock() - this.clockStartedAt;
+    }
+
     private executeWithFault(execute: () => OrderOutcome): OrderOutcome {
         const fault = this.orderFaults.shift();
         if (this.isDisconnected) {
@@ -226,7 +266,8 @@
     }
 
     private extendLease(leaseUntilMs: number | undefined): void {
-        this.leaseUntilMs = Math.max(this.leaseUntilMs, leaseUntilMs ?? 0);
+        const latestMs = this.clock() + MAX_LEASE_MS;
+        this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.min(leaseUntilMs ?? 0, latestMs));
     }
 
     private rejectRunsUpTo(name: string, run: number): void {
