--- a/packages/scheduler/src/state/WorkerEntry.ts
+++ b/packages/scheduler/src/state/WorkerEntry.ts
@@ -18,7 +18,7 @@
 export type WorkerEntry = {
     readonly id: WorkerId;
     readonly address: string;
-    /** Wall time at which the incarnation that last answered a hold started, in milliseconds since 1970; 0 if unknown. */
+    /** Wall time at which the incarnation that last answered a hold started, in ms since 1970; 0 if unknown. */
     bornMs: number;
     service: string;
     dataCentre: string;
--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -142,7 +142,7 @@
         };
     }
 
-    /** Crashes and starts again under the same id and address: nothing of before is known, and all counts start anew. */
+    /** Crashes and starts again under the same id and address; nothing is remembered, and all counts start anew. */
     restart(): void {
         this.bornMs += 1;
         this.clockStartedAt = this.monotonicClock();
