Move the removal of a worker and the release of a lost run to files of their own

syncWorker.ts and applyHoldAnswer.ts exported functions that other parts of the scheduler need, so that a start could not remove a worker without a circular import.

--- a/packages/scheduler/src/engine/applyHoldAnswer.ts
+++ b/packages/scheduler/src/engine/applyHoldAnswer.ts
@@ -5,11 +5,12 @@
 import { applyRunEnd } from "./applyRunEnd.js";
 import { findTask } from "./findTask.js";
 import { paceBestEffortRuns } from "./paceBestEffortRuns.js";
+import { releaseLostRun } from "./releaseLostRun.js";
 import { relocateRuns } from "./relocateRuns.js";
-import { createRun, releaseRun } from "./runs.js";
+import { createRun } from "./runs.js";
 import type { Scheduler } from "./Scheduler.js";
 import { confirmRun } from "./startRun.js";
-import { stopGang, stopRun } from "./stopRun.js";
+import { stopRun } from "./stopRun.js";
 import { recordClock } from "./workerClock.js";
 
 /**
@@ -50,32 +51,6 @@
     paceBestEffortRuns(scheduler, worker);
 }
 
-/**
- * Releases a run whose end its worker has not reported.
- *
- * @param scheduler - The scheduler.
- * @param run - The run.
- * @param reason - Why the run is known to have ended, for the log.
- */
-export function releaseLostRun(scheduler: Scheduler, run: Run, reason: string): void {
-    scheduler.log.info("A run has ended without a report from its worker.", {
-        ...run.task.name,
-        run: run.number,
-        worker: run.worker.id,
-        bornMs: run.worker.bornMs,
-        phase: run.phase,
-        isConfirmed: run.isConfirmed,
-        sinceOrderedMs: Math.round(scheduler.clock() - run.orderedAt),
-        sinceAnsweredMs: Math.round(scheduler.clock() - run.worker.lastAnswerAt),
-        reason,
-    });
-    releaseRun(run);
-    if (run.task.step.spec.gang) {
-        stopGang(scheduler, run.task.step, run.number);
-    }
-    scheduler.requestPass();
-}
-
 /** A missing run has ended only if the hold was sent after the worker last confirmed the run or answered its stop. */
 function hasCertainlyEnded(run: Run, sentAt: number): boolean {
     if (run.phase === "stopping") {
--- a/packages/scheduler/src/engine/runUpkeep.ts
+++ b/packages/scheduler/src/engine/runUpkeep.ts
@@ -2,9 +2,9 @@
 import type { Machine, UpkeepWave } from "../ports/MachinePort.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { mayStopRun } from "./mayStopRun.js";
+import { removeWorker } from "./removeWorker.js";
 import type { Scheduler } from "./Scheduler.js";
 import { stopRun } from "./stopRun.js";
-import { removeWorker } from "./syncWorker.js";
 
 /** Interval at which new waves are looked for while none is in progress, in milliseconds. */
 const WAVE_LIST_INTERVAL_MS = 1_000;
--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/syncWorker.ts
@@ -6,9 +6,11 @@
 } from "../constants.js";
 import type { HoldOutcome } from "../ports/WorkerPort.js";
 import type { EndNumbers, WorkerEntry } from "../state/WorkerEntry.js";
-import { applyHoldAnswer, releaseLostRun } from "./applyHoldAnswer.js";
+import { applyHoldAnswer } from "./applyHoldAnswer.js";
 import { beginIncarnation } from "./beginIncarnation.js";
 import { isOtherIncarnation } from "./isOtherIncarnation.js";
+import { releaseLostRun } from "./releaseLostRun.js";
+import { removeWorker } from "./removeWorker.js";
 import type { Scheduler } from "./Scheduler.js";
 import { extendLease } from "./workerClock.js";
 
@@ -148,26 +150,3 @@
         releaseLostRun(scheduler, run, "lease-ended");
     }
 }
-
-/**
- * Removes an incarnation of a worker from the fleet and releases its runs.
- *
- * @param scheduler - The scheduler.
- * @param worker - The incarnation, which has ended together with its runs.
- * @param reason - How the end is known, for the log.
- */
-export function removeWorker(scheduler: Scheduler, worker: WorkerEntry, reason: string): void {
-    scheduler.log.info("A worker is removed from the fleet.", {
-        worker: worker.id,
-        bornMs: worker.bornMs,
-        runs: worker.runs.size,
-        reason,
-    });
-    scheduler.fleet.delete(worker.id);
-    scheduler.unreconciledWorkers.delete(worker.id);
-    for (const run of [...worker.runs]) {
-        releaseLostRun(scheduler, run, reason);
-    }
-    scheduler.workers.closeConnections(worker.address);
-    worker.wakeSignal.notify();
-}
--- a/packages/scheduler/src/engine/watchFleet.ts
+++ b/packages/scheduler/src/engine/watchFleet.ts
@@ -7,8 +7,9 @@
 import { createWorkerEntry } from "../state/WorkerEntry.js";
 import { storeKeys } from "../storeKeys.js";
 import { isOtherIncarnation } from "./isOtherIncarnation.js";
+import { removeWorker } from "./removeWorker.js";
 import type { Scheduler } from "./Scheduler.js";
-import { removeWorker, syncWorker } from "./syncWorker.js";
+import { syncWorker } from "./syncWorker.js";
 
 /**
  * Polls the platform's list of workers during a term.
