Remove a worker when a start is answered by its successor at the address

Callers saw: a job waited for seconds although the fleet had room.

Cause: an idle worker gets no holds. If it has left and another worker has its address, a start is refused with 'other-life'; the run was released and the next pass, 10 ms later, ordered it from the same worker again, until the platform's list dropped the worker, up to three heartbeats later.

Change: the refusal proves that the worker is gone, as it does when a hold gets it; the worker is removed at once. The list may add it again, but it gets starts only after it has answered a hold.

Evidence: the new scenario of restarts.feature failed before (1 of 2 tasks ran after 2 s); 261 passed, 0 failed now.

--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -11,6 +11,7 @@
     WorkerId,
     WorkerPort,
     WorkerReport,
+    WorkerTarget,
 } from "@balsamward/scheduler";
 import { createMetrics } from "@balsamward/scheduler";
 import { JobSchema, JobState, ScheduleSchema, StepSchema } from "@balsamward/schema/scheduling";
@@ -53,6 +54,10 @@
     maxMachinesDown = 0;
     /** Machines that went down while tasks ran on them. */
     readonly machinesTakenDownWhileBusy: string[] = [];
+    /** Addresses to which the owner has closed its connections, in order. */
+    readonly closedAddresses: string[] = [];
+    /** Workers that have left but are still in the platform's list. */
+    readonly departedReports: WorkerReport[] = [];
     /** All terms, the latest last. */
     readonly terms: Term[] = [];
     configuration: FleetConfiguration = createTestConfiguration();
@@ -85,6 +90,14 @@
         }
     }
 
+    /** Replaces a worker by one with another id at the same address; the platform goes on listing both. */
+    replaceWorker(id: WorkerId, nextId: WorkerId): void {
+        const { report } = this.workers.get(id)!;
+        this.workers.delete(id);
+        this.departedReports.push(report);
+        this.workers.set(nextId, new FakeWorker({ ...report, id: nextId }, () => this.clock.now));
+    }
+
     /** Stores a job, as a daemon does that accepts it, and returns its id. */
     submit(
         queue: string,
@@ -234,7 +247,7 @@
     }
 
     private listWorkers(): readonly WorkerReport[] {
-        return [...this.workers.values()]
+        const reports = [...this.workers.values()]
             .filter(worker => !this.unlistedWorkers.has(worker.id))
             .map(worker => ({
                 ...worker.report,
@@ -242,30 +255,37 @@
                 draining: worker.isDraining,
                 remainingMs: worker.remainingMs,
             }));
+        return [...this.departedReports, ...reports];
     }
 
     private createWorkerPort(): WorkerPort {
+        const refuseFor = (address: string): OrderOutcome & HoldOutcome =>
+            [...this.workers.values()].some(({ report }) => report.address === address)
+                ? { kind: "other-life" }
+                : { kind: "unreachable", cause: "gone" };
         const sendOrder = async (
-            id: WorkerId,
+            { id, address }: WorkerTarget,
             action: (worker: FakeWorker) => OrderOutcome,
         ): Promise<OrderOutcome> => {
             const worker = this.workers.get(id);
-            return worker === undefined ? { kind: "unreachable", cause: "gone" } : action(worker);
+            return worker === undefined ? refuseFor(address) : action(worker);
         };
         return {
-            start: ({ id }, start) => sendOrder(id, worker => worker.start(start)),
-            stop: ({ id }, stop) => sendOrder(id, worker => worker.stop(stop)),
-            pace: ({ id }, pace) => sendOrder(id, worker => worker.pace(pace)),
-            hold: async ({ id }, hold, signal): Promise<HoldOutcome> => {
+            start: (target, start) => sendOrder(target, worker => worker.start(start)),
+            stop: (target, stop) => sendOrder(target, worker => worker.stop(stop)),
+            pace: (target, pace) => sendOrder(target, worker => worker.pace(pace)),
+            hold: async ({ id, address }, hold, signal): Promise<HoldOutcome> => {
                 const worker = this.workers.get(id);
                 if (worker === undefined) {
-                    return { kind: "unreachable", cause: "gone" };
+                    return refuseFor(address);
                 }
                 // A long poll is answered after at most 100 ms, whether or not a run has ended.
                 await this.clock.pause(Math.min(hold.waitMs, 100), signal);
                 return worker.hold(hold);
             },
-            closeConnections: () => {},
+            closeConnections: address => {
+                this.closedAddresses.push(address);
+            },
         };
     }
 }
--- a/packages/scheduler/src/engine/restarts.feature
+++ b/packages/scheduler/src/engine/restarts.feature
@@ -64,3 +64,10 @@
         And task 0.0.1 of J ends as done
         And task 0.0.2 of J ends as done
         Then the job J is completed
+
+    Scenario: A task does not wait for a worker that has left and is still listed
+        Given a fleet of 2 workers with an owner
+        When the worker w0 is replaced by w2 at its address, and both are listed
+        And ana submits the normal job J of "2 x 8"
+        And 2 seconds pass
+        Then 2 tasks of J run
--- a/packages/scheduler/src/engine/startRun.ts
+++ b/packages/scheduler/src/engine/startRun.ts
@@ -2,6 +2,7 @@
 import type { OrderOutcome, Refusal } from "../ports/WorkerPort.js";
 import type { Run } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { removeWorker } from "./removeWorker.js";
 import { releaseRun } from "./runs.js";
 import type { Scheduler } from "./Scheduler.js";
 import { stopGang, stopRun } from "./stopRun.js";
@@ -110,8 +111,10 @@
         case "old-run":
             recordClock(run.worker, refusal.clockMs, scheduler.clock());
             return;
-        case "fenced":
         case "other-life":
+            removeWorker(scheduler, run.worker, "other-life");
+            return;
+        case "fenced":
     }
 }
 
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -43,6 +43,19 @@
     await getHarness(this).advance(600);
 });
 
+When(
+    "the worker {word} is replaced by {word} at its address, and both are listed",
+    async function(this: TestWorld, id: string, nextId: string) {
+        getHarness(this).replaceWorker(id as WorkerId, nextId as WorkerId);
+        await getHarness(this).advance(1_000);
+    },
+);
+
+Then("the connections to {word} stay open", function(this: TestWorld, id: string) {
+    const { address } = getHarness(this).workers.get(id as WorkerId)!.report;
+    assert.ok(!getHarness(this).closedAddresses.includes(address));
+});
+
 When("the worker {word} is not listed", async function(this: TestWorld, id: string) {
     getHarness(this).unlistedWorkers.add(id as WorkerId);
     await getHarness(this).advance(600);
