Keep the connections of a worker whose predecessor at the address is removed

Callers saw: starts with an unclear outcome, which were stopped and placed again.

Cause: removing a worker closes the connections to its address.

Change: the connections stay if another worker of the fleet has the address.

--- a/packages/scheduler/src/engine/removeWorker.ts
+++ b/packages/scheduler/src/engine/removeWorker.ts
@@ -24,6 +24,8 @@
     for (const run of [...worker.runs]) {
         releaseLostRun(scheduler, run, reason);
     }
-    scheduler.workers.closeConnections(worker.address);
+    if (![...scheduler.fleet.values()].some(other => other.address === worker.address)) {
+        scheduler.workers.closeConnections(worker.address);
+    }
     worker.wakeSignal.notify();
 }
--- a/packages/scheduler/src/engine/restarts.feature
+++ b/packages/scheduler/src/engine/restarts.feature
@@ -71,3 +71,10 @@
         And ana submits the normal job J of "2 x 8"
         And 2 seconds pass
         Then 2 tasks of J run
+
+    Scenario: A worker keeps its connections when its predecessor at the same address is removed
+        Given a fleet of 2 workers with an owner
+        When the worker w0 is replaced by w2 at its address, and both are listed
+        And ana submits the normal job J of "2 x 8"
+        And 2 seconds pass
+        Then the connections to w2 stay open
