Count the failures of a task by run, in whatever order they are heard of

Cause: a failure was counted only if its run number was above the highest one counted. While the store was away two runs of a task had failed on two workers. The owner had counted both and ended the job, but could not store it; its successor heard of the second failure first (30.098 s) and ignored the first one (30.951 s), since its number was lower.

Change: the runs that are counted are kept by number and stored. The old fields are still written for daemons of an earlier build, and a record of theirs is read as before.

--- a/packages/scheduler/src/engine/applyRunEnd.ts
+++ b/packages/scheduler/src/engine/applyRunEnd.ts
@@ -68,7 +68,9 @@
                 task.avoidedWorkers.add(worker.id);
                 pauseWorker(scheduler, worker);
             }
-            countFailure(scheduler, task, endedRun.run);
+            if (!step.spec.lasting) {
+                countFailure(scheduler, task, endedRun.run);
+            }
             if (step.spec.gang) {
                 stopGang(scheduler, step, endedRun.run);
             }
@@ -126,19 +128,20 @@
     }
 }
 
+/** Counts a failure of a task that does not last; lasting tasks may fail any number of times. */
 function countFailure(scheduler: Scheduler, task: TaskEntry, runNumber: number): void {
     const { step } = task;
-    if (task.countedRun >= runNumber || task.done) {
+    if (task.countedRuns.has(runNumber) || task.done) {
         return;
     }
     for (const member of listTasksSharingOutcome(task)) {
-        member.countedRun = runNumber;
+        member.countedRuns.add(runNumber);
         member.failures += 1;
     }
     markProgressChanged(scheduler, step.job);
     const queue = scheduler.configuration()?.queues.find(candidate => candidate.name === step.job.queue);
     const attempts = queue?.attempts ?? DEFAULT_ATTEMPTS;
-    if (!step.spec.lasting && task.failures >= attempts) {
+    if (task.failures >= attempts) {
         endJob(scheduler, step.job, JobState.FAILED, "attempts-used-up");
     }
 }
--- a/packages/scheduler/src/engine/progress.feature
+++ b/packages/scheduler/src/engine/progress.feature
@@ -69,3 +69,18 @@
         Then 0 tasks of J run
         When the store's history is compacted
         Then 1 task of J runs
+
+    Scenario: Failures that a new owner hears of in reverse order are both counted
+        Given a fleet of 2 workers with an owner
+        When ana submits the normal job J of "1 x 2"
+        And the store goes down
+        And task 0.0.0 of J ends as failed
+        And 1 second passes
+        And task 0.0.0 of J ends as failed
+        And the owner dies
+        And the store is up again
+        And the answers to the next 2 holds of w0 are lost
+        And a new owner takes over
+        And 2 seconds pass
+        Then the job J is failed
+        And task 0.0.0 of J was started 2 times
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -39,8 +39,8 @@
     failures: number;
     /** Highest run number that was used. */
     lastRun: number;
-    /** Number of the last run that was counted as a failure. */
-    countedRun: number;
+    /** Numbers of the runs that are counted as failures. Workers report ends in any order. */
+    readonly countedRuns: Set<number>;
     checkpoint: string;
     readonly runs: Run[];
     /** Workers on which the task failed or stalled. */
--- a/packages/scheduler/src/state/composeProgress.ts
+++ b/packages/scheduler/src/state/composeProgress.ts
@@ -27,7 +27,8 @@
                 done: task.done,
                 failures: task.failures,
                 lastRun: task.lastRun,
-                countedRun: task.countedRun,
+                countedRun: Math.max(0, ...task.countedRuns),
+                countedRuns: [...task.countedRuns],
                 checkpoint: task.done ? "" : task.checkpoint,
             })
         );
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -91,7 +91,7 @@
         done: false,
         failures: 0,
         lastRun: 0,
-        countedRun: 0,
+        countedRuns: new Set(),
         checkpoint: "",
         runs: [],
         avoidedWorkers: new Set(),
@@ -108,7 +108,11 @@
         task.done = storedTask.done;
         task.failures = storedTask.failures;
         task.lastRun = storedTask.lastRun;
-        task.countedRun = storedTask.countedRun;
+        // A record without the list is of a daemon that keeps the highest number only.
+        const countedRuns = storedTask.countedRuns.length > 0 || storedTask.countedRun === 0
+            ? storedTask.countedRuns
+            : [storedTask.countedRun];
+        countedRuns.forEach(run => task.countedRuns.add(run));
         task.checkpoint = storedTask.checkpoint;
         step.doneCount += storedTask.done ? 1 : 0;
     }
