Read a job that a worker lists before its run is stopped or its end acknowledged

What callers saw: a task is started again after a run of it has ended as done; or a run is lost shortly after a takeover.

Cause: a new owner took a run or an end of a job that it does not know for one of a job that no longer exists. It stopped the run, or skipped the end; the end was acknowledged with the next hold, and the worker discarded it. But the job may be stored, and the owner may just not have learned of it: an earlier owner has started it, on a worker that the new one had not reached yet. Since jobs are stored for a term, this needs a job that a daemon of an earlier build accepted after the takeover.

Fix: before an answer to a hold is applied, the jobs in it that the owner does not know are read from the store, with their progress. Those that exist are registered, so that the run is adopted and the end applied. If the store cannot be read, the whole answer is put aside and the hold is sent again; nothing is acknowledged or released by it. Answers that list only known jobs cost nothing.

--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -83,23 +83,42 @@
             cancelledIds.push(id);
             continue;
         }
-        const job = decodeRecord(scheduler, JobSchema, item);
-        if (job === undefined) {
-            continue;
-        }
-        const progressItem = progressItemsByKey.get(storeKeys.progress(job.id));
-        const progress = progressItem === undefined
-            ? undefined
-            : decodeRecord(scheduler, ProgressSchema, progressItem);
-        registerJob(scheduler, job, item.revision, {
-            ...(progress === undefined
-                ? {}
-                : { progress: { message: progress, revision: progressItem!.revision } }),
-        });
+        restoreJob(scheduler, item, progressItemsByKey.get(storeKeys.progress(parseJobKey(item.key))));
     }
     cancelledIds.forEach(id => cancelJob(scheduler, id));
 }
 
+/**
+ * Registers a job with its stored progress.
+ *
+ * @param scheduler - The scheduler.
+ * @param item - Store item of the job; a malformed one is logged and ignored.
+ * @param progressItem - Store item of the job's progress, if there is any.
+ */
+export function restoreJob(
+    scheduler: Scheduler,
+    item: StoreItem,
+    progressItem: StoreItem | undefined,
+): void {
+    const job = decodeRecord(scheduler, JobSchema, item);
+    if (job === undefined) {
+        return;
+    }
+    const progress = progressItem === undefined
+        ? undefined
+        : decodeRecord(scheduler, ProgressSchema, progressItem);
+    registerJob(scheduler, job, item.revision, {
+        ...(progress === undefined
+            ? {}
+            : { progress: { message: progress, revision: progressItem!.revision } }),
+    });
+}
+
+/** Parses the job id from the key of a job. */
+function parseJobKey(key: string): string {
+    return key.slice(storeKeys.jobPrefix.length);
+}
+
 /**
  * Parses the job id from the key of a cancellation.
  *
--- a/packages/scheduler/src/engine/replacedOwner.feature
+++ b/packages/scheduler/src/engine/replacedOwner.feature
@@ -32,3 +32,41 @@
         And 1 second passes
         Then 4 tasks of J run
         And no task has had two runs at the same time
+
+    Scenario: The end of a job that the new owner does not know yet is discarded
+        When a new owner takes over that cannot reach w0
+        And the watches stop delivering changes
+        And ana submits the normal job J of "1 x 8" through a daemon that stores no term
+        And J is announced to the first owner
+        And task 0.0.0 of J ends as done
+        And the new owner reaches all workers
+        And the watches deliver changes again
+        And the store's history is compacted
+        And 1 second passes
+        Then the job J is completed
+        And task 0.0.0 of J was started 1 time
+
+    Scenario: A run of a job that the new owner does not know yet is stopped
+        When a new owner takes over that cannot reach w0
+        And the watches stop delivering changes
+        And ana submits the normal job J of "1 x 8" through a daemon that stores no term
+        And J is announced to the first owner
+        And the new owner reaches all workers
+        Then 1 task of J runs
+        And task 0.0.0 of J was started 1 time
+
+    Scenario: The end of a job that the new owner does not know yet is discarded while the store is away
+        When a new owner takes over that cannot reach w0
+        And the watches stop delivering changes
+        And ana submits the normal job J of "1 x 8" through a daemon that stores no term
+        And J is announced to the first owner
+        And task 0.0.0 of J ends as done
+        And the store goes down
+        And the new owner reaches all workers
+        Then the workers have discarded 0 run ends
+        When the store is up again
+        And the watches deliver changes again
+        And the store's history is compacted
+        And 1 second passes
+        Then the job J is completed
+        And task 0.0.0 of J was started 1 time
--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/syncWorker.ts
@@ -7,6 +7,7 @@
 import type { HoldOutcome } from "../ports/WorkerPort.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { applyHoldAnswer, releaseLostRun } from "./applyHoldAnswer.js";
+import { loadUnknownJobs } from "./loadUnknownJobs.js";
 import type { Scheduler } from "./Scheduler.js";
 import { extendLease } from "./workerClock.js";
 
@@ -51,6 +52,10 @@
             : 0,
     };
     const outcome = await scheduler.workers.hold(worker, order, signal);
+    if (outcome.kind === "held" && !await loadUnknownJobs(scheduler, outcome.answer)) {
+        await scheduler.pause(HOLD_RETRY_MS, signal);
+        return;
+    }
     if (signal.aborted || scheduler.fleet.get(worker.id) !== worker) {
         return;
     }
