--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -18,15 +18,18 @@
 import type { Job, Step } from "@balsamward/schema/scheduling";
 import { FakeFleetStore, FakeWorker } from "@balsamward/stand-ins";
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import { create, toBinary } from "@bufbuild/protobuf";
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { setMaxListeners } from "node:events";
 import winston from "winston";
+import { LEASE_RENEWAL_INTERVAL_MS } from "../../packages/scheduler/src/constants.js";
 import { createOwnerService } from "../../packages/scheduler/src/engine/createOwnerService.js";
 import { createScheduler, runScheduler } from "../../packages/scheduler/src/engine/runScheduler.js";
 import type { Ownership, Scheduler } from "../../packages/scheduler/src/engine/Scheduler.js";
 import { storeKeys } from "../../packages/scheduler/src/storeKeys.js";
+import { createSuspendableStore } from "./createSuspendableStore.js";
 import { createTestConfiguration } from "./createTestConfiguration.js";
 import { FakeClock } from "./FakeClock.js";
+import { SuspendableClock } from "./SuspendableClock.js";
 
 const WORKER_CPU_MILLIS = 32_000;
 const WORKER_MEMORY_MB = 131_072;
@@ -35,7 +38,22 @@
 const WORKERS_PER_RACK = 4;
 
 /** A term of ownership that a test begins, and ends by aborting `end`. */
-export type Term = { readonly scheduler: Scheduler; readonly end: AbortController; resignations: string[] };
+export type Term = {
+    readonly scheduler: Scheduler;
+    readonly end: AbortController;
+    resignations: string[];
+    /** Workers that the owner of this term cannot reach, although others can. */
+    readonly unreachableWorkers: Set<WorkerId>;
+    /** Clock of the owner's process. */
+    readonly clock: SuspendableClock;
+};
+
+/** Options of `SchedulerTestHarness.submit`. */
+export type SubmitOptions = {
+    readonly schedule?: MessageInitShape<typeof ScheduleSchema>;
+    /** Whether the accepting daemon is of a build that stores no term with a job. */
+    readonly withoutTerm?: boolean;
+};
 
 /** Runs a scheduler against a fake store and fake workers, on a fake clock. */
 export class SchedulerTestHarness {
@@ -60,7 +78,11 @@
     readonly departedReports: WorkerReport[] = [];
     /** All terms, the latest last. */
     readonly terms: Term[] = [];
+    /** Tasks of which two runs were running at the same time. */
+    readonly overlappingTasks = new Set<string>();
     configuration: FleetConfiguration = createTestConfiguration();
+    /** Speed of the workers' clocks relative to the harness's clock. */
+    workerClockRate = 1;
     private jobCount = 0;
 
     /** Adds workers to the fleet, each on its own machine, with four workers in a rack. */
@@ -86,7 +108,7 @@
                 machine: `m${number}`,
             };
             this.machines.set(report.machine, "up");
-            this.workers.set(report.id, new FakeWorker(report, () => this.clock.now));
+            this.workers.set(report.id, new FakeWorker(report, () => this.clock.now * this.workerClockRate));
         }
     }
 
@@ -103,40 +125,53 @@
         queue: string,
         customer: string,
         steps: readonly MessageInitShape<typeof StepSchema>[],
-        schedule?: MessageInitShape<typeof ScheduleSchema>,
+        options: SubmitOptions = {},
     ): JobId {
         this.jobCount += 1;
         const id = this.jobCount.toString(16).padStart(16, "0");
         this.store.put(
             storeKeys.job(id),
-            toBinary(JobSchema, this.createJob(id, queue, customer, steps, schedule)),
+            toBinary(JobSchema, this.createJob(id, queue, customer, steps, options)),
         );
         return id as JobId;
     }
 
+    /** Announces a stored job to the first owner, as a daemon does that knows no newer one. */
+    announceToFirstOwner(id: JobId): void {
+        const item = this.store.get(storeKeys.job(id))!;
+        createOwnerService(this.terms[0]!.scheduler).addJob(fromBinary(JobSchema, item.value), item.revision);
+    }
+
     /** Stores the cancellation of a job. */
     cancel(id: JobId): void {
         this.store.put(storeKeys.cancellation(id), new Uint8Array());
     }
 
-    /** Begins a new term; the previous one continues unless it was ended. */
-    async beginTerm(): Promise<Term> {
+    /**
+     * Begins a new term; the previous one continues unless it was ended.
+     *
+     * @param unreachableWorkers - Workers that the new owner cannot reach.
+     */
+    async beginTerm(unreachableWorkers: readonly WorkerId[] = []): Promise<Term> {
         const end = new AbortController();
         setMaxListeners(0, end.signal);
         const resignations: string[] = [];
+        const unreachable = new Set(unreachableWorkers);
+        const clock = new SuspendableClock(this.clock);
         const ownership: Ownership = {
             key: storeKeys.owner,
             revision: this.store.put(storeKeys.owner, new Uint8Array([this.terms.length])),
             term: this.terms.length,
             signal: end.signal,
+            heldAt: this.renewLease(clock, end.signal),
             resign: reason => {
                 resignations.push(reason);
                 end.abort();
             },
         };
         const scheduler = createScheduler({
-            store: this.store.createClient(),
-            workers: this.createWorkerPort(),
+            store: createSuspendableStore(this.store.createClient(), clock),
+            workers: this.createWorkerPort(unreachable, clock),
             node: "lab",
             machines: {
                 list: async () => [...this.machines].map(([name, state]) => ({ name, state })),
@@ -149,16 +184,16 @@
                 encodeStatus: state => Buffer.from(state),
             },
             advice: { advise: (step, workers) => this.advise(step, workers) },
-            listWorkers: async () => this.listWorkers(),
+            listWorkers: () => clock.receive(Promise.resolve(this.listWorkers())),
             configuration: () => this.configuration,
             log: winston.createLogger({ silent: true }),
             metrics: createMetrics(),
-            pause: this.clock.pause,
-            clock: () => this.clock.now,
+            pause: clock.pause,
+            clock: () => clock.now,
             wallClock: () => this.clock.now,
             bounds: { maxHoldMs: MAX_HOLD_MS, stateRetentionMs: 120_000 },
         }, ownership);
-        const term = { scheduler, end, resignations };
+        const term = { scheduler, end, resignations, unreachableWorkers: unreachable, clock };
         this.terms.push(term);
         void runScheduler(scheduler);
         await this.advance(100);
@@ -172,7 +207,10 @@
 
     /** Advances the clock by `ms` milliseconds. */
     async advance(ms: number): Promise<void> {
-        await this.clock.advance(ms);
+        await this.clock.advance(ms, () => {
+            this.workers.forEach(worker => worker.endExpiredRuns());
+            this.recordOverlappingTasks();
+        });
     }
 
     /** Returns the name of a job's state as the latest owner reports it, or `unknown`. */
@@ -213,7 +251,7 @@
         void this.clock.pause(2_000).then(() => {
             this.machines.set(machine, "up");
             const report = { ...worker.report, id: `${worker.id}-next` as WorkerId };
-            this.workers.set(report.id, new FakeWorker(report, () => this.clock.now));
+            this.workers.set(report.id, new FakeWorker(report, () => this.clock.now * this.workerClockRate));
         });
         return { kind: "begun" };
     }
@@ -233,7 +271,7 @@
         queue: string,
         customer: string,
         steps: readonly MessageInitShape<typeof StepSchema>[],
-        schedule: MessageInitShape<typeof ScheduleSchema> | undefined,
+        { schedule, withoutTerm = false }: SubmitOptions,
     ): Job {
         return create(JobSchema, {
             id,
@@ -242,6 +280,7 @@
             spec: "spec",
             steps: steps.map((step): Step => create(StepSchema, step)),
             acceptedAtMs: this.clock.now,
+            ...(withoutTerm ? {} : { termRevision: this.terms.at(-1)!.scheduler.ownership.revision }),
             ...(schedule === undefined ? {} : { schedule: create(ScheduleSchema, schedule) }),
         });
     }
@@ -258,30 +297,63 @@
         return [...this.departedReports, ...reports];
     }
 
-    private createWorkerPort(): WorkerPort {
-        const refuseFor = (address: string): OrderOutcome & HoldOutcome =>
-            [...this.workers.values()].some(({ report }) => report.address === address)
+    /**
+     * Renews the lease of the owner's term until another term begins, or while the store is down for everyone.
+     *
+     * @returns A function that returns the time at which the latest answered renewal was sent.
+     */
+    private renewLease(clock: SuspendableClock, signal: AbortSignal): () => number {
+        const termNumber = this.terms.length;
+        let heldAt = clock.now;
+        const renew = async (): Promise<void> => {
+            while (!signal.aborted) {
+                await clock.pause(LEASE_RENEWAL_INTERVAL_MS, signal);
+                const sentAt = clock.now;
+                heldAt = this.terms.length <= termNumber + 1 ? sentAt : heldAt;
+            }
+        };
+        void renew();
+        return () => heldAt;
+    }
+
+    private recordOverlappingTasks(): void {
+        const tasks = [...this.workers.values()].flatMap(worker => [...worker.running.keys()]);
+        tasks.filter((task, index) => tasks.indexOf(task) !== index).forEach(task =>
+            this.overlappingTasks.add(task)
+        );
+    }
+
+    private createWorkerPort(
+        unreachableWorkers: ReadonlySet<WorkerId>,
+        clock: SuspendableClock,
+    ): WorkerPort {
+        const findWorker = (id: WorkerId): FakeWorker | undefined =>
+            unreachableWorkers.has(id) ? undefined : this.workers.get(id);
+        const refuseFor = ({ id, address }: WorkerTarget): OrderOutcome & HoldOutcome =>
+            [...this.workers.values()].some(({ report }) => report.address === address && report.id !== id)
                 ? { kind: "other-life" }
                 : { kind: "unreachable", cause: "gone" };
         const sendOrder = async (
-            { id, address }: WorkerTarget,
+            target: WorkerTarget,
             action: (worker: FakeWorker) => OrderOutcome,
         ): Promise<OrderOutcome> => {
-            const worker = this.workers.get(id);
-            return worker === undefined ? refuseFor(address) : action(worker);
+            const worker = findWorker(target.id);
+            const outcome: OrderOutcome = worker === undefined ? refuseFor(target) : action(worker);
+            await clock.waitUntilAwake();
+            return outcome;
         };
         return {
             start: (target, start) => sendOrder(target, worker => worker.start(start)),
             stop: (target, stop) => sendOrder(target, worker => worker.stop(stop)),
             pace: (target, pace) => sendOrder(target, worker => worker.pace(pace)),
-            hold: async ({ id, address }, hold, signal): Promise<HoldOutcome> => {
-                const worker = this.workers.get(id);
+            hold: async (target, hold, signal): Promise<HoldOutcome> => {
+                const worker = findWorker(target.id);
                 if (worker === undefined) {
-                    return refuseFor(address);
+                    return refuseFor(target);
                 }
                 // A long poll is answered after at most 100 ms, whether or not a run has ended.
                 await this.clock.pause(Math.min(hold.waitMs, 100), signal);
-                return worker.hold(hold);
+                return clock.receive(Promise.resolve(worker.hold(hold)));
             },
             closeConnections: address => {
                 this.closedAddresses.push(address);
--- a/packages/scheduler/src/engine/beginIncarnation.ts
+++ b/packages/scheduler/src/engine/beginIncarnation.ts
@@ -24,6 +24,9 @@
     worker.bornMs = bornMs;
     worker.hasAnswered = false;
     worker.ends = createEndNumbers();
+    worker.clock = undefined;
+    worker.unconfirmedClock = undefined;
+    worker.confirmedClock = undefined;
     // Lease ends in orders were on the clock of the earlier incarnation; the new one limits them to the longest lease.
     const latestLeaseEnd = scheduler.clock() + getMaxMonotonicMs(scheduler.bounds.maxHoldMs);
     worker.leaseEndsAt = Math.max(worker.leaseEndsAt, latestLeaseEnd);
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -12,6 +12,7 @@
 type StepInit = MessageInitShape<typeof StepSchema>;
 
 const MS_PER_SECOND = 1_000;
+const SLOW_CLOCK_RATE = 0.98;
 
 /** Parses a step; '4 x 8 gang one-rack checkpoints after 0' has four tasks with eight accelerators each. */
 function parseStep(text: string): StepInit {
@@ -42,6 +43,18 @@
     await harness.beginTerm();
 });
 
+Given(
+    "a fleet of {int} workers with slow clocks and an owner",
+    async function(this: TestWorld, count: number) {
+        const harness = new SchedulerTestHarness();
+        harness.workerClockRate = SLOW_CLOCK_RATE;
+        harness.addWorkers(count);
+        this.notes.set("harness", harness);
+        this.cleanups.push(() => harness.terms.forEach(term => term.end.abort()));
+        await harness.beginTerm();
+    },
+);
+
 When(
     "{word} submits the {word} job {word} of {string}",
     async function(this: TestWorld, customer: string, queue: string, name: string, steps: string) {
@@ -53,6 +66,23 @@
     },
 );
 
+When(
+    "{word} submits the {word} job {word} of {string} through a daemon that stores no term",
+    async function(this: TestWorld, customer: string, queue: string, name: string, steps: string) {
+        const options = { withoutTerm: true };
+        this.notes.set(
+            `job ${name}`,
+            getHarness(this).submit(queue, customer, steps.split(";").map(parseStep), options),
+        );
+        await getHarness(this).advance(100);
+    },
+);
+
+When("{word} is announced to the first owner", async function(this: TestWorld, job: string) {
+    getHarness(this).announceToFirstOwner(getJobId(this, job));
+    await getHarness(this).advance(100);
+});
+
 When("{float} second(s) pass(es)", async function(this: TestWorld, seconds: number) {
     await getHarness(this).advance(seconds * MS_PER_SECOND);
 });
@@ -70,6 +100,20 @@
     await getHarness(this).advance(100);
 });
 
+When("the owner is suspended, and its clock {word}", function(this: TestWorld, behaviour: string) {
+    getHarness(this).terms.at(-1)!.clock.suspend(behaviour === "stops");
+});
+
+When("the first owner wakes, and resigns after {float} second(s)", async function(
+    this: TestWorld,
+    seconds: number,
+) {
+    const { clock, scheduler } = getHarness(this).terms[0]!;
+    clock.resume();
+    await getHarness(this).advance(seconds * MS_PER_SECOND);
+    scheduler.ownership.resign("The store lease could not be renewed in time.");
+});
+
 When("the owner dies", function(this: TestWorld) {
     getHarness(this).killOwner();
 });
@@ -79,6 +123,24 @@
     await getHarness(this).advance(500);
 });
 
+When("a new owner takes over that cannot reach {word}", async function(this: TestWorld, id: string) {
+    await getHarness(this).beginTerm([id as WorkerId]);
+    await getHarness(this).advance(500);
+});
+
+When(
+    "a new owner takes over that cannot reach the worker of task {word} of {word}",
+    async function(this: TestWorld, task: string, job: string) {
+        const worker = getHarness(this).workerOf(`${getJobId(this, job)}.${task}`)!;
+        await getHarness(this).beginTerm([worker.id]);
+    },
+);
+
+When("the new owner reaches all workers", async function(this: TestWorld) {
+    getHarness(this).terms.at(-1)!.unreachableWorkers.clear();
+    await getHarness(this).advance(500);
+});
+
 When(
     "task {word} of {word} ends as {word}",
     async function(this: TestWorld, task: string, job: string, endKind: string) {
@@ -175,6 +237,10 @@
     assert.equal(new Set(names).size, names.length);
 });
 
+Then("no task has had two runs at the same time", function(this: TestWorld) {
+    assert.deepEqual([...getHarness(this).overlappingTasks], []);
+});
+
 Then(
     "task {word} of {word} has run number {int}",
     function(this: TestWorld, task: string, job: string, run: number) {
@@ -243,7 +309,7 @@
         const schedule = { times, firstRunMs, intervalMs: everyS * MS_PER_SECOND };
         this.notes.set(
             `job ${name}`,
-            harness.submit("normal", customer, steps.split(";").map(parseStep), schedule),
+            harness.submit("normal", customer, steps.split(";").map(parseStep), { schedule }),
         );
         await harness.advance(100);
     },
