Give each step of a gang's life a file of its own

Read badly: 'startGang.ts' held five exported functions, so that 'requeueGang', 'endJob', 'applyPlan' and 'startMembers' were found only by searching, and it imported 'stopGang.ts', which imported it in turn. Change: each of the five is in the file of its name, and so is 'preemptGang'. No two of these files import each other now. No function's body changed.

--- a/packages/daemon/src/cells/handleCellCalls.ts
+++ b/packages/daemon/src/cells/handleCellCalls.ts
@@ -11,9 +11,10 @@
 } from "@balsamward/schema";
 import { create } from "@bufbuild/protobuf";
 import type { CellRuntime } from "./CellRuntime.js";
+import { endJob } from "./endJob.js";
 import { isQueued } from "./rebuildCell.js";
+import { requeueGang } from "./requeueGang.js";
 import { toCandidate } from "./scheduleJobs.js";
-import { endJob, requeueGang } from "./startGang.js";
 
 /**
  * Adds a job to a cell and stores it; a job that the cell already has stays unchanged.
--- a/packages/daemon/src/cells/openCell.ts
+++ b/packages/daemon/src/cells/openCell.ts
@@ -21,8 +21,9 @@
 import { inspectCell } from "./inspectCell.js";
 import { rebuildCell } from "./rebuildCell.js";
 import { completeGang, isGangFinished, renewWorkers } from "./renewWorkers.js";
+import { requeueGang } from "./requeueGang.js";
 import { scheduleJobs } from "./scheduleJobs.js";
-import { requeueGang, startMembers } from "./startGang.js";
+import { startMembers } from "./startMembers.js";
 import { summarizeCell } from "./summarizeCell.js";
 
 /** A cell that this daemon owns. */
--- a/packages/daemon/src/cells/renewWorkers.ts
+++ b/packages/daemon/src/cells/renewWorkers.ts
@@ -3,7 +3,8 @@
 import { RESERVATION_TTL_MS } from "../constants.js";
 import type { ReservationReport } from "../fleet/WorkerClient.js";
 import type { CellRuntime, WorkerRecord } from "./CellRuntime.js";
-import { endJob, requeueGang } from "./startGang.js";
+import { endJob } from "./endJob.js";
+import { requeueGang } from "./requeueGang.js";
 import { stopGang } from "./stopGang.js";
 import { recordTaskFailure, recordTaskSuccess, updateWorkerHealth } from "./workerHealth.js";
 
--- a/packages/daemon/src/cells/scheduleJobs.ts
+++ b/packages/daemon/src/cells/scheduleJobs.ts
@@ -1,9 +1,10 @@
 import type { Candidate } from "@balsamward/placement";
 import { planPlacement } from "@balsamward/placement";
 import type { CustomerId, Job, JobId } from "@balsamward/schema";
+import { applyPlan } from "./applyPlan.js";
 import type { CellRuntime } from "./CellRuntime.js";
 import { getUrgency, isQueued } from "./rebuildCell.js";
-import { applyPlan, startGang } from "./startGang.js";
+import { startGang } from "./startGang.js";
 
 /**
  * Starts the queued jobs of a cell that can be placed, in order of urgency and then of submission.
--- a/packages/daemon/src/cells/stopGang.ts
+++ b/packages/daemon/src/cells/stopGang.ts
@@ -1,9 +1,8 @@
 import { releaseAllocation } from "@balsamward/placement";
 import type { Grant, Job, JobId, WorkerId } from "@balsamward/schema";
-import { JobStage, Reason, Standing } from "@balsamward/schema";
-import { CHECKPOINT_GRACE_MS, RESERVATION_TTL_MS, WORKER_RENEWAL_INTERVAL_MS } from "../constants.js";
+import { JobStage, Standing } from "@balsamward/schema";
+import { RESERVATION_TTL_MS, WORKER_RENEWAL_INTERVAL_MS } from "../constants.js";
 import type { CellRuntime } from "./CellRuntime.js";
-import { requeueGang } from "./startGang.js";
 
 /**
  * Stops every member of a gang and adds its usage to the job.
@@ -34,35 +33,6 @@
     releaseAllocation(runtime.cell, job.id as JobId);
 }
 
-/**
- * Checkpoints and stops a gang whose accelerators are reclaimed, and queues its job again.
- *
- * A member that does not finish its checkpoint within the time configured for its kind plus a grace
- * period is stopped without a checkpoint.
- *
- * @param runtime - The cell's runtime.
- * @param job - The job to preempt.
- *
- * @example
- * await preemptGang(runtime, victim);
- */
-export async function preemptGang(runtime: CellRuntime, job: Job): Promise<void> {
-    const kind = runtime.context.getActiveConfiguration()?.document.kind[job.kind];
-    const timeoutMs = (kind?.checkpointMs ?? 0) + CHECKPOINT_GRACE_MS;
-    await Promise.all(job.grants.map(async grant => {
-        const worker = runtime.workers.get(grant.worker as WorkerId);
-        if (worker !== undefined) {
-            await runtime.context.workerClient.checkpoint(
-                worker.address,
-                runtime.owner,
-                grant.reservation,
-                timeoutMs,
-            );
-        }
-    }));
-    await requeueGang(runtime, job, Reason.PREEMPTED);
-}
-
 async function stopMember(runtime: CellRuntime, grant: Grant): Promise<void> {
     const lapsesAt = (record: { lastRenewedAt: number } | undefined) =>
         (record?.lastRenewedAt ?? 0) + RESERVATION_TTL_MS + WORKER_RENEWAL_INTERVAL_MS;
