--- a/packages/daemon/src/callers/Reply.ts
+++ b/packages/daemon/src/callers/Reply.ts
@@ -17,6 +17,9 @@
     readonly fields?: object;
 };
 
+/** A reply with the kind of work under which the metrics count it. */
+export type ReplyWithKind = { readonly kind: string; readonly reply: Reply };
+
 /**
  * Sends a reply as JSON; does nothing if a response was already sent or the connection is closed.
  *
--- a/packages/daemon/src/callers/handleJobCancellation.ts
+++ b/packages/daemon/src/callers/handleJobCancellation.ts
@@ -5,8 +5,8 @@
 import { describeJob } from "../operations/describeJob.js";
 import type { CellRouter } from "../peers/CellRouter.js";
 import { findJob } from "./findJob.js";
-import type { ReplyWithKind } from "./handleRequest.js";
 import { refuse } from "./refuse.js";
+import type { ReplyWithKind } from "./Reply.js";
 
 /**
  * Handles `DELETE /v1/jobs/{id}`, which cancels a job.
--- a/packages/daemon/src/callers/handleJobQuery.ts
+++ b/packages/daemon/src/callers/handleJobQuery.ts
@@ -4,7 +4,7 @@
 import { describeJob } from "../operations/describeJob.js";
 import type { CellRouter } from "../peers/CellRouter.js";
 import { findJob } from "./findJob.js";
-import type { ReplyWithKind } from "./handleRequest.js";
+import type { ReplyWithKind } from "./Reply.js";
 
 /**
  * Handles `GET /v1/jobs/{id}`, which describes a job.
--- a/packages/daemon/src/callers/handleRequest.ts
+++ b/packages/daemon/src/callers/handleRequest.ts
@@ -9,17 +9,16 @@
 import type { DaemonState, KindControl } from "../DaemonState.js";
 import type { AuthenticatedCustomer } from "./authenticate.js";
 import { authenticate } from "./authenticate.js";
+import { findKind } from "./findKind.js";
 import { readIdempotencyKey } from "./readIdempotencyKey.js";
 import type { BodyFields } from "./readRequestBody.js";
 import { readRequestBody } from "./readRequestBody.js";
 import { refuse } from "./refuse.js";
-import type { Reply } from "./Reply.js";
+import { refuseUnknownKind } from "./refuseUnknownKind.js";
+import type { Reply, ReplyWithKind } from "./Reply.js";
 import { sendWithRetries } from "./sendWithRetries.js";
 import { serveAtMostOnce } from "./serveAtMostOnce.js";
 
-/** A reply with the kind of work under which the metrics count it. */
-export type ReplyWithKind = { readonly kind: string; readonly reply: Reply };
-
 type ValidatedRequest = {
     readonly authenticatedCustomer: AuthenticatedCustomer;
     readonly kindName: string;
@@ -87,12 +86,7 @@
     const kind = findKind(authenticatedCustomer.value, kindName);
     const control = state.kindControls.get(kindName);
     if (kind === undefined || control === undefined) {
-        return err(
-            refuse(
-                Reason.UNKNOWN_KIND,
-                "The configuration has no such kind of work. Check the field 'kind'.",
-            ),
-        );
+        return err(refuseUnknownKind());
     }
     if (kind.work !== Work.REQUEST) {
         return err(refuse(Reason.WRONG_WORK, `The kind '${kindName}' is for jobs. Send it to '/v1/jobs'.`));
@@ -106,21 +100,6 @@
     });
 }
 
-/**
- * Finds a kind of work by its name in the configuration.
- *
- * @param authenticatedCustomer - The customer with the configuration to search.
- * @param name - The name that the caller sent.
- * @returns The kind, or `undefined` if the configuration does not define it.
- *
- * @example
- * findKind(authenticatedCustomer, "walk-in");
- */
-export function findKind(authenticatedCustomer: AuthenticatedCustomer, name: string): Kind | undefined {
-    const kinds = authenticatedCustomer.activeConfiguration.document.kind;
-    return Object.hasOwn(kinds, name) ? kinds[name] : undefined;
-}
-
 function serveRequest(
     state: DaemonState,
     dispatcher: Dispatcher,
--- a/packages/daemon/src/callers/startCallersListener.ts
+++ b/packages/daemon/src/callers/startCallersListener.ts
@@ -11,9 +11,9 @@
 import { handleJobCancellation } from "./handleJobCancellation.js";
 import { handleJobQuery } from "./handleJobQuery.js";
 import { handleJobSubmission } from "./handleJobSubmission.js";
-import type { ReplyWithKind } from "./handleRequest.js";
 import { handleRequest } from "./handleRequest.js";
 import { refuse } from "./refuse.js";
+import type { ReplyWithKind } from "./Reply.js";
 import { sendReply } from "./Reply.js";
 
 /** The HTTP listener for callers. */
