Split the harness of the gang tests by job

Change: each of these is a file in 'features/support/gang', and the harness connects them. No step, scenario or check changed; 'startGang.steps.ts' only imports 'CommandFault' from its new file.

--- a/packages/daemon/src/cells/startGang.steps.ts
+++ b/packages/daemon/src/cells/startGang.steps.ts
@@ -2,7 +2,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import type { StoreFault } from "../../../../features/support/FakeStore.js";
-import type { CommandFault } from "../../../../features/support/GangTestHarness.js";
+import type { CommandFault } from "../../../../features/support/gang/CommandFaults.js";
 import { GangTestHarness } from "../../../../features/support/GangTestHarness.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { describeJob } from "../operations/describeJob.js";
