--- a/packages/daemon/src/callers/planSubmission.ts
+++ b/packages/daemon/src/callers/planSubmission.ts
@@ -1,3 +1,4 @@
+import { countAccelerators } from "@balsamward/placement";
 import type { CellId, CellSummary, CustomerId, Job, Kind } from "@balsamward/schema";
 import { JobSchema, JobStage, Reason, Work } from "@balsamward/schema";
 import { create } from "@bufbuild/protobuf";
@@ -46,7 +47,7 @@
         return err(parsed.error);
     }
     const { shape } = parsed.value;
-    const acceleratorsNeeded = shape.members * shape.acceleratorsPerMember;
+    const acceleratorsNeeded = countAccelerators(shape);
     if (acceleratorsNeeded > customerSettings.quotaAccelerators) {
         const message =
             `The job needs ${acceleratorsNeeded} accelerators; the quota is ${customerSettings.quotaAccelerators}. Request fewer.`;
--- a/packages/placement/src/_lib/capacities.ts
+++ b/packages/placement/src/_lib/capacities.ts
@@ -1,6 +1,7 @@
 import type { Cell, GuaranteeBinding } from "../Cell.js";
 import type { Placement } from "../Placement.js";
 import type { Capacity } from "./Capacity.js";
+import { countBits } from "./countBits.js";
 
 /**
  * Returns the accelerators of healthy workers that no job holds.
@@ -28,6 +29,27 @@
     return capacity;
 }
 
+/**
+ * Returns the accelerators that are in both of two capacities.
+ *
+ * @param left - A capacity.
+ * @param right - Another capacity of the same cell.
+ * @returns One mask per worker.
+ */
+export function intersectCapacities(left: Capacity, right: Capacity): Capacity {
+    return left.map((mask, index) => mask & right[index]!);
+}
+
+/**
+ * Counts the accelerators of a capacity.
+ *
+ * @param capacity - The capacity.
+ * @returns The number of accelerators of all workers together.
+ */
+export function countCapacity(capacity: Capacity): number {
+    return capacity.reduce((sum, mask) => sum + countBits(mask), 0);
+}
+
 /**
  * Removes a placement from a capacity, in place.
  *
--- a/packages/placement/src/bindGuarantees.ts
+++ b/packages/placement/src/bindGuarantees.ts
@@ -1,7 +1,8 @@
 import { fitsCapacity, reclaimableCapacity, subtractPlacement } from "./_lib/capacities.js";
 import type { Capacity } from "./_lib/Capacity.js";
+import { takeSlot } from "./_lib/takeSlot.js";
 import type { Cell, GuaranteeBinding } from "./Cell.js";
-import { findPlacement } from "./findPlacement.js";
+import { countAccelerators } from "./countAccelerators.js";
 import type { GangShape } from "./GangShape.js";
 
 /**
@@ -60,11 +61,7 @@
     if (binding.job !== undefined || binding.slot !== undefined) {
         return binding;
     }
-    const slot = findPlacement(cell.topology, capacity, binding.gang.shape);
-    if (slot !== undefined) {
-        subtractPlacement(cell, capacity, slot);
-    }
-    return { gang: binding.gang, job: undefined, slot };
+    return { gang: binding.gang, job: undefined, slot: takeSlot(cell, capacity, binding.gang.shape) };
 }
 
 function packSlots(cell: Cell): readonly GuaranteeBinding[] {
@@ -88,9 +85,7 @@
  * shapes.toSorted(comparePackingOrder);
  */
 export function comparePackingOrder(left: GangShape, right: GangShape): number {
-    const leftTotal = left.members * left.acceleratorsPerMember;
-    const rightTotal = right.members * right.acceleratorsPerMember;
-    return rightTotal - leftTotal
+    return countAccelerators(right) - countAccelerators(left)
         || left.adjacency - right.adjacency
         || right.acceleratorsPerMember - left.acceleratorsPerMember;
 }
--- a/packages/placement/src/findPlacement.ts
+++ b/packages/placement/src/findPlacement.ts
@@ -3,6 +3,7 @@
 import { countBits } from "./_lib/countBits.js";
 import { takeAccelerators } from "./_lib/takeAccelerators.js";
 import type { CellWorker } from "./CellWorker.js";
+import { countAccelerators } from "./countAccelerators.js";
 import type { GangShape } from "./GangShape.js";
 import type { Placement, WorkerPlacement } from "./Placement.js";
 
@@ -48,7 +49,7 @@
 }
 
 function placeInWorker(topology: Topology, available: Capacity, shape: GangShape): Placement | undefined {
-    const total = shape.members * shape.acceleratorsPerMember;
+    const total = countAccelerators(shape);
     let best = -1;
     let fewestFree = Number.POSITIVE_INFINITY;
     for (let index = 0; index < available.length; index++) {
--- a/packages/placement/src/measureFragmentation.ts
+++ b/packages/placement/src/measureFragmentation.ts
@@ -1,4 +1,4 @@
-import { freeCapacity } from "./_lib/capacities.js";
+import { countCapacity, freeCapacity } from "./_lib/capacities.js";
 import { countBits } from "./_lib/countBits.js";
 import type { Cell } from "./Cell.js";
 
@@ -25,7 +25,7 @@
  */
 export function measureFragmentation(cell: Cell): Fragmentation {
     const free = freeCapacity(cell);
-    const freeAccelerators = free.reduce((sum, mask) => sum + countBits(mask), 0);
+    const freeAccelerators = countCapacity(free);
     let largestGang = 0;
     let largestRack = 0;
     for (const rack of cell.topology.racks) {
