Keep only the start and the stop of a daemon in 'runDaemon'

Read badly: 'runDaemon.ts' (211 lines) also created the state, registered the member and applied VM lists, and polled for the end of its requests with a bare 10. Change: 'createDaemonState', 'registerMember' and 'updateVms' are in files of their names. 'runDaemon' calls 'startBackgroundTasks' and 'drainCallers'; the order of the steps is the same. The interval is 'DRAIN_POLL_INTERVAL_MS'.

--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -88,6 +88,9 @@
 /** Time in milliseconds that a stopping daemon waits for its requests in flight to end. */
 export const DRAIN_TIMEOUT_MS = 25_000;
 
+/** Interval in milliseconds at which a stopping daemon checks whether its requests in flight have ended. */
+export const DRAIN_POLL_INTERVAL_MS = 10;
+
 /** Time in milliseconds between reporting not ready and refusing new connections. */
 export const NOT_READY_NOTICE_MS = 2_000;
 
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -1,42 +1,29 @@
-import { createEndpointPool, FairQueue } from "@balsamward/admission";
-import type { Environment, HeldLease } from "@balsamward/coordination";
-import {
-    createConfigurationTracker,
-    createHttpStoreTransport,
-    createStore,
-    holdLease,
-    memberKey,
-} from "@balsamward/coordination";
+import type { HeldLease } from "@balsamward/coordination";
+import { holdLease } from "@balsamward/coordination";
 import { pause } from "@balsamward/scheduler/pause";
-import type { Configuration, DaemonSettings, DataCentreId, EndpointId, NodeId } from "@balsamward/schema";
-import { MemberSchema } from "@balsamward/schema";
-import { create } from "@bufbuild/protobuf";
-import { randomUUID } from "node:crypto";
-import PQueue from "p-queue";
+import type { DaemonSettings } from "@balsamward/schema";
 import type { Logger } from "winston";
-import { compileConfiguration } from "./_lib/compileConfiguration.js";
-import { createTaskGroup } from "./_lib/createTaskGroup.js";
-import type { Vm } from "./_lib/Vm.js";
+import type { CallersListener } from "./callers/startCallersListener.js";
 import { startCallersListener } from "./callers/startCallersListener.js";
 import { updateLimitShares } from "./callers/updateLimitShares.js";
 import { runCellOwnership } from "./cells/runCellOwnership.js";
 import {
+    DRAIN_POLL_INTERVAL_MS,
     DRAIN_TIMEOUT_MS,
     IDLE_CONNECTION_GRACE_MS,
     NOT_READY_NOTICE_MS,
-    REGISTRATION_RETRY_DELAY_MS,
 } from "./constants.js";
+import { createDaemonState } from "./createDaemonState.js";
 import type { DaemonState } from "./DaemonState.js";
 import { pollVmList } from "./fleet/pollVmList.js";
-import { createWorkerClient } from "./fleet/WorkerClient.js";
-import { createMetrics } from "./Metrics.js";
+import { updateVms } from "./fleet/updateVms.js";
 import { startOperationsListener } from "./operations/startOperationsListener.js";
 import { createCellRouter } from "./peers/CellRouter.js";
 import { createPeerConnections } from "./peers/createPeerConnections.js";
 import type { PeerClients } from "./peers/maintainPeerConnection.js";
-import { createMembership } from "./peers/Membership.js";
 import { startPeerListener } from "./peers/startPeerListener.js";
 import { watchControlKeys } from "./peers/watchControlKeys.js";
+import { registerMember } from "./registerMember.js";
 
 /**
  * Runs a daemon until the signal aborts and then stops it gracefully.
@@ -52,7 +39,7 @@
  * await runDaemon(settings, log, signal);
  */
 export async function runDaemon(settings: DaemonSettings, log: Logger, signal: AbortSignal): Promise<void> {
-    const state = createState(settings, log);
+    const state = createDaemonState(settings, log);
     const clients: PeerClients = new Map();
     const router = createCellRouter(state, clients);
     const shutdown = new AbortController();
@@ -71,32 +58,14 @@
         peerConnections.reconcile();
         updateLimitShares(state);
     };
-    state.backgroundTasks.start(() => watchControlKeys(state, onControlChange, shutdown.signal));
-    state.backgroundTasks.start(() =>
-        holdLease(state.store.transport, lease => setMemberLease(state, lease), shutdown.signal)
-    );
-    state.backgroundTasks.start(() =>
-        pollVmList(
-            platform!.vmList,
-            vms => updateVms(state, vms),
-            message =>
-                log.warn("The VM list cannot be read. The last known list stays in use.", { error: message }),
-            shutdown.signal,
-        )
-    );
+    startBackgroundTasks(state, platform!.vmList, onControlChange, shutdown.signal);
     const ownershipTask = runCellOwnership(state, ownershipAbort.signal);
     log.info("The daemon is running.", { incarnation: state.incarnation });
-    await new Promise<void>(resolve => {
-        signal.addEventListener("abort", () => resolve(), { once: true });
-    });
+    await waitForAbort(signal);
     log.info("The daemon stops.");
     state.isStopping = true;
     ownershipAbort.abort();
-    await pause(NOT_READY_NOTICE_MS);
-    callersListener.drain();
-    await pause(IDLE_CONNECTION_GRACE_MS);
-    state.isDraining = true;
-    callersListener.closeIdle();
+    await drainCallers(state, callersListener);
     await Promise.all([ownershipTask, waitForRequests(state)]);
     shutdown.abort();
     await callersListener.close();
@@ -106,59 +75,21 @@
     log.info("The daemon has stopped.");
 }
 
-function createState(settings: DaemonSettings, log: Logger): DaemonState {
-    const { node, listeners, platform } = settings;
-    const metrics = createMetrics();
-    const clock = () => performance.now();
-    const dataCentre = node!.dataCentre as DataCentreId;
-    const state: DaemonState = {
-        node: node!.id as NodeId,
-        incarnation: randomUUID(),
-        environment: node!.environment as Environment,
-        dataCentre,
-        peerAddress: listeners!.peers,
-        log,
-        metrics,
-        store: createStore(createHttpStoreTransport(platform!.store, {
-            onCall: (operation, result) => metrics.storeCalls.inc({ operation, result }),
-        })),
-        workerClient: createWorkerClient(),
-        endpointPool: createEndpointPool({ dataCentre, clock, random: Math.random }),
-        requestQueue: new PQueue({ concurrency: 1, queueClass: FairQueue }),
-        kindControls: new Map(),
-        configurationTracker: createConfigurationTracker(configuration =>
-            activateConfiguration(state, configuration)
-        ),
-        membership: createMembership(clock),
-        ownedCells: new Map(),
-        backgroundTasks: createTaskGroup(error =>
-            log.error("A background task of the daemon fails.", { error: String(error) })
-        ),
-        random: Math.random,
-        activeConfiguration: undefined,
-        vms: [],
-        memberLease: undefined,
-        claimLease: undefined,
-        lastWatchEventAt: Number.NEGATIVE_INFINITY,
-        isStopping: false,
-        isDraining: false,
-        inFlightRequests: 0,
-    };
-    return state;
-}
-
-function activateConfiguration(state: DaemonState, configuration: Configuration): void {
-    const compiled = compileConfiguration(configuration);
-    if (compiled.isErr()) {
-        state.log.error("The accepted configuration cannot be used. Upgrade this daemon.", {
-            error: compiled.error,
-        });
-        return;
-    }
-    state.activeConfiguration = compiled.value;
-    state.metrics.configurationGeneration.set(Number(configuration.generation));
-    updateLimitShares(state);
-    state.log.info("A configuration is in force.", { generation: String(configuration.generation) });
+/** Starts the tasks that keep the daemon's lease and its view of the control keys and the VM list up to date. */
+function startBackgroundTasks(
+    state: DaemonState,
+    vmListAddress: string,
+    onControlChange: () => void,
+    signal: AbortSignal,
+): void {
+    const { backgroundTasks, log, store } = state;
+    backgroundTasks.start(() => watchControlKeys(state, onControlChange, signal));
+    backgroundTasks.start(() => holdLease(store.transport, lease => setMemberLease(state, lease), signal));
+    const onVmListFailure = (message: string) =>
+        log.warn("The VM list cannot be read. The last known list stays in use.", { error: message });
+    backgroundTasks.start(() =>
+        pollVmList(vmListAddress, vms => updateVms(state, vms), onVmListFailure, signal)
+    );
 }
 
 function setMemberLease(state: DaemonState, lease: HeldLease): void {
@@ -166,46 +97,24 @@
     state.backgroundTasks.start(() => registerMember(state, lease));
 }
 
-async function registerMember(state: DaemonState, lease: HeldLease): Promise<void> {
-    const key = memberKey(state.environment, state.node);
-    while (state.memberLease === lease && lease.isValid()) {
-        const existing = await state.store.transport.get(key);
-        const written = existing.isErr() ? existing : await state.store.write(MemberSchema, {
-            key,
-            message: create(MemberSchema, {
-                node: state.node,
-                dataCentre: state.dataCentre,
-                peerAddress: state.peerAddress,
-            }),
-            expectedRevision: existing.value?.revision ?? 0,
-            lease: lease.id,
-        });
-        if (written.isOk()) {
-            return;
-        }
-        state.log.warn("The daemon cannot register as a member. It tries again.", {
-            error: written.error.message,
-        });
-        await pause(REGISTRATION_RETRY_DELAY_MS);
-    }
+async function waitForAbort(signal: AbortSignal): Promise<void> {
+    await new Promise<void>(resolve => {
+        signal.addEventListener("abort", () => resolve(), { once: true });
+    });
 }
 
-function updateVms(state: DaemonState, vms: readonly Vm[]): void {
-    state.vms = vms;
-    state.endpointPool.update(
-        vms.filter(vm => vm.role === "endpoint").map(vm => ({
-            id: vm.id as EndpointId,
-            address: vm.address,
-            dataCentre: vm.dataCentre as DataCentreId,
-            leaving: vm.state === "leaving",
-        })),
-    );
-    state.requestQueue.concurrency = Math.max(1, state.endpointPool.capacity());
+/** Keeps serving until the load balancer has noticed the stop, and then refuses new requests. */
+async function drainCallers(state: DaemonState, callersListener: CallersListener): Promise<void> {
+    await pause(NOT_READY_NOTICE_MS);
+    callersListener.drain();
+    await pause(IDLE_CONNECTION_GRACE_MS);
+    state.isDraining = true;
+    callersListener.closeIdle();
 }
 
 async function waitForRequests(state: DaemonState): Promise<void> {
     const deadline = performance.now() + DRAIN_TIMEOUT_MS;
     while (state.inFlightRequests > 0 && performance.now() < deadline) {
-        await pause(10);
+        await pause(DRAIN_POLL_INTERVAL_MS);
     }
 }
