Take the reservations of a fake worker out of 'WorkerModel'

Read badly: 'WorkerModel.ts' (262 lines) mixed the types of commands and reports, the worker's faults, the state of one reservation and the worker itself, and computed the end of a time to live in two places. Change: the commands' types are in 'WorkerCommand.ts'. One reservation with its small functions is in '_lib/Reservation.ts'; it ends by itself and does not know the worker.

--- a/packages/stand-ins/src/WorkerModel.ts
+++ b/packages/stand-ins/src/WorkerModel.ts
@@ -1,21 +1,6 @@
-/** State of a reservation on a worker; `lapsed` if its time to live has passed without a renewal. */
-export type ReservationState = "reserved" | "running" | "finished" | "failed" | "stopped" | "lapsed";
-
-/** A worker's report on one reservation. */
-export type ReservationReport = {
-    readonly id: string;
-    readonly job: string;
-    readonly customer: string;
-    readonly state: ReservationState;
-    /** Bit mask of the reserved accelerators. */
-    readonly accelerators: number;
-    /**
-     * Accelerator-milliseconds held from grant to release. The figure is cumulative; until the release it
-     * lags behind the clock by the usage lag.
-     */
-    readonly heldMs: number;
-    readonly checkpoints: number;
-};
+import type { Reservation } from "./_lib/Reservation.js";
+import { createReport, createReservation, release, releaseIfEnded } from "./_lib/Reservation.js";
+import type { CellOwner, CommandResult, ReservationReport, ReservationRequest } from "./WorkerCommand.js";
 
 /** Faults injected into a worker. */
 export type WorkerFaults = {
@@ -29,35 +14,6 @@
     leaseShare: number;
 };
 
-/** The owner of a cell that sends a command, identified by the cell and its fencing epoch. */
-export type CellOwner = { readonly cell: string; readonly epoch: number };
-
-/** A request to reserve accelerators of one worker. */
-export type ReservationRequest = CellOwner & {
-    readonly id: string;
-    readonly job: string;
-    readonly customer: string;
-    /** Bit mask of the accelerators. */
-    readonly accelerators: number;
-    /** Time to live of the reservation in milliseconds. */
-    readonly ttlMs: number;
-};
-
-/** Result of a command to a worker. */
-export type CommandResult =
-    | { readonly kind: "done"; readonly report: ReservationReport }
-    | { readonly kind: "refused"; readonly reason: "stale-epoch" | "accelerators-held" | "no-reservation" };
-
-type Reservation = {
-    readonly request: ReservationRequest;
-    readonly grantedAt: number;
-    state: ReservationState;
-    expiresAt: number;
-    finishesAt: number;
-    releasedAt: number | undefined;
-    checkpoints: number;
-};
-
 /** Options of `WorkerModel`. */
 export type WorkerModelOptions = {
     /** Time in milliseconds by which the reported usage lags behind the clock. */
@@ -98,7 +54,8 @@
         if (acceleratorsHeld) {
             return { kind: "refused", reason: "accelerators-held" };
         }
-        const reservation = this.reservations.get(request.id) ?? this.createReservation(request);
+        const reservation = this.reservations.get(request.id)
+            ?? createReservation(request, this.clock(), this.expiryOf(request.ttlMs));
         this.reservations.set(request.id, reservation);
         return { kind: "done", report: this.createReport(reservation) };
     }
@@ -149,7 +106,7 @@
             entry.request.cell === owner.cell
         );
         for (const reservation of cellReservations) {
-            reservation.expiresAt = this.clock() + ttlMs * this.faults.leaseShare;
+            reservation.expiresAt = this.expiryOf(ttlMs);
         }
         return cellReservations.map(reservation => this.createReport(reservation));
     }
@@ -182,18 +139,6 @@
         ];
     }
 
-    private createReservation(request: ReservationRequest): Reservation {
-        return {
-            request,
-            grantedAt: this.clock(),
-            state: "reserved",
-            expiresAt: this.clock() + request.ttlMs * this.faults.leaseShare,
-            finishesAt: Number.POSITIVE_INFINITY,
-            releasedAt: undefined,
-            checkpoints: 0,
-        };
-    }
-
     /** Records the owner's epoch; returns false if a higher epoch of the same cell is known. */
     private acceptEpoch(owner: CellOwner): boolean {
         if (owner.epoch < (this.highestEpochs.get(owner.cell) ?? 0)) {
@@ -206,15 +151,7 @@
     /** Releases the reservations whose task has finished or whose time to live has passed. */
     private releaseEndedReservations(): void {
         for (const reservation of this.reservations.values()) {
-            if (reservation.releasedAt !== undefined) {
-                continue;
-            }
-            if (reservation.state === "running" && reservation.finishesAt <= this.clock()) {
-                release(reservation, "finished", reservation.finishesAt);
-            }
-            else if (reservation.expiresAt <= this.clock()) {
-                release(reservation, "lapsed", reservation.expiresAt);
-            }
+            releaseIfEnded(reservation, this.clock());
         }
     }
 
@@ -238,25 +175,11 @@
     }
 
     private createReport(reservation: Reservation): ReservationReport {
-        const { request, state, grantedAt, releasedAt, checkpoints } = reservation;
-        const heldUntil = releasedAt ?? Math.max(grantedAt, this.clock() - (this.options.usageLagMs ?? 0));
-        return {
-            id: request.id,
-            job: request.job,
-            customer: request.customer,
-            state,
-            accelerators: request.accelerators,
-            heldMs: Math.round((heldUntil - grantedAt) * countBits(request.accelerators)),
-            checkpoints,
-        };
+        return createReport(reservation, this.clock() - (this.options.usageLagMs ?? 0));
     }
-}
-
-function release(reservation: Reservation, state: ReservationState, releasedAt: number): void {
-    reservation.state = state;
-    reservation.releasedAt = releasedAt;
-}
 
-function countBits(mask: number): number {
-    return mask.toString(2).replaceAll("0", "").length;
+    /** Returns the time at which a time to live that starts now ends, in milliseconds. */
+    private expiryOf(ttlMs: number): number {
+        return this.clock() + ttlMs * this.faults.leaseShare;
+    }
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,4 +8,5 @@
 export * from "./store/StoreState.js";
 export * from "./StoreModel.js";
 export * from "./Vm.js";
+export * from "./WorkerCommand.js";
 export * from "./WorkerModel.js";
--- a/packages/stand-ins/src/startWorkers.ts
+++ b/packages/stand-ins/src/startWorkers.ts
@@ -8,7 +8,8 @@
 import { readJson } from "./_lib/readBody.js";
 import { sendJson } from "./_lib/sendJson.js";
 import { serveApp } from "./_lib/serveApp.js";
-import type { CellOwner, CommandResult, ReservationRequest, WorkerFaults } from "./WorkerModel.js";
+import type { CellOwner, CommandResult, ReservationRequest } from "./WorkerCommand.js";
+import type { WorkerFaults } from "./WorkerModel.js";
 import { WorkerModel } from "./WorkerModel.js";
 
 /** Options of `startWorkers`. */
