Give each check of the random placements a function of its own

Read badly: 'checkInvariants' computed four invariants in one body, with a loop that built a plan for each guarantee. Change: 'hasInvalidSlot', 'isUnusedWithSlot' and 'isReclaimable' say what each finding means. The findings are the same, with one entry for each guarantee that cannot be reclaimed as before.

--- a/packages/placement/src/planPlacement.steps.ts
+++ b/packages/placement/src/planPlacement.steps.ts
@@ -10,6 +10,7 @@
     Cell,
     CellWorker,
     GangShape,
+    GuaranteeBinding,
     GuaranteedGang,
     Placement,
     PlacementError,
@@ -260,40 +261,43 @@
 }
 
 function checkInvariants(cell: Cell, findings: Findings): void {
-    const allocations = [...cell.allocations.values()];
-    if (overlaps(allocations.map(allocation => allocation.placement))) {
+    if (overlaps([...cell.allocations.values()].map(allocation => allocation.placement))) {
         findings.doubleHeld.push(describe(cell));
     }
-    const slots = cell.bindings.flatMap(binding => binding.slot === undefined ? [] : [binding.slot]);
-    const shortfalls = findShortfalls(cell);
-    const unreported = cell.bindings.some(binding =>
-        isDamaged(cell, binding.slot ?? []) && !shortfalls.includes(binding)
-    );
-    const unusable = cell.bindings.some(binding =>
-        binding.job === undefined && isDamaged(cell, binding.slot ?? [])
-    );
-    if (overlaps(slots) || unreported || unusable) {
+    if (hasInvalidSlot(cell)) {
         findings.invalidSlots.push(describe(cell));
     }
-    for (const { gang, job, slot } of cell.bindings) {
-        if (job !== undefined || slot === undefined) {
-            continue;
-        }
-        const plan = planPlacement(cell, {
-            ...createCandidate("reclaim", gang.customer, gang.shape, 1),
-            preemptible: false,
-        });
-        const stopsOnlyBorrowers = plan.isOk()
-            && plan.value.victims.every(victim => cell.allocations.get(victim)!.standing.kind === "borrowed");
-        if (!stopsOnlyBorrowers) {
-            findings.failedReclaims.push(describe(cell));
-        }
-    }
+    const unreclaimable = cell.bindings.filter(binding =>
+        isUnusedWithSlot(binding) && !isReclaimable(cell, binding)
+    );
+    findings.failedReclaims.push(...unreclaimable.map(() => describe(cell)));
     if (cell.healthyAccelerators.every(mask => mask !== 0) && findShortfalls(cell).length > 0) {
         findings.shortfalls.push(describe(cell));
     }
 }
 
+/** Returns whether slots overlap, or a slot with an unhealthy worker is unused or not reported as a shortfall. */
+function hasInvalidSlot(cell: Cell): boolean {
+    const slots = cell.bindings.flatMap(binding => binding.slot === undefined ? [] : [binding.slot]);
+    const shortfalls = findShortfalls(cell);
+    const damaged = cell.bindings.filter(binding => isDamaged(cell, binding.slot ?? []));
+    return overlaps(slots)
+        || damaged.some(binding => binding.job === undefined || !shortfalls.includes(binding));
+}
+
+/** Returns whether no job uses a guarantee that has a slot. */
+function isUnusedWithSlot(binding: GuaranteeBinding): boolean {
+    return binding.job === undefined && binding.slot !== undefined;
+}
+
+/** Returns whether a guarantee can be used at once by preempting borrowing jobs only. */
+function isReclaimable(cell: Cell, { gang }: GuaranteeBinding): boolean {
+    const candidate = createCandidate("reclaim", gang.customer, gang.shape, 1);
+    const plan = planPlacement(cell, { ...candidate, preemptible: false });
+    return plan.isOk()
+        && plan.value.victims.every(victim => cell.allocations.get(victim)!.standing.kind === "borrowed");
+}
+
 function isDamaged(cell: Cell, slot: Placement): boolean {
     return slot.some(placed =>
         (placed.accelerators & ~cell.healthyAccelerators[cell.workerIndex.get(placed.worker)!]!) !== 0
