Split the demo into its client, its checks and its steps

Read badly: 'demo/main.ts' (282 lines) held a scenario of 110 lines in one function, the calls to daemons and stand-ins, and the printing of checks, all on module-level variables; the number of daemons stood in five places. Change: 'runScenario' is a list of seven steps, each a function; 'DemoClient', 'Checks' and 'stopProcesses' are in files of their names. Each command, check and printed text is the same, in the same order.

--- a/demo/startDemoProcesses.ts
+++ b/demo/startDemoProcesses.ts
@@ -7,6 +7,9 @@
 /** Loopback ports used by the demo. */
 export const PORTS = { store: 7610, vmList: 7611, control: 7612, firstDaemon: 7620 } as const;
 
+/** The data centre of each daemon that the demo starts, by the index of the daemon. */
+export const DAEMON_DATA_CENTRES = ["recife", "recife", "fortaleza"] as const;
+
 const PORTS_PER_DAEMON = 3;
 
 /** The child processes of the demo. */
