A daemon ends when it calls a peer that is just stopping

Cause: connect's Http2SessionManager answers a GOAWAY on an idle connection with session.destroy(new ConnectError("received GOAWAY without any open streams", Code.Canceled)). The session emits that error some turns of the event loop later. If the peer is called or its client is reset in between, the manager leaves the state of that connection and takes its listener for 'error' away; its abort() adds none to a session that is already destroyed. The error event then has no listener and ends the process. Each planned stop of a peer sends a GOAWAY, and heartbeats, announcements of jobs and relays call peers all the time. Evidence: 'createPeerClient.feature' stops a peer on loopback and uses its connection 0 to 20 turns of the event loop later. Change: createPeerTransport holds the sessions of a peer itself. Each keeps a listener for errors from its creation until it is gone, whatever state the transport is in. The calls on the session fail with the error, as before. No handler for the whole process is added, so an unknown exception still ends it. Checked besides: calls in progress are answered after a GOAWAY, a reset fails them as canceled at once, and a refused connection is still recognised (three scenarios, which pass with either transport).

--- /dev/null
+++ b/packages/scheduler/src/cluster/createPeerClient.steps.ts
@@ -0,0 +1,136 @@
+import { Code, ConnectError } from "@connectrpc/connect";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { ok, ResultAsync } from "neverthrow";
+import assert from "node:assert/strict";
+import winston from "winston";
+import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
+import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import { collectUnhandledErrors, SETTLING_TURNS } from "../../../../features/support/unhandledErrors.js";
+import { waitTurns } from "../../../../features/support/waitTurns.js";
+import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
+import { createMetrics } from "../Metrics.js";
+import type { FleetStore, StoreItem } from "../ports/FleetStore.js";
+import { createCluster } from "./createCluster.js";
+import type { PeerClient } from "./createPeerClient.js";
+import { createPeerClient, isConnectionRefused } from "./createPeerClient.js";
+import { serveCluster } from "./serveCluster.js";
+
+const CALL_TIMEOUT_MS = 2_000;
+
+/** A peer that serves calls on loopback, and a client that has called it. */
+type CalledPeer = {
+    readonly client: PeerClient;
+    /** Lets the peer answer the calls that read a value from the store. */
+    readonly answerReads: () => void;
+    readonly stop: () => Promise<void>;
+};
+
+async function startCalledPeer(): Promise<CalledPeer> {
+    const cluster = createCluster({
+        node: "peer",
+        address: await findFreeAddress(),
+        decodeConfiguration: () => {
+            throw new Error("No configuration is expected.");
+        },
+        log: winston.createLogger({ silent: true }),
+        metrics: createMetrics(),
+        clock: () => performance.now(),
+    });
+    let answerReads = (): void => {};
+    const answered = new Promise<void>(resolve => answerReads = resolve);
+    const store: FleetStore = {
+        ...new FakeFleetStore(() => 0).createClient(),
+        read: () => new ResultAsync(answered.then(() => ok<StoreItem | undefined, never>(undefined))),
+    };
+    const listener = await serveCluster({ cluster, store, localOwner: () => undefined }, cluster.address);
+    const client = createPeerClient(cluster.address);
+    const answer = await callPeer(client);
+    assert.ok(!(answer instanceof Error), String(answer));
+    return { client, answerReads, stop: listener.close };
+}
+
+/** Calls the peer; the result is the answer, or the error. */
+function callPeer(client: PeerClient): Promise<unknown> {
+    return client.calls.fetchConfiguration({}, { timeoutMs: CALL_TIMEOUT_MS }).catch(error => error);
+}
+
+async function useWhilePeerStops(
+    world: TestWorld,
+    lastTurn: number,
+    use: (client: PeerClient) => unknown,
+): Promise<void> {
+    collectUnhandledErrors(world);
+    for (let turn = 0; turn <= lastTurn; turn++) {
+        const peer = await startCalledPeer();
+        const stopped = peer.stop();
+        await waitTurns(turn);
+        await use(peer.client);
+        await waitTurns(SETTLING_TURNS);
+        peer.client.reset();
+        await stopped;
+    }
+}
+
+When(
+    "a called peer stops, and the client calls it 0 to {int} turns of the event loop later",
+    async function(this: TestWorld, lastTurn: number) {
+        await useWhilePeerStops(this, lastTurn, callPeer);
+    },
+);
+
+When(
+    "a called peer stops, and the client resets its connection 0 to {int} turns of the event loop later",
+    async function(this: TestWorld, lastTurn: number) {
+        await useWhilePeerStops(this, lastTurn, client => client.reset());
+    },
+);
+
+Given("a called peer and a call to it in progress", async function(this: TestWorld) {
+    collectUnhandledErrors(this);
+    const peer = await startCalledPeer();
+    this.notes.set("peer", peer);
+    const request = { call: { case: "read", value: { key: "key" } } } as const;
+    this.notes.set(
+        "callInProgress",
+        peer.client.calls.relayStoreCall(request, { timeoutMs: CALL_TIMEOUT_MS }).catch(error => error),
+    );
+    // The peer has received the call by the time it answers a later one on the same connection.
+    await callPeer(peer.client);
+    this.cleanups.push(async () => {
+        peer.client.reset();
+        await peer.stop();
+    });
+});
+
+When("the peer stops", function(this: TestWorld) {
+    void this.note<CalledPeer>("peer").stop();
+});
+
+When("the client resets its connection", async function(this: TestWorld) {
+    this.note<CalledPeer>("peer").client.reset();
+    await waitTurns(SETTLING_TURNS);
+});
+
+When("the peer answers the call in progress", async function(this: TestWorld) {
+    this.note<CalledPeer>("peer").answerReads();
+});
+
+Then("the call in progress is answered", async function(this: TestWorld) {
+    const answer = await this.note<Promise<unknown>>("callInProgress");
+    assert.ok(!(answer instanceof Error), String(answer));
+});
+
+Then("the call in progress has failed as canceled", async function(this: TestWorld) {
+    const error = await this.note<Promise<unknown>>("callInProgress");
+    assert.equal(ConnectError.from(error).code, Code.Canceled);
+});
+
+Then("a new call is answered", async function(this: TestWorld) {
+    const answer = await callPeer(this.note<CalledPeer>("peer").client);
+    assert.ok(!(answer instanceof Error), String(answer));
+});
+
+Then("a new call has failed with a refused connection", async function(this: TestWorld) {
+    const error = await callPeer(this.note<CalledPeer>("peer").client);
+    assert.ok(isConnectionRefused(error), String(error));
+});
--- a/packages/scheduler/src/cluster/createPeerClient.ts
+++ b/packages/scheduler/src/cluster/createPeerClient.ts
@@ -1,7 +1,7 @@
 import { ClusterService } from "@balsamward/schema/scheduling";
 import type { Client } from "@connectrpc/connect";
 import { createClient } from "@connectrpc/connect";
-import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { createPeerTransport } from "../createPeerTransport.js";
 
 /** Client for the calls to one peer. */
 export type PeerClient = {
@@ -17,10 +17,8 @@
  * @returns The client.
  */
 export function createPeerClient(address: string): PeerClient {
-    const baseUrl = `http://${address}`;
-    const sessionManager = new Http2SessionManager(baseUrl);
-    const transport = createConnectTransport({ baseUrl, httpVersion: "2", sessionManager });
-    return { calls: createClient(ClusterService, transport), reset: () => sessionManager.abort() };
+    const { transport, reset } = createPeerTransport(address);
+    return { calls: createClient(ClusterService, transport), reset };
 }
 
 /**
