A daemon ends when a member is removed just after its daemon has stopped

Cause: the same as in the scheduler's daemon. maintainPeerConnection aborts the session manager, which takes the listener for errors off a session that the GOAWAY has destroyed and that has not emitted its error yet. Evidence: 'maintainPeerConnection.feature' stops a peer on loopback and removes its member, or calls it, 0 to 20 turns of the event loop later. Before the change both scenarios failed with ConnectError: [canceled] received GOAWAY without any open streams at ClientHttp2Session.onGoaway (.../connect-node/dist/esm/http2-session-manager.js:469:26) Change: the connection uses createPeerTransport, whose sessions keep a listener for errors until they are gone.

--- a/packages/daemon/src/peers/maintainPeerConnection.ts
+++ b/packages/daemon/src/peers/maintainPeerConnection.ts
@@ -1,9 +1,9 @@
+import { createPeerTransport } from "@balsamward/scheduler/createPeerTransport";
 import { pause } from "@balsamward/scheduler/pause";
 import type { Member, NodeId } from "@balsamward/schema";
 import { PeerService } from "@balsamward/schema";
 import type { Client } from "@connectrpc/connect";
 import { createClient } from "@connectrpc/connect";
-import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { HEARTBEAT_INTERVAL_MS, PEER_CALL_TIMEOUT_MS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import { composeHeartbeat, receiveHeartbeat } from "./composeHeartbeat.js";
@@ -35,22 +35,20 @@
     signal: AbortSignal,
 ): Promise<void> {
     const node = member.node as NodeId;
-    const baseUrl = `http://${member.peerAddress}`;
-    const sessionManager = new Http2SessionManager(baseUrl);
-    const transport = createConnectTransport({ baseUrl, httpVersion: "2", sessionManager });
+    const { transport, reset } = createPeerTransport(member.peerAddress);
     const client = createClient(PeerService, transport);
     clients.set(node, client);
     try {
         while (!signal.aborted) {
             if (state.node < node && !await exchangeHeartbeats(state, client, node)) {
-                sessionManager.abort();
+                reset();
             }
             await pause(HEARTBEAT_INTERVAL_MS * (0.9 + state.random() * 0.2), signal);
         }
     }
     finally {
         clients.delete(node);
-        sessionManager.abort();
+        reset();
     }
 }
 
