In a large cluster daemons hear from a new owner only after many seconds

Seen: in the code, while tracing a queue that was shown with 0 pending jobs: after a takeover callers keep being shown the count that the earlier owner sent last. Cause: a daemon calls the owner every 300 ms, and each other peer every 300 ms times the number of peers, which is 12 s with 40 peers. The task of a peer chooses its pause before it waits; a peer that becomes the owner in the meantime is called when the long pause is over. Evidence: 'runPeers.feature', a daemon with 40 peers of which a reachable one becomes the owner. Before the change: Error: The peer is not heard from within 1000 ms. Change: whoever learns of a newer owner wakes the task of that peer. From then on the short interval applies.

--- a/packages/scheduler/src/cluster/Cluster.ts
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -27,6 +27,8 @@
     /** Its wall clock minus this daemon's, in milliseconds. */
     wallClockOffsetMs: number;
     leaving: boolean;
+    /** Exchanges heartbeats with the peer at once, rather than after the interval. */
+    readonly requestExchange: () => void;
     /** Ends the task that exchanges heartbeats with the peer. */
     readonly abortController: AbortController;
 };
@@ -111,7 +113,8 @@
 }
 
 /**
- * Records a newer owner; an owner whose revision is not higher than the known one's is ignored.
+ * Records a newer owner, and requests its heartbeat; an owner whose revision is not higher than the known one's is
+ * ignored.
  *
  * @param cluster - This daemon's view of the cluster.
  * @param owner - The owner that was read or received.
@@ -120,5 +123,6 @@
     if (owner.revision > (cluster.owner?.revision ?? 0)) {
         cluster.owner = owner;
         cluster.log.info("A newer owner is known.", { owner: owner.node, revision: owner.revision });
+        cluster.peers.get(owner.address)?.requestExchange();
     }
 }
--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -61,6 +61,7 @@
         reachesStore,
         wallClockOffsetMs: 0,
         leaving: false,
+        requestExchange: () => {},
         abortController: new AbortController(),
     };
     cluster.peers.set(name, peer as unknown as Peer);
--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -1,3 +1,5 @@
+import type { WakeSignal } from "../_lib/createWakeSignal.js";
+import { createWakeSignal } from "../_lib/createWakeSignal.js";
 import { HEARTBEAT_INTERVAL_MS, PEER_CALL_TIMEOUT_MS, REFUSED_CONNECTIONS_LIMIT } from "../constants.js";
 import { pause } from "../pause.js";
 import type { Cluster, Peer } from "./Cluster.js";
@@ -31,6 +33,7 @@
         if (cluster.peers.size >= MAX_PEERS) {
             return undefined;
         }
+        const exchangeSignal = createWakeSignal(pause);
         const peer: Peer = {
             address,
             node,
@@ -40,15 +43,21 @@
             reachesStore: false,
             wallClockOffsetMs: 0,
             leaving: false,
+            requestExchange: exchangeSignal.notify,
             abortController: new AbortController(),
         };
         cluster.peers.set(address, peer);
-        void runPeer(cluster, peer, AbortSignal.any([signal, peer.abortController.signal]));
+        void runPeer(cluster, peer, exchangeSignal, AbortSignal.any([signal, peer.abortController.signal]));
         return peer;
     };
 }
 
-async function runPeer(cluster: Cluster, peer: Peer, signal: AbortSignal): Promise<void> {
+async function runPeer(
+    cluster: Cluster,
+    peer: Peer,
+    exchangeSignal: WakeSignal,
+    signal: AbortSignal,
+): Promise<void> {
     const addedAt = cluster.clock();
     cluster.log.info("A peer is added.", { peer: peer.node, address: peer.address });
     try {
@@ -61,7 +70,7 @@
                 });
                 return;
             }
-            await pause(computeHeartbeatIntervalMs(cluster, peer), signal);
+            await exchangeSignal.wait(computeHeartbeatIntervalMs(cluster, peer), signal);
         }
     }
     finally {
