A queue is shown with no pending jobs while the owner is not known

Cause: an unknown count reads as 0. A new owner sends heartbeats from the start of its term, and until it has loaded its state their list of counts is empty; a daemon that has not heard from any owner has an empty list too. And the counts of an owner that has fallen silent are shown however old they are. Evidence: 'countPendingJobs.feature'. Before the change four of its scenarios failed; after a heartbeat with 5 pending jobs and one of a new owner that loads its state: AssertionError: Expected values to be strictly deep-equal: + pending: 0 - pending: 5 and without any owner, or with one that has been silent for over 2 s: + 'depth' - 'count-unknown'. Change: heartbeats say whether the sender knows the counts ('depths_unknown'; a daemon of the earlier build never sets it and is read as before). Received counts keep the time of their arrival and are shown for 2 s, which is the age that the interface allows. The store is not read instead: it holds no starts, so each running job without a stored end would count as pending, and every daemon would list all jobs while the new owner does.

--- a/packages/scheduler/src/callers/Reply.ts
+++ b/packages/scheduler/src/callers/Reply.ts
@@ -12,6 +12,7 @@
     | "no-such-job"
     | "other-job"
     | "store-unavailable"
+    | "count-unknown"
     | "unclear"
     | "defect";
 
@@ -48,6 +49,6 @@
  */
 export function refuse(reason: RefusalReason, message: string): RefusalReply {
     const isTemporary = reason === "no-configuration" || reason === "store-unavailable"
-        || reason === "unclear";
+        || reason === "count-unknown" || reason === "unclear";
     return { kind: "refused", reason, message, ...(isTemporary ? { retryAfterS: RETRY_AFTER_S } : {}) };
 }
--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -1,4 +1,4 @@
-import { JobSchema } from "@balsamward/schema/scheduling";
+import { HeartbeatSchema, JobSchema, QueueDepthSchema } from "@balsamward/schema/scheduling";
 import { create } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
@@ -6,10 +6,13 @@
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import type { FakeFleetStore, WriteFault } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
 import type { Cluster } from "../cluster/Cluster.js";
+import { composeHeartbeat, receiveHeartbeat } from "../cluster/Cluster.js";
+import { createCluster } from "../cluster/createCluster.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { JobId, QueueName } from "../ids.js";
 import { storeKeys } from "../storeKeys.js";
 import type { CallContext } from "./CallContext.js";
+import { countPendingJobs } from "./countPendingJobs.js";
 import { describeJob } from "./describeJob.js";
 import type { Reply } from "./Reply.js";
 import { requestCancellation } from "./requestCancellation.js";
@@ -20,6 +23,8 @@
 const CALLER_TIMEOUT_MS = 3_000;
 const CLOCK_STEP_MS = 50;
 const REFUSED_WRITE_COUNT = 100;
+const MS_PER_SECOND = 1_000;
+const QUEUE = "short" as QueueName;
 
 function createCallContext(world: TestWorld): CallContext {
     return {
@@ -51,6 +56,24 @@
     world.notes.set("tookMs", clock.now - startedAt);
 }
 
+/** Delivers a heartbeat of a new owner, whose count is `undefined` until it has loaded its state. */
+function receiveHeartbeatOfNewOwner(world: TestWorld, pending: number | undefined): void {
+    const cluster = world.note<Cluster>("cluster");
+    const revision = (cluster.owner?.revision ?? 0) + 1;
+    const owner = createCluster({
+        ...cluster,
+        node: `owner-${revision}`,
+        address: `10.0.0.2:${revision}`,
+        decodeConfiguration: () => {
+            throw new Error("No configuration is expected.");
+        },
+    });
+    owner.owner = { node: owner.node, address: owner.address, revision };
+    owner.countQueueDepths = () =>
+        pending === undefined ? undefined : [create(QueueDepthSchema, { queue: QUEUE, jobs: pending })];
+    receiveHeartbeat(cluster, create(HeartbeatSchema, composeHeartbeat(owner)));
+}
+
 function summarizeReply(reply: Reply): string {
     switch (reply.kind) {
         case "refused":
@@ -118,6 +141,22 @@
     await awaitReply(this, requestCancellation(createCallContext(this), JOB_ID, customer, getDeadline(this)));
 });
 
+Given(/^(?:the|a new) owner has reported (\d+) pending jobs$/, function(this: TestWorld, pending: number) {
+    receiveHeartbeatOfNewOwner(this, Number(pending));
+});
+
+Given("a new owner that has not loaded its state has sent a heartbeat", function(this: TestWorld) {
+    receiveHeartbeatOfNewOwner(this, undefined);
+});
+
+When("{float} second(s) pass without a heartbeat", async function(this: TestWorld, seconds: number) {
+    await getClock(this).advance(seconds * MS_PER_SECOND);
+});
+
+When("ana counts the pending jobs", function(this: TestWorld) {
+    this.notes.set("reply", countPendingJobs(createCallContext(this), QUEUE));
+});
+
 When("the store applies its delayed writes", function(this: TestWorld) {
     this.note<FakeFleetStore>("store").applyDelayedTransactions();
 });
@@ -126,6 +165,10 @@
     assert.equal(summarizeReply(this.note<Reply>("reply")), name);
 });
 
+Then("the reply counts {int} pending jobs", function(this: TestWorld, pending: number) {
+    assert.deepEqual(this.note<Reply>("reply"), { kind: "depth", pending });
+});
+
 Then("the reply gives a retry time", function(this: TestWorld) {
     const reply = this.note<Reply>("reply");
     assert.equal(reply.kind === "refused" && reply.retryAfterS !== undefined, true);
--- a/packages/scheduler/src/cluster/Cluster.ts
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -33,6 +33,13 @@
     readonly abortController: AbortController;
 };
 
+/** The numbers of pending jobs by queue that the owner has sent. */
+export type ReceivedQueueDepths = {
+    readonly depths: readonly QueueDepth[];
+    /** Monotonic time of the heartbeat that contained them, in milliseconds. */
+    readonly receivedAt: number;
+};
+
 /** This daemon's view of the cluster: its peers, the owner and the configuration in force. */
 export type Cluster = {
     readonly node: string;
@@ -43,9 +50,9 @@
     readonly metrics: Metrics;
     readonly clock: () => number;
     owner: KnownOwner | undefined;
-    /** Number of pending jobs by queue, from the owner's last heartbeat. */
-    queueDepths: readonly QueueDepth[];
-    /** Counts the pending jobs by queue; returns `undefined` while this daemon is not the owner. */
+    /** Number of pending jobs by queue, from the last heartbeat of an owner that knew them. */
+    queueDepths: ReceivedQueueDepths | undefined;
+    /** Counts the pending jobs by queue; returns `undefined` unless this daemon is the owner and knows all jobs. */
     countQueueDepths: () => readonly QueueDepth[] | undefined;
     /** Whether this daemon's last direct store call was answered. */
     reachesStore: boolean;
@@ -66,6 +73,7 @@
  * @returns The heartbeat.
  */
 export function composeHeartbeat(cluster: Cluster): MessageInitShape<typeof HeartbeatSchema> {
+    const depths = cluster.countQueueDepths();
     return {
         sender: { node: cluster.node, address: cluster.address },
         configurationVersion: cluster.configuration.current()?.version ?? 0,
@@ -73,7 +81,8 @@
             ? {}
             : { owner: { node: cluster.owner.node, address: cluster.owner.address } }),
         ownerRevision: cluster.owner?.revision ?? 0,
-        depths: [...cluster.countQueueDepths() ?? []],
+        depths: [...depths ?? []],
+        depthsUnknown: depths === undefined,
         peers: [...cluster.peers.values()]
             .filter(peer => !peer.leaving && peer.lastContactAt > Number.NEGATIVE_INFINITY)
             .map(({ node, address }) => ({ node, address })),
@@ -105,8 +114,8 @@
     if (heartbeat.owner !== undefined) {
         const { node, address } = heartbeat.owner;
         updateOwner(cluster, { node, address, revision: heartbeat.ownerRevision });
-        if (sender?.address === cluster.owner?.address) {
-            cluster.queueDepths = heartbeat.depths;
+        if (sender?.address === cluster.owner?.address && !heartbeat.depthsUnknown) {
+            cluster.queueDepths = { depths: heartbeat.depths, receivedAt: cluster.clock() };
         }
     }
     return heartbeat.configurationVersion > (cluster.configuration.current()?.version ?? 0);
--- a/packages/scheduler/src/cluster/createCluster.ts
+++ b/packages/scheduler/src/cluster/createCluster.ts
@@ -33,7 +33,7 @@
         metrics,
         clock,
         owner: undefined,
-        queueDepths: [],
+        queueDepths: undefined,
         countQueueDepths: () => undefined,
         reachesStore: true,
         leaving: false,
--- a/packages/scheduler/src/cluster/serveCluster.ts
+++ b/packages/scheduler/src/cluster/serveCluster.ts
@@ -22,8 +22,11 @@
     readonly addJob: (job: Job, revision: number) => void;
     /** Cancels a job whose cancellation was just stored. */
     readonly cancelJob: (id: string) => void;
-    /** Counts the pending jobs of each queue: those without a schedule that have not started. */
-    readonly countQueueDepths: () => readonly QueueDepth[];
+    /**
+     * Counts the pending jobs of each queue: those without a schedule that have not started. Returns `undefined` while
+     * the owner may not know all jobs.
+     */
+    readonly countQueueDepths: () => readonly QueueDepth[] | undefined;
 };
 
 /** Options of `serveCluster`. */
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -70,6 +70,9 @@
 /** Time since a peer was last heard from after which it counts as unreachable, in milliseconds. */
 export const PEER_SILENCE_LIMIT_MS = 1_500;
 
+/** Longest time for which the counts of pending jobs that the owner has sent are shown to callers, in milliseconds. */
+export const MAX_QUEUE_DEPTHS_AGE_MS = 2_000;
+
 /** Number of refused connections in a row after which a daemon's process counts as dead. */
 export const REFUSED_CONNECTIONS_LIMIT = 2;
 
