An owner that was paused shows its old counts of pending jobs

Seen: in the code, while tracing a queue that was shown with 0 pending jobs beside a killed and a frozen owner. Cause: an owner counts the jobs in its memory for as long as its term has not ended. One whose process was stopped for seconds answers the calls that have queued up before it reads the jobs stored meanwhile and before it learns of a new owner; one whose watch of jobs is cut off does so for as long as that lasts. Evidence: 'createOwnerService.feature', an owner whose watch is silent for 6 s while a job is stored. Without the check: AssertionError: Expected values to be strictly equal: + [] - undefined Change: the owner notes up to when it knows the stored jobs, and counts only if that is at most a watch's wait and a response ago, or if nobody can store a job: the store is out of its reach and of that of its peers (the condition under which it stays owner). A response that was read late counts from the time when it was due at the latest.

--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -70,6 +70,9 @@
 /** Time since a peer was last heard from after which it counts as unreachable, in milliseconds. */
 export const PEER_SILENCE_LIMIT_MS = 1_500;
 
+/** Time without a response to its watch of jobs after which an owner may miss jobs, in milliseconds. */
+export const MAX_JOBS_AGE_MS = MAX_WATCH_WAIT_MS + RELAY_TIMEOUT_MS;
+
 /** Longest time for which the counts of pending jobs that the owner has sent are shown to callers, in milliseconds. */
 export const MAX_QUEUE_DEPTHS_AGE_MS = 2_000;
 
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -75,6 +75,8 @@
     rosterRevision: number;
     /** Whether all stored state has been loaded. */
     isLoaded: boolean;
+    /** Monotonic time up to which the owner knows the stored jobs, in milliseconds. */
+    jobsReadAt: number;
     readonly runTimePredictor: RunTimePredictor;
     /** Queue of calls to the advice service, which handles one call at a time. */
     readonly adviceQueue: PQueue;
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -39,6 +39,7 @@
         roster: new Set(),
         rosterRevision: 0,
         isLoaded: false,
+        jobsReadAt: Number.NEGATIVE_INFINITY,
         runTimePredictor: createRunTimePredictor(),
         adviceQueue: new PQueue({ concurrency: 1 }),
         requestPass: () => {},
@@ -68,6 +69,7 @@
         return;
     }
     scheduler.isLoaded = true;
+    scheduler.jobsReadAt = scheduler.clock();
     scheduler.log.info("The state is loaded.", {
         jobs: scheduler.activeJobs.size,
         workers: scheduler.fleet.size,
--- a/packages/scheduler/src/engine/watchJobs.ts
+++ b/packages/scheduler/src/engine/watchJobs.ts
@@ -17,6 +17,7 @@
     const { signal } = scheduler.ownership;
     let revision = startRevision;
     while (!signal.aborted) {
+        const sentAt = scheduler.clock();
         const changes = await scheduler.store.watch(storeKeys.jobPrefix, revision, MAX_WATCH_WAIT_MS, signal);
         if (signal.aborted) {
             return;
@@ -28,6 +29,8 @@
                 }
             });
             revision = changes.value.revision;
+            // A response that is read later than the watch waits has been delayed, and jobs may have been stored since.
+            scheduler.jobsReadAt = Math.min(scheduler.clock(), sentAt + MAX_WATCH_WAIT_MS);
             continue;
         }
         scheduler.log.warn("The watch of jobs is interrupted.", { reason: changes.error.kind, revision });
@@ -41,12 +44,14 @@
 }
 
 async function relistJobs(scheduler: Scheduler): Promise<number | undefined> {
+    const sentAt = scheduler.clock();
     const listed = await scheduler.store.list(storeKeys.jobPrefix);
     if (listed.isErr()) {
         await scheduler.pause(STORE_RETRY_MS, scheduler.ownership.signal);
         return undefined;
     }
     listed.value.items.forEach(item => applyItem(scheduler, item));
+    scheduler.jobsReadAt = sentAt;
     return listed.value.revision;
 }
 
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "winston";
 import type { CallContext } from "./callers/CallContext.js";
+import { couldMissNewOwner } from "./cluster/couldMissNewOwner.js";
 import type { DecodeConfiguration } from "./cluster/createActiveConfiguration.js";
 import { createCluster } from "./cluster/createCluster.js";
 import { createRelayingStore } from "./cluster/createRelayingStore.js";
@@ -93,7 +94,9 @@
             wallClock: () => getMedianWallClockMs(cluster),
             bounds: options.bounds,
         }, ownership);
-        ownerService = createOwnerService(scheduler);
+        ownerService = createOwnerService(scheduler, {
+            couldMissJobs: () => cluster.reachesStore || couldMissNewOwner(cluster),
+        });
         await runScheduler(scheduler);
         scheduler = undefined;
     };
