A job whose start no worker has carried out is not counted as pending

Cause: a job counts as started from the moment at which the owner creates a run to order. If the worker refuses the order, is out of reach, or never receives it, the run is dropped and the job waits again, but it is never again counted as pending. Evidence: 'createOwnerService.feature', one worker that refuses the first start, or to which both sendings of it get lost.

--- a/packages/scheduler/src/engine/applyRunEnd.ts
+++ b/packages/scheduler/src/engine/applyRunEnd.ts
@@ -39,6 +39,7 @@
         recordRunTime(scheduler, run, endedRun);
         releaseRun(run);
     }
+    task.step.job.hasStarted = true;
     task.lastRun = Math.max(task.lastRun, endedRun.run);
     if (endedRun.checkpoint !== "") {
         saveCheckpoint(task, endedRun.checkpoint);
--- a/packages/scheduler/src/engine/createOwnerService.steps.ts
+++ b/packages/scheduler/src/engine/createOwnerService.steps.ts
@@ -27,3 +27,7 @@
 Then("the owner does not know the number of pending jobs", function(this: TestWorld) {
     assert.equal(countQueueDepths(this), undefined);
 });
+
+Then("the owner counts no pending jobs", function(this: TestWorld) {
+    assert.deepEqual(countQueueDepths(this), []);
+});
--- a/packages/scheduler/src/engine/runs.ts
+++ b/packages/scheduler/src/engine/runs.ts
@@ -36,7 +36,6 @@
     };
     task.runs.push(run);
     task.lastRun = Math.max(task.lastRun, number);
-    task.step.job.hasStarted = true;
     worker.runs.add(run);
     applyTaskRequest(worker.free, task.step.spec, -1);
     return run;
--- a/packages/scheduler/src/engine/startRun.ts
+++ b/packages/scheduler/src/engine/startRun.ts
@@ -65,6 +65,7 @@
         return;
     }
     run.isConfirmed = true;
+    run.task.step.job.hasStarted = true;
     run.confirmedAt = now;
     run.progressedAt = now;
     if (run.phase === "starting") {
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -89,7 +89,7 @@
     /** State in the progress that was last stored; queued if none was. */
     durableState: JobState;
     cancelled: boolean;
-    /** Whether any task of the job was ever started. */
+    /** Whether a worker has confirmed that it began a task of the job. */
     hasStarted: boolean;
     /** Store revision of the stored progress; 0 if there is none. */
     progressRevision: number;
