--- a/packages/scheduler/src/engine/createOwnerService.feature
+++ b/packages/scheduler/src/engine/createOwnerService.feature
@@ -1,4 +1,4 @@
-Feature: The owner counts pending jobs only while it knows all jobs
+Feature: The owner counts the pending jobs while it knows all jobs
 
     Scenario: The owner counts the jobs that it has learnt of
         Given a fleet of 0 workers with an owner
--- a/packages/schema/src/decodeIni.ts
+++ b/packages/schema/src/decodeIni.ts
@@ -13,6 +13,9 @@
 type DecodingContext = { readonly index: LineIndex; readonly errors: InputError[] };
 type IniTree = { readonly [key: string]: unknown };
 
+/** Id of the validation rule that a field is present. */
+const REQUIRED_RULE = "required";
+
 const validator = createValidator();
 
 /**
@@ -195,8 +198,9 @@
     return result.violations.map(violation => {
         const path = violation.field.map(step => pathElementText(step)).filter(step => step !== "").join(".");
         const line = findLine(index, path);
-        const text =
-            `Line ${line}: '${path}' violates a constraint: ${violation.message}. Change it to a valid value.`;
+        const text = violation.ruleId === REQUIRED_RULE
+            ? `Line ${line}: '${path}' is missing. Add it.`
+            : `Line ${line}: '${path}' violates a constraint: ${violation.message}. Change it to a valid value.`;
         return { kind: "constraint", message: text, line, key: path } as const;
     });
 }
