A number that is too large makes the parsing of a document throw

Seen: known from a reading of the code. 'weight =' in a document made 'parseDocument' throw instead of returning a typed error, so that the daemon or command that reads the document fails without its line. Cause: the INI decoder accepts up to ten digits for a uint32 and any number of digits for a double; fromJson throws for values that do not fit the type. Evidence: two rows of 'decodeIni.feature'. Before the change: Error: cannot decode field balsamward.v1.Customer.weight from JSON: expected number (uint32): out of range and for a rate of 400 digits: cannot decode field balsamward.v1.Kind.rate_per_second from JSON: unexpected infinite number Change: both types have a maximum, and a larger value is a 'bad-value' with its line.

--- a/packages/schema/src/_lib/convertScalar.ts
+++ b/packages/schema/src/_lib/convertScalar.ts
@@ -3,6 +3,8 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 
+const MAX_UINT32 = 0xffff_ffff;
+
 /** A scalar value in the JSON mapping of Protocol Buffers. */
 export type JsonScalar = string | number | boolean;
 
@@ -23,9 +25,9 @@
         case ScalarType.BOOL:
             return text === "true" || text === "false" ? ok(text === "true") : err("'true' or 'false'");
         case ScalarType.UINT32:
-            return /^\d{1,10}$/.test(text) ? ok(Number(text)) : err("a whole number that is not negative");
+            return convertNumber(text, /^\d+$/, MAX_UINT32, "a whole number that is not negative");
         case ScalarType.DOUBLE:
-            return /^\d+(\.\d+)?$/.test(text) ? ok(Number(text)) : err("a number that is not negative");
+            return convertNumber(text, /^\d+(\.\d+)?$/, Number.MAX_VALUE, "a number that is not negative");
         case ScalarType.STRING:
             return ok(text);
         default:
@@ -33,6 +35,18 @@
     }
 }
 
+function convertNumber(
+    text: string,
+    pattern: RegExp,
+    maximum: number,
+    expected: string,
+): Result<number, string> {
+    if (!pattern.test(text)) {
+        return err(expected);
+    }
+    return Number(text) <= maximum ? ok(Number(text)) : err(`a number of at most ${maximum}`);
+}
+
 function convertEnum(desc: DescEnum, text: string): Result<string, string> {
     const options = mapEnumTexts(desc);
     const name = options.get(text);
--- a/packages/schema/src/decodeIni.feature
+++ b/packages/schema/src/decodeIni.feature
@@ -17,6 +17,8 @@
             | unknown section       | [kind.walk-in]         | [sort.walk-in]          |
             | value out of range    | weight = 4             | weight = 0              |
             | not a number          | weight = 4             | weight = heavy          |
+            | number too large      | weight = 4             | weight = 9999999999     |
+            | infinite number       | rate_per_second = 2000 | rate_per_second = LARGE |
             | negative number       | weight = 4             | weight = -4             |
             | unknown enum value    | urgency = urgent       | urgency = now           |
             | not a boolean         | idempotent = true      | idempotent = maybe      |
--- a/packages/schema/src/decodeIni.steps.ts
+++ b/packages/schema/src/decodeIni.steps.ts
@@ -12,7 +12,8 @@
 
 Given("its text {string} is replaced by {string}", function(this: TestWorld, before: string, after: string) {
     const text = this.note<string>("text");
-    this.notes.set("text", text.replace(before, after.replaceAll("\\n", "\n")));
+    const replacement = after.replaceAll("\\n", "\n").replace("LARGE", "9".repeat(400));
+    this.notes.set("text", text.replace(before, replacement));
 });
 
 When("the document is parsed", function(this: TestWorld) {
