--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -13,7 +13,8 @@
 import { runPlacementPass } from "./runPlacementPass.js";
 import { runUpkeep } from "./runUpkeep.js";
 import type { Ownership, Scheduler, SchedulerDependencies } from "./Scheduler.js";
-import { storeRoster, watchFleet } from "./watchFleet.js";
+import { storeRoster } from "./storeRoster.js";
+import { watchFleet } from "./watchFleet.js";
 import { watchJobs } from "./watchJobs.js";
 
 /** Maximum number of concurrent background tasks of one term. */
