--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -1,6 +1,4 @@
 import { JobSchema, ProgressSchema, RosterRecordSchema } from "@balsamward/schema/scheduling";
-import { fromBinary } from "@bufbuild/protobuf";
-import type { DescMessage, MessageShape } from "@bufbuild/protobuf";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import { createWakeSignal } from "../_lib/createWakeSignal.js";
@@ -9,6 +7,7 @@
 import type { StoreError, StoreItem } from "../ports/FleetStore.js";
 import { createWorkerEntry } from "../state/WorkerEntry.js";
 import { storeKeys } from "../storeKeys.js";
+import { decodeRecord } from "./decodeRecord.js";
 import { cancelJob, registerJob } from "./registerJob.js";
 import type { Scheduler } from "./Scheduler.js";
 import { addWorker, applyReports } from "./watchFleet.js";
@@ -45,31 +44,6 @@
     return ok(jobs.value.revision);
 }
 
-/**
- * Decodes a stored record.
- *
- * @param scheduler - The scheduler, whose log reports a malformed record.
- * @param desc - Schema of the record.
- * @param item - Store item that holds the record.
- * @returns The record, or `undefined` if it is malformed.
- */
-export function decodeRecord<Desc extends DescMessage>(
-    scheduler: Pick<Scheduler, "log">,
-    desc: Desc,
-    item: { readonly key: string; readonly value: Uint8Array },
-): MessageShape<Desc> | undefined {
-    try {
-        return fromBinary(desc, item.value);
-    }
-    catch (error) {
-        scheduler.log.error("A stored record cannot be decoded. Remove its key from the store.", {
-            key: item.key,
-            error: String(error),
-        });
-        return undefined;
-    }
-}
-
 function restoreJobs(
     scheduler: Scheduler,
     items: readonly StoreItem[],
--- a/packages/scheduler/src/engine/watchJobs.ts
+++ b/packages/scheduler/src/engine/watchJobs.ts
@@ -1,7 +1,8 @@
 import { JobSchema } from "@balsamward/schema/scheduling";
 import { MAX_WATCH_WAIT_MS, STORE_RETRY_MS } from "../constants.js";
 import { storeKeys } from "../storeKeys.js";
-import { decodeRecord, parseCancellationKey } from "./loadState.js";
+import { decodeRecord } from "./decodeRecord.js";
+import { parseCancellationKey } from "./loadState.js";
 import { cancelJob, registerJob } from "./registerJob.js";
 import type { Scheduler } from "./Scheduler.js";
 
