Count a worker as in the roster only while every possible record lists it

A task ran on two workers at once: its worker was missing from one list of workers, was listed again and got the start; the next owner did not know that it had to ask this worker, and started the task elsewhere.

Cause: when the answer to a write of the roster was lost, the owner read back the revision but kept its own view of the content. A write that had dropped a worker could be in force, or take effect later, while `scheduler.roster` still held the worker, so nothing was written when it came back, and it got starts.

The roster now shrinks to what both records hold while the outcome of a write is unclear, and is written again until that is settled. A write that succeeds has found the revision of before, so the unclear write can no longer take effect. A conflict carries the stored record, which is adopted with its content; one of the owner's key ends the term. The separate read of the revision is gone, and with it the case that it fails.

It fails without `isRosterUnclear`: a roster that is only shrunk, and not written again, would keep the next owner waiting for a worker that has left.

--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -70,9 +70,12 @@
     readonly unreconciledWorkers: Set<WorkerId>;
     /** Monotonic time in milliseconds by which every unknown run has ended. */
     unknownRunsEndAt: number;
-    /** Workers in the stored roster, which lists the workers that may have runs. */
-    readonly roster: Set<WorkerId>;
+    /** Workers that the stored roster certainly lists; it lists the workers that may have runs. */
+    roster: ReadonlySet<WorkerId>;
+    /** Store revision that the next write of the roster expects. */
     rosterRevision: number;
+    /** Whether the outcome of the last write of the roster is unknown. */
+    isRosterUnclear: boolean;
     /** Whether all stored state has been loaded. */
     isLoaded: boolean;
     readonly runTimePredictor: RunTimePredictor;
--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -90,10 +90,10 @@
         return;
     }
     scheduler.rosterRevision = item.revision;
-    const record = decodeRecord(scheduler, RosterRecordSchema, item);
-    for (const { worker, address } of record?.workers ?? []) {
+    const workers = decodeRecord(scheduler, RosterRecordSchema, item)?.workers ?? [];
+    scheduler.roster = new Set(workers.map(({ worker }) => worker as WorkerId));
+    for (const { worker, address } of workers) {
         const id = worker as WorkerId;
-        scheduler.roster.add(id);
         scheduler.unreconciledWorkers.add(id);
         addWorker(scheduler, createWorkerEntry(id, address, 0, createWakeSignal(scheduler.pause)));
     }
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -39,6 +39,7 @@
         unknownRunsEndAt: 0,
         roster: new Set(),
         rosterRevision: 0,
+        isRosterUnclear: false,
         isLoaded: false,
         runTimePredictor: createRunTimePredictor(),
         adviceQueue: new PQueue({ concurrency: 1 }),
--- a/packages/scheduler/src/engine/storeRoster.ts
+++ b/packages/scheduler/src/engine/storeRoster.ts
@@ -1,19 +1,25 @@
 import { RosterRecordSchema } from "@balsamward/schema/scheduling";
 import { create, toBinary } from "@bufbuild/protobuf";
+import type { WorkerId } from "../ids.js";
+import type { StoreError, StoreItem } from "../ports/FleetStore.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { storeKeys } from "../storeKeys.js";
+import { decodeRecord } from "./decodeRecord.js";
 import type { Scheduler } from "./Scheduler.js";
 
 /**
  * Stores the roster of workers that may have runs, so that the next owner reconciles each of them.
  *
+ * While the outcome of a write is unclear, `scheduler.roster` holds only the workers that the store lists whether
+ * or not the write takes effect. The next write succeeds only if the unclear one has not taken effect, and then
+ * also prevents that it does so later; otherwise, it conflicts and returns what is stored.
+ *
  * @param scheduler - The scheduler.
  */
 export async function storeRoster(scheduler: Scheduler): Promise<void> {
     const rosterWorkers = [...scheduler.fleet.values()].filter(mayHaveRuns);
-    const isCurrent = rosterWorkers.length === scheduler.roster.size
-        && rosterWorkers.every(worker => scheduler.roster.has(worker.id));
-    if (isCurrent) {
+    const ids = new Set(rosterWorkers.map(worker => worker.id));
+    if (!scheduler.isRosterUnclear && isSameSet(scheduler.roster, ids)) {
         return;
     }
     const message = create(RosterRecordSchema, {
@@ -28,17 +34,14 @@
         removals: [],
     });
     if (written.isOk()) {
-        scheduler.rosterRevision = written.value;
-        scheduler.roster.clear();
-        rosterWorkers.forEach(worker => scheduler.roster.add(worker.id));
-        scheduler.requestPass();
+        setRoster(scheduler, written.value, ids);
         return;
     }
     scheduler.log.warn("The roster of workers cannot be stored.", {
         reason: written.error.kind,
         workers: rosterWorkers.length,
     });
-    await refreshRosterRevision(scheduler);
+    handleCommitError(scheduler, written.error, ids);
 }
 
 /** An unlisted worker gets no starts, so once it has been reached it has only the known runs. */
@@ -46,10 +49,43 @@
     return worker.isListed || !worker.hasAnswered || worker.runs.size > 0;
 }
 
-/** Reads the revision again: a write whose answer was lost may have taken effect, and the next one must expect it. */
-async function refreshRosterRevision(scheduler: Scheduler): Promise<void> {
-    const stored = await scheduler.store.read(storeKeys.roster);
-    if (stored.isOk()) {
-        scheduler.rosterRevision = stored.value?.revision ?? 0;
+function isSameSet(left: ReadonlySet<WorkerId>, right: ReadonlySet<WorkerId>): boolean {
+    return left.size === right.size && [...left].every(id => right.has(id));
+}
+
+function setRoster(scheduler: Scheduler, revision: number, ids: Iterable<WorkerId>): void {
+    scheduler.roster = new Set(ids);
+    scheduler.rosterRevision = revision;
+    scheduler.isRosterUnclear = false;
+    scheduler.requestPass();
+}
+
+function handleCommitError(scheduler: Scheduler, error: StoreError, ids: ReadonlySet<WorkerId>): void {
+    switch (error.kind) {
+        case "unavailable":
+            return;
+        case "conflict":
+            adoptStoredRoster(scheduler, error.items);
+            return;
+        case "unclear":
+        case "compacted":
+        case "lease-ended":
+        case "invalid":
+            scheduler.roster = new Set([...scheduler.roster].filter(id => ids.has(id)));
+            scheduler.isRosterUnclear = true;
+    }
+}
+
+/** Adopts the roster that a conflict shows: an earlier write of this owner, unless there is a newer owner. */
+function adoptStoredRoster(scheduler: Scheduler, items: readonly StoreItem[]): void {
+    const { ownership } = scheduler;
+    const storedItems = new Map(items.map(item => [item.key, item]));
+    if (storedItems.get(ownership.key)?.revision !== ownership.revision) {
+        ownership.resign("The store shows another owner.");
+        return;
     }
+    const item = storedItems.get(storeKeys.roster);
+    const record = item === undefined ? undefined : decodeRecord(scheduler, RosterRecordSchema, item);
+    const ids = record?.workers.map(({ worker }) => worker as WorkerId) ?? [];
+    setRoster(scheduler, item?.revision ?? 0, ids);
 }
--- a/packages/scheduler/src/engine/takeover.feature
+++ b/packages/scheduler/src/engine/takeover.feature
@@ -79,3 +79,47 @@
         And a new owner takes over
         And task 0.0.0 of K ends as done
         Then 3 tasks of K run
+
+    Scenario: A task runs twice after a lost answer hides that the stored roster lacks its worker
+        When ana submits the normal job K of "3 x 8"
+        And 1 second passes
+        And the next store writes hit the faults "lost-answer"
+        And the worker w3 is missing from one list
+        And ana submits the normal job J of "1 x 2"
+        And 1 second passes
+        Then 1 task of J runs
+        When task 0.0.0 of K ends as done
+        And the worker of task 0.0.0 of J is disconnected
+        And the disconnected worker is not listed
+        And the owner dies
+        And a new owner takes over
+        Then task 0.0.0 of J was started 1 time
+
+    Scenario: A task runs twice after a late write removes its worker from the stored roster
+        When ana submits the normal job K of "3 x 8"
+        And 1 second passes
+        And the next store writes hit the faults "late"
+        And the worker w3 is missing from one list
+        And ana submits the normal job J of "1 x 2"
+        And 1 second passes
+        And the late store writes are carried out
+        Then 1 task of J runs
+        When task 0.0.0 of K ends as done
+        And the worker of task 0.0.0 of J is disconnected
+        And the disconnected worker is not listed
+        And the owner dies
+        And a new owner takes over
+        Then task 0.0.0 of J was started 1 time
+
+    Scenario: A worker that left without runs delays the next owner because its removal from the roster is lost
+        When ana submits the normal job J of "1 x 2"
+        And task 0.0.0 of J ends as done
+        And the worker w0 drains and leaves in 2 seconds
+        And ana submits the normal job K of "4 x 8"
+        And the next store writes hit the faults "late"
+        And the worker w0 has left
+        And 2 seconds pass
+        And the owner dies
+        And a new owner takes over
+        And task 0.0.0 of K ends as done
+        Then 3 tasks of K run
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { getHarness, getJobId } from "../../../../features/support/schedulerScenario.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import { WORKER_LIST_INTERVAL_MS } from "../constants.js";
 import type { WorkerId } from "../index.js";
 
 const MS_PER_SECOND = 1_000;
@@ -25,6 +26,12 @@
     getHarness(this).workers.delete(id as WorkerId);
 });
 
+When("the worker {word} is missing from one list", async function(this: TestWorld, id: string) {
+    getHarness(this).unlistedWorkers.add(id as WorkerId);
+    await getHarness(this).advance(WORKER_LIST_INTERVAL_MS);
+    getHarness(this).unlistedWorkers.delete(id as WorkerId);
+});
+
 When("the advice service denies {word}", function(this: TestWorld, id: string) {
     getHarness(this).deniedWorkers.add(id as WorkerId);
 });
