Take a run for ended only when its worker has listed all ends

A task that had ended as done was started again when its worker had more ends than it lists in one answer; its end was acknowledged after that.

A new owner likewise counted a worker as reconciled with its first answer, and after the time within which unknown runs end even if ends were left to read.

--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -66,7 +66,7 @@
     /** Jobs that have not ended. */
     readonly activeJobs: Set<JobEntry>;
     readonly fleet: Map<WorkerId, WorkerEntry>;
-    /** Workers of earlier terms that have not yet answered this owner and may have runs unknown to it. */
+    /** Workers of earlier terms that have not yet listed all their runs to this owner. */
     readonly unreconciledWorkers: Set<WorkerId>;
     /** Monotonic time in milliseconds by which every unknown run has ended. */
     unknownRunsEndAt: number;
--- a/packages/scheduler/src/engine/applyHoldAnswer.ts
+++ b/packages/scheduler/src/engine/applyHoldAnswer.ts
@@ -42,7 +42,7 @@
         }
     }
     for (const run of [...worker.runs]) {
-        if (!listed.has(run) && hasCertainlyEnded(run, sentAt)) {
+        if (!listed.has(run) && answer.listsAllEnds && hasCertainlyEnded(run, sentAt)) {
             releaseLostRun(scheduler, run, "not-listed");
         }
     }
--- a/packages/scheduler/src/engine/progress.feature
+++ b/packages/scheduler/src/engine/progress.feature
@@ -69,3 +69,11 @@
         Then 0 tasks of J run
         When the store's history is compacted
         Then 1 task of J runs
+
+    Scenario: A task runs again because its worker lists too many ends to list that it is done
+        When workers list at most 1 run end
+        And ana submits the normal job J of "6 x 1"
+        And all tasks of J end as done at once
+        And 1 second passes
+        Then task 0.0.5 of J was started 1 time
+        And the job J is completed
--- a/packages/scheduler/src/engine/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/runPlacementPass.ts
@@ -52,5 +52,14 @@
 function isPlaceable(scheduler: Scheduler, entry: JobEntry): boolean {
     return scheduler.unreconciledWorkers.size === 0
         || entry.revision > scheduler.ownership.revision
-        || scheduler.clock() >= scheduler.unknownRunsEndAt;
+        || haveUnknownRunsEnded(scheduler);
+}
+
+/** A worker that has answered without listing all its ends counts until its lease, which this owner extends, ends. */
+function haveUnknownRunsEnded(scheduler: Scheduler): boolean {
+    const now = scheduler.clock();
+    return now >= scheduler.unknownRunsEndAt
+        && [...scheduler.unreconciledWorkers].every(id =>
+            now >= (scheduler.fleet.get(id)?.leaseEndsAt ?? now)
+        );
 }
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -1,5 +1,6 @@
 import type { StepSchema } from "@balsamward/schema/scheduling";
 import type { OrderFault, WriteFault } from "@balsamward/stand-ins";
+import { formatTaskName } from "@balsamward/stand-ins";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
@@ -137,6 +138,14 @@
     getHarness(this).store.applyDelayedTransactions();
 });
 
+When("the store refuses writes of progress", function(this: TestWorld) {
+    getHarness(this).store.refusedWritePrefix = storeKeys.progressPrefix;
+});
+
+When("the store accepts writes again", function(this: TestWorld) {
+    getHarness(this).store.refusedWritePrefix = undefined;
+});
+
 When("the store goes down", function(this: TestWorld) {
     getHarness(this).store.isDown = true;
 });
@@ -195,6 +204,14 @@
     },
 );
 
+Then("each task of {word} was started {int} time(s)", function(this: TestWorld, job: string, times: number) {
+    const starts = [...getHarness(this).workers.values()].flatMap(worker => worker.starts)
+        .filter(({ task }) => task.job === getJobId(this, job))
+        .map(({ task }) => formatTaskName(task));
+    const repeated = starts.filter(name => starts.filter(other => other === name).length !== times);
+    assert.deepEqual(repeated, []);
+});
+
 Then("the tasks of {word} run in one rack", function(this: TestWorld, job: string) {
     const harness = getHarness(this);
     const racks = [...harness.workers.values()]
--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/syncWorker.ts
@@ -84,7 +84,7 @@
             worker.isUnresponsive = false;
             worker.lastAcknowledgedEnd = Math.max(worker.lastAcknowledgedEnd, sent.acknowledgedEnd);
             applyHoldAnswer(scheduler, worker, outcome.answer, sent.sentAt);
-            markAnswered(scheduler, worker);
+            markAnswered(scheduler, worker, outcome.answer.listsAllEnds);
             return;
         case "fenced":
             scheduler.ownership.resign("A worker knows a newer owner.");
@@ -111,12 +111,15 @@
     }
 }
 
-function markAnswered(scheduler: Scheduler, worker: WorkerEntry): void {
+/** Marks a worker as answered, and as reconciled once all ends of its runs are applied. */
+function markAnswered(scheduler: Scheduler, worker: WorkerEntry, listsAllEnds: boolean): void {
+    if (listsAllEnds && scheduler.unreconciledWorkers.delete(worker.id)) {
+        scheduler.requestPass();
+    }
     if (worker.hasAnswered) {
         return;
     }
     worker.hasAnswered = true;
-    scheduler.unreconciledWorkers.delete(worker.id);
     scheduler.log.info("A worker answers its first hold.", { worker: worker.id, runs: worker.runs.size });
     scheduler.requestPass();
 }
--- a/packages/scheduler/src/engine/takeover.feature
+++ b/packages/scheduler/src/engine/takeover.feature
@@ -123,3 +123,26 @@
         And a new owner takes over
         And task 0.0.0 of K ends as done
         Then 3 tasks of K run
+
+    Scenario: A new owner runs a task again because its worker lists too many ends to list that it is done
+        When workers list at most 1 run end
+        And ana submits the normal job J of "12 x 1"
+        And the owner dies
+        And all tasks of J end as done at once
+        And a new owner takes over
+        And 1 second passes
+        Then each task of J was started 1 time
+        And the job J is completed
+
+    Scenario: A new owner that cannot store ends runs a task again because it waits too briefly for the rest of them
+        When workers list at most 1 run end
+        And ana submits the normal job J of "12 x 1"
+        And the owner dies
+        And all tasks of J end as done at once
+        And the store refuses writes of progress
+        And a new owner takes over
+        And 15 seconds pass
+        Then each task of J was started 1 time
+        When the store accepts writes again
+        And 1 second passes
+        Then the job J is completed
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -3,7 +3,7 @@
 import { getHarness, getJobId } from "../../../../features/support/schedulerScenario.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { WORKER_LIST_INTERVAL_MS } from "../constants.js";
-import type { WorkerId } from "../index.js";
+import type { RunEndKind, WorkerId } from "../index.js";
 
 const MS_PER_SECOND = 1_000;
 
@@ -26,6 +26,21 @@
     getHarness(this).workers.delete(id as WorkerId);
 });
 
+When("workers list at most {int} run end(s)", function(this: TestWorld, count: number) {
+    getHarness(this).workers.forEach(worker => worker.maxListedEnds = count);
+});
+
+When(
+    "all tasks of {word} end as {word} at once",
+    async function(this: TestWorld, job: string, endKind: string) {
+        for (const worker of getHarness(this).workers.values()) {
+            [...worker.running.keys()].filter(task => task.startsWith(getJobId(this, job)))
+                .forEach(task => worker.endRun(task, endKind as RunEndKind));
+        }
+        await getHarness(this).advance(200);
+    },
+);
+
 When("the worker {word} is missing from one list", async function(this: TestWorld, id: string) {
     getHarness(this).unlistedWorkers.add(id as WorkerId);
     await getHarness(this).advance(WORKER_LIST_INTERVAL_MS);
--- a/packages/scheduler/src/ports/WorkerPort.ts
+++ b/packages/scheduler/src/ports/WorkerPort.ts
@@ -87,7 +87,10 @@
     /** Wall time at which this incarnation started, in milliseconds since 1970; 0 if unknown. */
     readonly bornMs: number;
     readonly running: readonly RunningRun[];
+    /** The ends that are not acknowledged, the oldest first. */
     readonly ended: readonly EndedRun[];
+    /** Whether `ended` is complete; otherwise, further ends are listed once these are acknowledged. */
+    readonly listsAllEnds: boolean;
 };
 
 /** Reasons for which a call to a worker has had no effect. */
--- a/packages/stand-ins/src/fleet/FakeFleetStore.ts
+++ b/packages/stand-ins/src/fleet/FakeFleetStore.ts
@@ -35,6 +35,8 @@
     readonly writeFaults: WriteFault[] = [];
     /** Whether every call fails without effect. */
     isDown = false;
+    /** Prefix of the keys whose writes are refused; `undefined` refuses none. */
+    refusedWritePrefix: string | undefined;
     /** Whether watches deliver no events. */
     isWatchSilent = false;
     /** Number of watch calls that failed because their events were compacted. */
@@ -116,7 +118,7 @@
         transaction: StoreTransaction,
         fault: WriteFault | undefined,
     ): Result<number, StoreError> {
-        if (fault === "refused") {
+        if (fault === "refused" || this.isRefused(transaction)) {
             return err({ kind: "unavailable", message: "The store refuses the write. Try again later." });
         }
         if (fault === "late") {
@@ -136,6 +138,11 @@
             : ok(revision);
     }
 
+    private isRefused({ puts }: StoreTransaction): boolean {
+        const prefix = this.refusedWritePrefix;
+        return prefix !== undefined && puts.some(({ key }) => key.startsWith(prefix));
+    }
+
     private findConflicts(transaction: StoreTransaction): readonly string[] {
         return transaction.expect
             .filter(({ key, revision }) => (this.rows.get(key)?.revision ?? 0) !== revision)
--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -53,6 +53,8 @@
     readonly running = new Map<string, RunningTask>();
     /** Number of ended runs that were dropped after the owner acknowledged them. */
     forgottenEndCount = 0;
+    /** Maximum number of ended runs in an answer to a hold; the oldest ones are listed. */
+    maxListedEnds = Number.POSITIVE_INFINITY;
     /** Highest fencing number seen; orders with a lower one are rejected. */
     fence = 0;
     /** Time on the worker's clock at which the lease of its runs expires, in milliseconds. */
@@ -119,7 +121,8 @@
                 clockMs: this.clock(),
                 bornMs: this.report.bornMs,
                 running,
-                ended: [...this.endedRuns],
+                ended: this.endedRuns.slice(0, this.maxListedEnds),
+                listsAllEnds: this.endedRuns.length <= this.maxListedEnds,
             },
         };
     }
