Store the progress that a gang's member has from another member

After two takeovers, callers saw a job that never completed: a later step had run, but nothing of the job was started any more. In another case a gang had one attempt more than its queue allows.

Cause: one member's end counts for the whole gang, but only tasks with a run known to the owner were stored. A member whose worker had not answered the new owner yet was marked as done, or failed, in memory only. Its own end did not change the progress any more and was acknowledged, so the next owner saw a gang that was done in part, which is neither placed nor complete.

A task is now stored if it has any progress, whether from a run of its own or from another member.

--- a/packages/scheduler/src/engine/gangs.feature
+++ b/packages/scheduler/src/engine/gangs.feature
@@ -60,3 +60,39 @@
         And 3 seconds pass
         Then 4 tasks of G run
         And the tasks of G run in one rack
+
+    Scenario: A job hangs after two takeovers because a member's end, which stands for its gang, is not stored for all
+        Given a fleet of 3 workers with an owner
+        When ana submits the normal job J of "2 x 8 gang;1 x 1 after 0"
+        And the worker of task 0.0.1 of J is disconnected
+        And task 0.0.1 of J ends as done
+        And the owner dies
+        And task 0.0.0 of J ends as done
+        And a new owner takes over
+        And the disconnected worker is reachable again
+        Then 1 task of J runs
+        When the owner dies
+        And a new owner takes over
+        And task 0.1.0 of J ends as done
+        And 1 second passes
+        Then the job J is completed
+        And task 0.0.0 of J was started 1 time
+        And task 0.0.1 of J was started 1 time
+
+    Scenario: A gang has an attempt too many because a member's failure is not stored for all
+        Given a fleet of 3 workers with an owner
+        When ana submits the normal job J of "2 x 8 gang"
+        And the worker of task 0.0.1 of J is disconnected
+        And the owner dies
+        And task 0.0.0 of J ends as failed
+        And task 0.0.1 of J ends as broken
+        And a new owner takes over
+        And 1 second passes
+        And the owner dies
+        And a new owner takes over
+        And the disconnected worker is reachable again
+        And 3 seconds pass
+        Then 2 tasks of J run
+        When task 0.0.1 of J ends as failed
+        And 1 second passes
+        Then the job J is failed
--- a/packages/scheduler/src/state/composeProgress.ts
+++ b/packages/scheduler/src/state/composeProgress.ts
@@ -2,7 +2,7 @@
 import { ProgressSchema, StepProgressSchema, TaskProgressSchema } from "@balsamward/schema/scheduling";
 import { create } from "@bufbuild/protobuf";
 import { isFinalState } from "./isFinalState.js";
-import type { JobEntry, StepEntry } from "./JobEntry.js";
+import type { JobEntry, StepEntry, TaskEntry } from "./JobEntry.js";
 import { listSteps } from "./listSteps.js";
 
 /**
@@ -20,7 +20,7 @@
 
 function composeStep(step: StepEntry): StepProgress {
     const tasks = step.tasks
-        .filter(task => task.lastRun > 0)
+        .filter(hasProgress)
         .map(task =>
             create(TaskProgressSchema, {
                 index: task.name.index,
@@ -33,3 +33,8 @@
         );
     return create(StepProgressSchema, { step: step.number, occurrence: step.occurrence, tasks });
 }
+
+/** Returns whether a task has progress; a gang's member also has that of another member, before any run of its own. */
+function hasProgress(task: TaskEntry): boolean {
+    return task.lastRun > 0 || task.countedRun > 0 || task.done || task.checkpoint !== "";
+}
