Keep a worker in the roster until its ends are stored

A task that had ended as done was started again by the next owner, and its end was acknowledged later.

Cause: an unlisted worker left the roster with its last run, although the end of that run was only applied in memory. If the owner ended before it had stored the end, the next owner neither read it from the store nor asked the worker, which kept its end until it was listed again.

A worker now stays in the roster while it has ends that are not stored, or has not listed all of them.

Evidence, before the change: Failed: A task runs again because the worker that reports its end leaves the roster before the end is stored 'Then task 0.0.0 of J was started 1 time': 2 !== 1

--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -70,7 +70,7 @@
     readonly unreconciledWorkers: Set<WorkerId>;
     /** Monotonic time in milliseconds by which every unknown run has ended. */
     unknownRunsEndAt: number;
-    /** Workers that the stored roster certainly lists; it lists the workers that may have runs. */
+    /** Workers that the stored roster certainly lists; it lists those that may have runs. */
     roster: ReadonlySet<WorkerId>;
     /** Store revision that the next write of the roster expects. */
     rosterRevision: number;
--- a/packages/scheduler/src/engine/storeRoster.ts
+++ b/packages/scheduler/src/engine/storeRoster.ts
@@ -8,7 +8,7 @@
 import type { Scheduler } from "./Scheduler.js";
 
 /**
- * Stores the roster of workers that may have runs, so that the next owner reconciles each of them.
+ * Stores the roster of workers that may have runs or unstored ends, so that the next owner reconciles each of them.
  *
  * While the outcome of a write is unclear, `scheduler.roster` holds only the workers that the store lists whether
  * or not the write takes effect. The next write succeeds only if the unclear one has not taken effect, and then
@@ -17,7 +17,7 @@
  * @param scheduler - The scheduler.
  */
 export async function storeRoster(scheduler: Scheduler): Promise<void> {
-    const rosterWorkers = [...scheduler.fleet.values()].filter(mayHaveRuns);
+    const rosterWorkers = [...scheduler.fleet.values()].filter(worker => mustBeAsked(scheduler, worker));
     const ids = new Set(rosterWorkers.map(worker => worker.id));
     if (!scheduler.isRosterUnclear && isSameSet(scheduler.roster, ids)) {
         return;
@@ -44,9 +44,13 @@
     handleCommitError(scheduler, written.error, ids);
 }
 
-/** An unlisted worker gets no starts, so once it has been reached it has only the known runs. */
-function mayHaveRuns(worker: WorkerEntry): boolean {
-    return worker.isListed || !worker.hasAnswered || worker.runs.size > 0;
+/**
+ * Returns whether the next owner must ask the worker. An unlisted worker gets no starts, so once it has listed all its
+ * runs it is needed only for those that are known, and for ends that are not stored.
+ */
+function mustBeAsked(scheduler: Scheduler, worker: WorkerEntry): boolean {
+    return worker.isListed || !worker.hasAnswered || scheduler.unreconciledWorkers.has(worker.id)
+        || worker.runs.size > 0 || worker.lastAppliedEnd > worker.lastDurableEnd;
 }
 
 function isSameSet(left: ReadonlySet<WorkerId>, right: ReadonlySet<WorkerId>): boolean {
--- a/packages/scheduler/src/engine/takeover.feature
+++ b/packages/scheduler/src/engine/takeover.feature
@@ -146,3 +146,17 @@
         When the store accepts writes again
         And 1 second passes
         Then the job J is completed
+
+    Scenario: A task runs again because the worker that reports its end leaves the roster before the end is stored
+        When ana submits the normal job J of "1 x 2"
+        And the store refuses writes of progress
+        And the worker of task 0.0.0 of J is not listed
+        And task 0.0.0 of J ends as done
+        And 1 second passes
+        And the owner dies
+        And the store accepts writes again
+        And a new owner takes over
+        And all workers are listed again
+        And 1 second passes
+        Then task 0.0.0 of J was started 1 time
+        And the job J is completed
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -41,6 +41,19 @@
     },
 );
 
+When(
+    "the worker of task {word} of {word} is not listed",
+    function(this: TestWorld, task: string, job: string) {
+        const { id } = getHarness(this).workerOf(`${getJobId(this, job)}.${task}`)!;
+        getHarness(this).unlistedWorkers.add(id);
+    },
+);
+
+When("all workers are listed again", async function(this: TestWorld) {
+    getHarness(this).unlistedWorkers.clear();
+    await getHarness(this).advance(WORKER_LIST_INTERVAL_MS);
+});
+
 When("the worker {word} is missing from one list", async function(this: TestWorld, id: string) {
     getHarness(this).unlistedWorkers.add(id as WorkerId);
     await getHarness(this).advance(WORKER_LIST_INTERVAL_MS);
