Wait for a worker's list of runs before the upkeep of its machine

A task ran on two workers at once after a takeover during a wave of upkeep.

Cause: a new owner orders the upkeep of every machine of an unfinished wave again, since it does not know which have had it. For a machine that has, the order succeeds without effect. The owner took the success for the end of all runs on the machine, removed its worker and no longer counted it as unreconciled. If that worker was silent at the takeover, it still ran tasks of the earlier owner, and these were started elsewhere.

A machine is now next only once its worker has listed its runs, or once their leases have ended. The question is the one that the placement of older jobs asks, so both ask it in the same place.

--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -53,6 +53,8 @@
     maxMachinesDown = 0;
     /** Machines that went down while tasks ran on them. */
     readonly machinesTakenDownWhileBusy: string[] = [];
+    /** Machines that have had their upkeep; a further order for one has no effect and succeeds. */
+    private readonly maintainedMachines = new Set<string>();
     /** All terms, the latest last. */
     readonly terms: Term[] = [];
     configuration: FleetConfiguration = createTestConfiguration();
@@ -184,6 +186,9 @@
 
     /** Takes a machine down for upkeep; it comes up again with a new worker after two seconds. */
     private beginUpkeep(machine: string): UpkeepOutcome {
+        if (this.maintainedMachines.has(machine)) {
+            return { kind: "begun" };
+        }
         const worker = [...this.workers.values()].find(({ report }) => report.machine === machine);
         if (worker === undefined || this.machines.get(machine) !== "up") {
             return { kind: "busy" };
@@ -192,6 +197,7 @@
             this.machinesTakenDownWhileBusy.push(machine);
         }
         this.machines.set(machine, "upkeep");
+        this.maintainedMachines.add(machine);
         this.workers.delete(worker.id);
         this.maxMachinesDown = Math.max(
             this.maxMachinesDown,
--- /dev/null
+++ b/packages/scheduler/src/engine/mayHaveUnknownRuns.ts
@@ -0,0 +1,16 @@
+import type { WorkerId } from "../ids.js";
+import type { Scheduler } from "./Scheduler.js";
+
+/**
+ * Returns whether a worker may have runs of earlier terms, or their ends, that this owner does not know.
+ *
+ * @param scheduler - The scheduler.
+ * @param id - The worker.
+ * @returns True for a worker of earlier terms until it has listed all its runs, or until its lease has ended; this
+ * owner extends the lease of a worker that has answered without listing all its ends.
+ */
+export function mayHaveUnknownRuns(scheduler: Scheduler, id: WorkerId): boolean {
+    const leaseEndsAt = scheduler.fleet.get(id)?.leaseEndsAt ?? Number.NEGATIVE_INFINITY;
+    return scheduler.unreconciledWorkers.has(id)
+        && scheduler.clock() < Math.max(scheduler.unknownRunsEndAt, leaseEndsAt);
+}
--- a/packages/scheduler/src/engine/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/runPlacementPass.ts
@@ -2,6 +2,7 @@
 import { addDueOccurrences } from "./addDueOccurrences.js";
 import { findReadySteps } from "./findReadySteps.js";
 import { findSchedulableWorkers } from "./findSchedulableWorkers.js";
+import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
 import { orderJobs } from "./orderJobs.js";
 import { placeCopies } from "./placeCopies.js";
 import type { PlacementPass } from "./placeStep.js";
@@ -50,16 +51,6 @@
  * terms has answered, or until the leases of those that have not answered have ended.
  */
 function isPlaceable(scheduler: Scheduler, entry: JobEntry): boolean {
-    return scheduler.unreconciledWorkers.size === 0
-        || entry.revision > scheduler.ownership.revision
-        || haveUnknownRunsEnded(scheduler);
-}
-
-/** A worker that has answered without listing all its ends counts until its lease, which this owner extends, ends. */
-function haveUnknownRunsEnded(scheduler: Scheduler): boolean {
-    const now = scheduler.clock();
-    return now >= scheduler.unknownRunsEndAt
-        && [...scheduler.unreconciledWorkers].every(id =>
-            now >= (scheduler.fleet.get(id)?.leaseEndsAt ?? now)
-        );
+    return entry.revision > scheduler.ownership.revision
+        || ![...scheduler.unreconciledWorkers].some(id => mayHaveUnknownRuns(scheduler, id));
 }
--- a/packages/scheduler/src/engine/runUpkeep.feature
+++ b/packages/scheduler/src/engine/runUpkeep.feature
@@ -28,3 +28,17 @@
         And 20 seconds pass
         Then the wave of upkeep is completed
         And the peak number of machines down is 1, none with runs on it
+
+    Scenario: A task runs twice because a new owner repeats the upkeep of a machine whose worker is silent
+        Given a fleet of 3 workers with an owner
+        When the operator orders the upkeep of all machines, 1 at a time
+        And 4 seconds pass
+        And ana submits the normal job J of "2 x 8"
+        And 2 seconds pass
+        And the worker of task 0.0.1 of J is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 2 seconds pass
+        Then each task of J was started 1 time
+        When 40 seconds pass
+        Then the wave of upkeep is completed
--- a/packages/scheduler/src/engine/runUpkeep.ts
+++ b/packages/scheduler/src/engine/runUpkeep.ts
@@ -1,6 +1,7 @@
 import { STORE_RETRY_MS } from "../constants.js";
 import type { Machine, UpkeepWave } from "../ports/MachinePort.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
 import { mayStopRun } from "./mayStopRun.js";
 import type { Scheduler } from "./Scheduler.js";
 import { stopRun } from "./stopRun.js";
@@ -101,7 +102,9 @@
     const freeSlots = wave.maxDown - downCount;
     const workers = new Map([...scheduler.fleet.values()].map(worker => [worker.machine, worker]));
     const next = pending
-        .filter(machine => states.get(machine) === "up")
+        .filter(machine =>
+            states.get(machine) === "up" && !mayRunUnknownTasks(scheduler, workers.get(machine))
+        )
         .sort((left, right) => countRuns(workers.get(left)) - countRuns(workers.get(right)))
         .slice(0, Math.max(0, freeSlots));
     for (const machine of next) {
@@ -109,6 +112,11 @@
     }
 }
 
+/** An order for upkeep succeeds without effect if the machine has had it, and then does not end the worker's runs. */
+function mayRunUnknownTasks(scheduler: Scheduler, worker: WorkerEntry | undefined): boolean {
+    return worker !== undefined && mayHaveUnknownRuns(scheduler, worker.id);
+}
+
 function countRuns(worker: WorkerEntry | undefined): number {
     return worker?.runs.size ?? 0;
 }
