Start runs on a worker only while the stored roster has its address

A task ran on two workers at once: its worker had started again under its id at another address, and was silent at the next takeover.

Cause: the roster was compared by id only and kept the old address. The next owner found the worker listed at another address, took that for a restart after which nothing of the earlier owner can run there, and did not wait.

The roster is now compared with the addresses. A worker at a new address gets starts once this address is stored.

Evidence, before the change: Failed: A task runs twice because the stored roster has an address that its worker no longer has 'Then task 0.0.0 of J was started 1 time': 2 !== 1 The decoding of the roster, which two places need, has a file of its own.

--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -59,6 +59,9 @@
     readonly resign: (reason: string) => void;
 };
 
+/** Workers with their addresses as `IP:port`. */
+export type Roster = ReadonlyMap<WorkerId, string>;
+
 /** The scheduler and its state during one term of ownership. */
 export type Scheduler = SchedulerDependencies & {
     readonly ownership: Ownership;
@@ -70,8 +73,8 @@
     readonly unreconciledWorkers: Set<WorkerId>;
     /** Monotonic time in milliseconds by which every unknown run has ended. */
     unknownRunsEndAt: number;
-    /** Workers that the stored roster certainly lists; it lists those that may have runs. */
-    roster: ReadonlySet<WorkerId>;
+    /** Addresses of the workers that the stored roster certainly lists; it lists those that may have runs. */
+    roster: Roster;
     /** Store revision that the next write of the roster expects. */
     rosterRevision: number;
     /** Whether the outcome of the last write of the roster is unknown. */
--- /dev/null
+++ b/packages/scheduler/src/engine/decodeRoster.ts
@@ -0,0 +1,17 @@
+import { RosterRecordSchema } from "@balsamward/schema/scheduling";
+import type { WorkerId } from "../ids.js";
+import type { StoreItem } from "../ports/FleetStore.js";
+import { decodeRecord } from "./decodeRecord.js";
+import type { Roster, Scheduler } from "./Scheduler.js";
+
+/**
+ * Decodes the stored roster.
+ *
+ * @param scheduler - The scheduler, whose log reports a malformed record.
+ * @param item - Store item of the roster; `undefined` if none is stored.
+ * @returns The roster, empty if none is stored or the record is malformed.
+ */
+export function decodeRoster(scheduler: Pick<Scheduler, "log">, item: StoreItem | undefined): Roster {
+    const record = item === undefined ? undefined : decodeRecord(scheduler, RosterRecordSchema, item);
+    return new Map(record?.workers.map(({ worker, address }) => [worker as WorkerId, address]));
+}
--- a/packages/scheduler/src/engine/findSchedulableWorkers.ts
+++ b/packages/scheduler/src/engine/findSchedulableWorkers.ts
@@ -3,7 +3,7 @@
 
 /**
  * Finds the workers on which runs may be started now: reachable, listed, neither draining, cordoned nor paused,
- * and in the stored roster.
+ * and in the stored roster with their address.
  *
  * @param scheduler - The scheduler.
  * @returns The workers, regardless of their free capacity.
@@ -17,6 +17,6 @@
         && !worker.draining
         && !worker.isCordoned
         && worker.pausedUntil <= now
-        && scheduler.roster.has(worker.id)
+        && scheduler.roster.get(worker.id) === worker.address
     );
 }
--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -1,13 +1,14 @@
-import { JobSchema, ProgressSchema, RosterRecordSchema } from "@balsamward/schema/scheduling";
+import { JobSchema, ProgressSchema } from "@balsamward/schema/scheduling";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import { createWakeSignal } from "../_lib/createWakeSignal.js";
 import { OWNER_LEASE_TTL_MS } from "../constants.js";
-import type { JobId, WorkerId } from "../ids.js";
+import type { JobId } from "../ids.js";
 import type { StoreError, StoreItem } from "../ports/FleetStore.js";
 import { createWorkerEntry } from "../state/WorkerEntry.js";
 import { storeKeys } from "../storeKeys.js";
 import { decodeRecord } from "./decodeRecord.js";
+import { decodeRoster } from "./decodeRoster.js";
 import { cancelJob, registerJob } from "./registerJob.js";
 import type { Scheduler } from "./Scheduler.js";
 import { addWorker, applyReports } from "./watchFleet.js";
@@ -90,10 +91,8 @@
         return;
     }
     scheduler.rosterRevision = item.revision;
-    const workers = decodeRecord(scheduler, RosterRecordSchema, item)?.workers ?? [];
-    scheduler.roster = new Set(workers.map(({ worker }) => worker as WorkerId));
-    for (const { worker, address } of workers) {
-        const id = worker as WorkerId;
+    scheduler.roster = decodeRoster(scheduler, item);
+    for (const [id, address] of scheduler.roster) {
         scheduler.unreconciledWorkers.add(id);
         addWorker(scheduler, createWorkerEntry(id, address, 0, createWakeSignal(scheduler.pause)));
     }
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -37,7 +37,7 @@
         fleet: new Map(),
         unreconciledWorkers: new Set(),
         unknownRunsEndAt: 0,
-        roster: new Set(),
+        roster: new Map(),
         rosterRevision: 0,
         isRosterUnclear: false,
         isLoaded: false,
--- a/packages/scheduler/src/engine/storeRoster.ts
+++ b/packages/scheduler/src/engine/storeRoster.ts
@@ -1,11 +1,10 @@
 import { RosterRecordSchema } from "@balsamward/schema/scheduling";
 import { create, toBinary } from "@bufbuild/protobuf";
-import type { WorkerId } from "../ids.js";
 import type { StoreError, StoreItem } from "../ports/FleetStore.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { storeKeys } from "../storeKeys.js";
-import { decodeRecord } from "./decodeRecord.js";
-import type { Scheduler } from "./Scheduler.js";
+import { decodeRoster } from "./decodeRoster.js";
+import type { Roster, Scheduler } from "./Scheduler.js";
 
 /**
  * Stores the roster of workers that may have runs or unstored ends, so that the next owner reconciles each of them.
@@ -18,12 +17,12 @@
  */
 export async function storeRoster(scheduler: Scheduler): Promise<void> {
     const rosterWorkers = [...scheduler.fleet.values()].filter(worker => mustBeAsked(scheduler, worker));
-    const ids = new Set(rosterWorkers.map(worker => worker.id));
-    if (!scheduler.isRosterUnclear && isSameSet(scheduler.roster, ids)) {
+    const roster: Roster = new Map(rosterWorkers.map(worker => [worker.id, worker.address]));
+    if (!scheduler.isRosterUnclear && isSameRoster(scheduler.roster, roster)) {
         return;
     }
     const message = create(RosterRecordSchema, {
-        workers: rosterWorkers.map(worker => ({ worker: worker.id, address: worker.address })),
+        workers: [...roster].map(([worker, address]) => ({ worker, address })),
     });
     const written = await scheduler.store.commit({
         expect: [
@@ -34,14 +33,14 @@
         removals: [],
     });
     if (written.isOk()) {
-        setRoster(scheduler, written.value, ids);
+        setRoster(scheduler, written.value, roster);
         return;
     }
     scheduler.log.warn("The roster of workers cannot be stored.", {
         reason: written.error.kind,
-        workers: rosterWorkers.length,
+        workers: roster.size,
     });
-    handleCommitError(scheduler, written.error, ids);
+    handleCommitError(scheduler, written.error, roster);
 }
 
 /**
@@ -53,18 +52,18 @@
         || worker.runs.size > 0 || worker.lastAppliedEnd > worker.lastDurableEnd;
 }
 
-function isSameSet(left: ReadonlySet<WorkerId>, right: ReadonlySet<WorkerId>): boolean {
-    return left.size === right.size && [...left].every(id => right.has(id));
+function isSameRoster(left: Roster, right: Roster): boolean {
+    return left.size === right.size && [...left].every(([id, address]) => right.get(id) === address);
 }
 
-function setRoster(scheduler: Scheduler, revision: number, ids: Iterable<WorkerId>): void {
-    scheduler.roster = new Set(ids);
+function setRoster(scheduler: Scheduler, revision: number, roster: Roster): void {
+    scheduler.roster = roster;
     scheduler.rosterRevision = revision;
     scheduler.isRosterUnclear = false;
     scheduler.requestPass();
 }
 
-function handleCommitError(scheduler: Scheduler, error: StoreError, ids: ReadonlySet<WorkerId>): void {
+function handleCommitError(scheduler: Scheduler, error: StoreError, roster: Roster): void {
     switch (error.kind) {
         case "unavailable":
             return;
@@ -75,7 +74,9 @@
         case "compacted":
         case "lease-ended":
         case "invalid":
-            scheduler.roster = new Set([...scheduler.roster].filter(id => ids.has(id)));
+            scheduler.roster = new Map(
+                [...scheduler.roster].filter(([id, address]) => roster.get(id) === address),
+            );
             scheduler.isRosterUnclear = true;
     }
 }
@@ -89,7 +90,5 @@
         return;
     }
     const item = storedItems.get(storeKeys.roster);
-    const record = item === undefined ? undefined : decodeRecord(scheduler, RosterRecordSchema, item);
-    const ids = record?.workers.map(({ worker }) => worker as WorkerId) ?? [];
-    setRoster(scheduler, item?.revision ?? 0, ids);
+    setRoster(scheduler, item?.revision ?? 0, decodeRoster(scheduler, item));
 }
--- a/packages/scheduler/src/engine/takeover.feature
+++ b/packages/scheduler/src/engine/takeover.feature
@@ -160,3 +160,15 @@
         And 1 second passes
         Then task 0.0.0 of J was started 1 time
         And the job J is completed
+
+    Scenario: A task runs twice because the stored roster has an address that its worker no longer has
+        When ana submits the normal job K of "3 x 8"
+        And the worker w3 restarts at another address
+        And ana submits the normal job J of "1 x 2"
+        Then 1 task of J runs
+        When task 0.0.0 of K ends as done
+        And the worker of task 0.0.0 of J is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 1 second passes
+        Then task 0.0.0 of J was started 1 time
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -1,3 +1,4 @@
+import { FakeWorker } from "@balsamward/stand-ins";
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { getHarness, getJobId } from "../../../../features/support/schedulerScenario.js";
@@ -60,6 +61,14 @@
     getHarness(this).unlistedWorkers.delete(id as WorkerId);
 });
 
+When("the worker {word} restarts at another address", async function(this: TestWorld, id: string) {
+    const harness = getHarness(this);
+    const { report } = harness.workers.get(id as WorkerId)!;
+    const restarted = { ...report, address: "10.0.1.1:80", bornMs: report.bornMs + 1 };
+    harness.workers.set(report.id, new FakeWorker(restarted, () => harness.clock.now));
+    await harness.advance(2 * WORKER_LIST_INTERVAL_MS);
+});
+
 When("the advice service denies {word}", function(this: TestWorld, id: string) {
     getHarness(this).deniedWorkers.add(id as WorkerId);
 });
