Remove a dead worker of an earlier term once its lease has ended

After a worker had died before a takeover, every later takeover kept the waiting tasks of older jobs for ten seconds.

Cause: an unlisted worker that never answered stayed unreconciled and in the roster for the whole term, although placement counts its runs as ended once the leases of earlier terms have. So each further owner waited for it again.

It is now removed from the fleet, and thus from the roster, by the same rule as placement goes by.

Evidence, before the change: Failed: A worker that died before a takeover delays every later owner too 'Then 3 tasks of K run': 2 !== 3

--- a/packages/scheduler/src/engine/takeover.feature
+++ b/packages/scheduler/src/engine/takeover.feature
@@ -172,3 +172,14 @@
         And a new owner takes over
         And 1 second passes
         Then task 0.0.0 of J was started 1 time
+
+    Scenario: A worker that died before a takeover delays every later owner too
+        When ana submits the normal job K of "4 x 8"
+        And the worker w0 has left
+        And the owner dies
+        And a new owner takes over
+        And 12 seconds pass while all runs make progress
+        And the owner dies
+        And a new owner takes over
+        And task 0.0.1 of K ends as done
+        Then 3 tasks of K run
--- a/packages/scheduler/src/engine/watchFleet.ts
+++ b/packages/scheduler/src/engine/watchFleet.ts
@@ -3,6 +3,7 @@
 import type { WorkerReport } from "../ports/WorkerPort.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { createWorkerEntry } from "../state/WorkerEntry.js";
+import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
 import type { Scheduler } from "./Scheduler.js";
 import { storeRoster } from "./storeRoster.js";
 import { removeWorker, syncWorker } from "./syncWorker.js";
@@ -102,5 +103,5 @@
 function isRemovable(scheduler: Scheduler, worker: WorkerEntry): boolean {
     const hasNoRecentAnswer = scheduler.clock() - worker.lastAnswerAt > WORKER_LIST_INTERVAL_MS;
     return hasNoRecentAnswer && scheduler.clock() >= worker.leaseEndsAt
-        && !scheduler.unreconciledWorkers.has(worker.id);
+        && !mayHaveUnknownRuns(scheduler, worker.id);
 }
