--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -94,7 +94,7 @@
     scheduler.roster = decodeRoster(scheduler, item);
     for (const [id, address] of scheduler.roster) {
         scheduler.unreconciledWorkers.add(id);
-        addWorker(scheduler, createWorkerEntry(id, address, 0, createWakeSignal(scheduler.pause)));
+        addWorker(scheduler, createWorkerEntry(id, address, createWakeSignal(scheduler.pause)));
     }
     const leaseMs = getMaxMonotonicMs(getMaxLeaseMs(scheduler.bounds.maxHoldMs));
     scheduler.unknownRunsEndAt = scheduler.clock() + OWNER_LEASE_TTL_MS + leaseMs;
--- a/packages/scheduler/src/engine/startRun.ts
+++ b/packages/scheduler/src/engine/startRun.ts
@@ -2,6 +2,7 @@
 import type { OrderOutcome, Refusal } from "../ports/WorkerPort.js";
 import type { Run } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { removeWorker } from "./removeWorker.js";
 import { releaseRun } from "./runs.js";
 import type { Scheduler } from "./Scheduler.js";
 import { stopGang, stopRun } from "./stopRun.js";
@@ -19,7 +20,7 @@
 export async function startRun(scheduler: Scheduler, run: Run, ticket: string): Promise<void> {
     const { worker, task } = run;
     let mayHaveStarted = false;
-    for (let send = 0; send < MAX_START_SENDS && run.phase === "starting"; send++) {
+    for (let send = 0; send < MAX_START_SENDS && mayStillStart(run); send++) {
         const outcome = await scheduler.workers.start(worker, {
             task: task.name,
             run: run.number,
@@ -54,6 +55,11 @@
     }
 }
 
+/** Returns whether a run is still to be started: neither confirmed, nor stopped, nor released with its worker. */
+function mayStillStart(run: Run): boolean {
+    return run.phase === "starting" && run.worker.runs.has(run);
+}
+
 /**
  * Marks a run as confirmed by its worker; a confirmed run stays unchanged.
  *
@@ -105,8 +111,10 @@
         case "old-run":
             recordClock(run.worker, refusal.clockMs, scheduler.clock());
             return;
-        case "fenced":
         case "other-life":
+            removeWorker(scheduler, run.worker, "other-life");
+            return;
+        case "fenced":
     }
 }
 
--- a/packages/scheduler/src/engine/storeRoster.ts
+++ b/packages/scheduler/src/engine/storeRoster.ts
@@ -49,7 +49,7 @@
  */
 function mustBeAsked(scheduler: Scheduler, worker: WorkerEntry): boolean {
     return worker.isListed || !worker.hasAnswered || scheduler.unreconciledWorkers.has(worker.id)
-        || worker.runs.size > 0 || worker.lastAppliedEnd > worker.lastDurableEnd;
+        || worker.runs.size > 0 || worker.ends.lastApplied > worker.ends.lastDurable;
 }
 
 function isSameRoster(left: Roster, right: Roster): boolean {
--- a/packages/scheduler/src/state/composeProgress.ts
+++ b/packages/scheduler/src/state/composeProgress.ts
@@ -27,7 +27,8 @@
                 done: task.done,
                 failures: task.failures,
                 lastRun: task.lastRun,
-                countedRun: task.countedRun,
+                countedRun: Math.max(0, ...task.countedRuns),
+                countedRuns: [...task.countedRuns],
                 checkpoint: task.done ? "" : task.checkpoint,
             })
         );
@@ -36,5 +37,5 @@
 
 /** Returns whether a task has progress; a gang's member also has that of another member, before any run of its own. */
 function hasProgress(task: TaskEntry): boolean {
-    return task.lastRun > 0 || task.countedRun > 0 || task.done || task.checkpoint !== "";
+    return task.lastRun > 0 || task.countedRuns.size > 0 || task.done || task.checkpoint !== "";
 }
