--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/syncWorker.ts
@@ -1,4 +1,5 @@
 import {
+    CLOCK_REFRESH_INTERVAL_MS,
     HOLD_DURABILITY_PAUSE_MS,
     HOLD_RETRY_MS,
     MAX_HOLD_WAIT_MS,
@@ -9,6 +10,7 @@
 import { applyHoldAnswer } from "./applyHoldAnswer.js";
 import { beginIncarnation } from "./beginIncarnation.js";
 import { isOtherIncarnation } from "./isOtherIncarnation.js";
+import { loadUnknownJobs } from "./loadUnknownJobs.js";
 import { releaseLostRun } from "./releaseLostRun.js";
 import { removeWorker } from "./removeWorker.js";
 import type { Scheduler } from "./Scheduler.js";
@@ -17,7 +19,7 @@
 /**
  * Keeps a worker in sync while it is in the fleet: renews its lease, applies the run ends that it reports, and
  * acknowledges those that are stored. Sends no holds to a worker that is responsive, has no runs and has no ends
- * left to acknowledge.
+ * left to acknowledge, except to read its clock again after `CLOCK_REFRESH_INTERVAL_MS`.
  *
  * @param scheduler - The scheduler.
  * @param worker - The worker.
@@ -25,7 +27,7 @@
 export async function syncWorker(scheduler: Scheduler, worker: WorkerEntry): Promise<void> {
     const { signal } = scheduler.ownership;
     while (!signal.aborted && scheduler.fleet.get(worker.id) === worker) {
-        if (isIdle(worker)) {
+        if (isIdle(scheduler, worker)) {
             await worker.wakeSignal.wait(MAX_PASS_INTERVAL_MS, signal);
             continue;
         }
@@ -36,9 +38,10 @@
     }
 }
 
-function isIdle(worker: WorkerEntry): boolean {
+function isIdle(scheduler: Scheduler, worker: WorkerEntry): boolean {
     return worker.hasAnswered && !worker.isUnresponsive && worker.runs.size === 0
-        && worker.ends.lastAcknowledged === worker.ends.lastApplied;
+        && worker.ends.lastAcknowledged === worker.ends.lastApplied
+        && scheduler.clock() - worker.lastAnswerAt < CLOCK_REFRESH_INTERVAL_MS;
 }
 
 async function sendHold(scheduler: Scheduler, worker: WorkerEntry, signal: AbortSignal): Promise<void> {
@@ -49,12 +52,16 @@
     const order = {
         fence: scheduler.ownership.revision,
         lastDurableEnd: acknowledgedEnd,
-        leaseUntilMs: isKnown ? extendLease(worker, sentAt, scheduler.bounds.maxHoldMs) : undefined,
+        leaseUntilMs: isKnown ? extendLease(scheduler, worker) : undefined,
         waitMs: isKnown && worker.runs.size > 0 && ends.lastApplied === acknowledgedEnd
             ? MAX_HOLD_WAIT_MS
             : 0,
     };
     const outcome = await scheduler.workers.hold(worker, order, signal);
+    if (outcome.kind === "held" && !await loadUnknownJobs(scheduler, outcome.answer)) {
+        await scheduler.pause(HOLD_RETRY_MS, signal);
+        return;
+    }
     if (signal.aborted || scheduler.fleet.get(worker.id) !== worker) {
         return;
     }
