Acknowledge the ends of a worker only once

A task that had ended as done on a restarted worker was started again.

Cause: every hold carried the number of the last stored end, also when the worker had confirmed that acknowledgement long before. A worker that had been idle since and then restarted got a start and such a hold; it numbers its ends anew, so it discarded the end of the run just started, and the owner took the run for ended without a report.

A hold now carries a number only while there are ends to acknowledge. What stays possible is that the worker restarts between the last answer and the one hold that acknowledges, or that this hold is carried out after the restart.

--- a/packages/scheduler/src/engine/restarts.feature
+++ b/packages/scheduler/src/engine/restarts.feature
@@ -78,3 +78,15 @@
         And ana submits the normal job J of "2 x 8"
         And 2 seconds pass
         Then the connections to w2 stay open
+
+    Scenario: A task of a restarted worker runs again because a hold repeats an acknowledgement
+        Given a fleet of 1 workers with an owner
+        When ana submits the normal job J of "1 x 2"
+        And task 0.0.0 of J ends as done
+        And 1 second passes
+        And the worker w0 restarts
+        And ana submits the normal job K of "1 x 2"
+        And task 0.0.0 of K ends as done
+        And 1 second passes
+        Then task 0.0.0 of K was started 1 time
+        And the job K is completed
--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/syncWorker.ts
@@ -48,12 +48,13 @@
     const sentAt = scheduler.clock();
     const { ends } = worker;
     const isKnown = isIncarnationKnown(worker);
-    const acknowledgedEnd = isKnown ? ends.lastDurable : 0;
+    // An acknowledgement is not repeated: a worker that has restarted since would discard ends that nobody has read.
+    const acknowledgedEnd = isKnown && ends.lastDurable > ends.lastAcknowledged ? ends.lastDurable : 0;
     const order = {
         fence: scheduler.ownership.revision,
         lastDurableEnd: acknowledgedEnd,
         leaseUntilMs: isKnown ? extendLease(scheduler, worker) : undefined,
-        waitMs: isKnown && worker.runs.size > 0 && ends.lastApplied === acknowledgedEnd
+        waitMs: isKnown && worker.runs.size > 0 && ends.lastApplied === ends.lastDurable
             ? MAX_HOLD_WAIT_MS
             : 0,
     };
--- a/packages/scheduler/src/ports/WorkerPort.ts
+++ b/packages/scheduler/src/ports/WorkerPort.ts
@@ -48,7 +48,7 @@
 /** A hold call: extends the worker's lease, acknowledges ended runs, and requests the lists of runs. */
 export type HoldOrder = {
     readonly fence: number;
-    /** Number of the last end whose effect is durable; the worker may discard the ends up to it. */
+    /** Number of the last end whose effect is durable; the worker may discard the ends up to it; 0 for none. */
     readonly lastDurableEnd: number;
     /** New end of the lease on the worker's clock, in milliseconds; `undefined` leaves the lease unchanged. */
     readonly leaseUntilMs: number | undefined;
