--- a/packages/scheduler/src/engine/progress.feature
+++ b/packages/scheduler/src/engine/progress.feature
@@ -70,7 +70,7 @@
         When the store's history is compacted
         Then 1 task of J runs
 
-    Scenario: A task runs again because its worker lists too many ends to list that it is done
+    Scenario: A task runs again because its end is beyond those that its worker lists
         When workers list at most 1 run end
         And ana submits the normal job J of "6 x 1"
         And all tasks of J end as done at once
--- a/packages/scheduler/src/engine/takeover.feature
+++ b/packages/scheduler/src/engine/takeover.feature
@@ -124,7 +124,7 @@
         And task 0.0.0 of K ends as done
         Then 3 tasks of K run
 
-    Scenario: A new owner runs a task again because its worker lists too many ends to list that it is done
+    Scenario: A new owner runs a task again because its end is beyond those that its worker lists
         When workers list at most 1 run end
         And ana submits the normal job J of "12 x 1"
         And the owner dies
@@ -134,7 +134,7 @@
         Then each task of J was started 1 time
         And the job J is completed
 
-    Scenario: A new owner that cannot store ends runs a task again because it waits too briefly for the rest of them
+    Scenario: A new owner that cannot store ends runs a task again before its worker lists the rest of them
         When workers list at most 1 run end
         And ana submits the normal job J of "12 x 1"
         And the owner dies
