--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -61,6 +61,9 @@
     readonly resign: (reason: string) => void;
 };
 
+/** Workers with their addresses as `IP:port`. */
+export type Roster = ReadonlyMap<WorkerId, string>;
+
 /** The scheduler and its state during one term of ownership. */
 export type Scheduler = SchedulerDependencies & {
     readonly ownership: Ownership;
@@ -68,13 +71,16 @@
     /** Jobs that have not ended. */
     readonly activeJobs: Set<JobEntry>;
     readonly fleet: Map<WorkerId, WorkerEntry>;
-    /** Workers of earlier terms that have not yet answered this owner and may have runs unknown to it. */
+    /** Workers of earlier terms that have not yet listed all their runs to this owner. */
     readonly unreconciledWorkers: Set<WorkerId>;
     /** Monotonic time in milliseconds by which every unknown run has ended. */
     unknownRunsEndAt: number;
-    /** Workers in the stored roster, which lists the workers that may have runs. */
-    readonly roster: Set<WorkerId>;
+    /** Addresses of the workers that the stored roster certainly lists; it lists those that may have runs. */
+    roster: Roster;
+    /** Store revision that the next write of the roster expects. */
     rosterRevision: number;
+    /** Whether the outcome of the last write of the roster is unknown. */
+    isRosterUnclear: boolean;
     /** Whether all stored state has been loaded. */
     isLoaded: boolean;
     /** Monotonic time up to which the owner knows the stored jobs, in milliseconds. */
--- a/packages/scheduler/src/engine/progress.feature
+++ b/packages/scheduler/src/engine/progress.feature
@@ -70,6 +70,14 @@
         When the store's history is compacted
         Then 1 task of J runs
 
+    Scenario: A task runs again because its end is beyond those that its worker lists
+        When workers list at most 1 run end
+        And ana submits the normal job J of "6 x 1"
+        And all tasks of J end as done at once
+        And 1 second passes
+        Then task 0.0.5 of J was started 1 time
+        And the job J is completed
+
     Scenario: Failures that a new owner hears of in reverse order are both counted
         Given a fleet of 2 workers with an owner
         When ana submits the normal job J of "1 x 2"
--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/syncWorker.ts
@@ -48,12 +48,13 @@
     const sentAt = scheduler.clock();
     const { ends } = worker;
     const isKnown = isIncarnationKnown(worker);
-    const acknowledgedEnd = isKnown ? ends.lastDurable : 0;
+    // An acknowledgement is not repeated: a worker that has restarted since would discard ends that nobody has read.
+    const acknowledgedEnd = isKnown && ends.lastDurable > ends.lastAcknowledged ? ends.lastDurable : 0;
     const order = {
         fence: scheduler.ownership.revision,
         lastDurableEnd: acknowledgedEnd,
         leaseUntilMs: isKnown ? extendLease(scheduler, worker) : undefined,
-        waitMs: isKnown && worker.runs.size > 0 && ends.lastApplied === acknowledgedEnd
+        waitMs: isKnown && worker.runs.size > 0 && ends.lastApplied === ends.lastDurable
             ? MAX_HOLD_WAIT_MS
             : 0,
     };
@@ -98,7 +99,7 @@
             worker.isUnresponsive = false;
             sent.ends.lastAcknowledged = Math.max(sent.ends.lastAcknowledged, sent.acknowledgedEnd);
             applyHoldAnswer(scheduler, worker, outcome.answer, sent.sentAt);
-            markAnswered(scheduler, worker);
+            markAnswered(scheduler, worker, outcome.answer.listsAllEnds);
             return;
         case "fenced":
             scheduler.ownership.resign("A worker knows a newer owner.");
@@ -134,12 +135,15 @@
     }
 }
 
-function markAnswered(scheduler: Scheduler, worker: WorkerEntry): void {
+/** Marks a worker as answered, and as reconciled once all ends of its runs are applied. */
+function markAnswered(scheduler: Scheduler, worker: WorkerEntry, listsAllEnds: boolean): void {
+    if (listsAllEnds && scheduler.unreconciledWorkers.delete(worker.id)) {
+        scheduler.requestPass();
+    }
     if (worker.hasAnswered) {
         return;
     }
     worker.hasAnswered = true;
-    scheduler.unreconciledWorkers.delete(worker.id);
     scheduler.log.info("A worker answers its first hold.", {
         worker: worker.id,
         bornMs: worker.bornMs,
--- a/packages/scheduler/src/engine/takeover.feature
+++ b/packages/scheduler/src/engine/takeover.feature
@@ -79,3 +79,107 @@
         And a new owner takes over
         And task 0.0.0 of K ends as done
         Then 3 tasks of K run
+
+    Scenario: A task runs twice after a lost answer hides that the stored roster lacks its worker
+        When ana submits the normal job K of "3 x 8"
+        And 1 second passes
+        And the next store writes hit the faults "lost-answer"
+        And the worker w3 is missing from one list
+        And ana submits the normal job J of "1 x 2"
+        And 1 second passes
+        Then 1 task of J runs
+        When task 0.0.0 of K ends as done
+        And the worker of task 0.0.0 of J is disconnected
+        And the disconnected worker is not listed
+        And the owner dies
+        And a new owner takes over
+        Then task 0.0.0 of J was started 1 time
+
+    Scenario: A task runs twice after a late write removes its worker from the stored roster
+        When ana submits the normal job K of "3 x 8"
+        And 1 second passes
+        And the next store writes hit the faults "late"
+        And the worker w3 is missing from one list
+        And ana submits the normal job J of "1 x 2"
+        And 1 second passes
+        And the late store writes are carried out
+        Then 1 task of J runs
+        When task 0.0.0 of K ends as done
+        And the worker of task 0.0.0 of J is disconnected
+        And the disconnected worker is not listed
+        And the owner dies
+        And a new owner takes over
+        Then task 0.0.0 of J was started 1 time
+
+    Scenario: A worker that left without runs delays the next owner because its removal from the roster is lost
+        When ana submits the normal job J of "1 x 2"
+        And task 0.0.0 of J ends as done
+        And the worker w0 drains and leaves in 2 seconds
+        And ana submits the normal job K of "4 x 8"
+        And the next store writes hit the faults "late"
+        And the worker w0 has left
+        And 2 seconds pass
+        And the owner dies
+        And a new owner takes over
+        And task 0.0.0 of K ends as done
+        Then 3 tasks of K run
+
+    Scenario: A new owner runs a task again because its end is beyond those that its worker lists
+        When workers list at most 1 run end
+        And ana submits the normal job J of "12 x 1"
+        And the owner dies
+        And all tasks of J end as done at once
+        And a new owner takes over
+        And 1 second passes
+        Then each task of J was started 1 time
+        And the job J is completed
+
+    Scenario: A new owner that cannot store ends runs a task again before its worker lists the rest of them
+        When workers list at most 1 run end
+        And ana submits the normal job J of "12 x 1"
+        And the owner dies
+        And all tasks of J end as done at once
+        And the store refuses writes of progress
+        And a new owner takes over
+        And 15 seconds pass
+        Then each task of J was started 1 time
+        When the store accepts writes again
+        And 1 second passes
+        Then the job J is completed
+
+    Scenario: A task runs again because the worker that reports its end leaves the roster before the end is stored
+        When ana submits the normal job J of "1 x 2"
+        And the store refuses writes of progress
+        And the worker of task 0.0.0 of J is not listed
+        And task 0.0.0 of J ends as done
+        And 1 second passes
+        And the owner dies
+        And the store accepts writes again
+        And a new owner takes over
+        And all workers are listed again
+        And 1 second passes
+        Then task 0.0.0 of J was started 1 time
+        And the job J is completed
+
+    Scenario: A task runs twice because the stored roster has an address that its worker no longer has
+        When ana submits the normal job K of "3 x 8"
+        And the worker w3 restarts at another address
+        And ana submits the normal job J of "1 x 2"
+        Then 1 task of J runs
+        When task 0.0.0 of K ends as done
+        And the worker of task 0.0.0 of J is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 1 second passes
+        Then task 0.0.0 of J was started 1 time
+
+    Scenario: A worker that died before a takeover delays every later owner too
+        When ana submits the normal job K of "4 x 8"
+        And the worker w0 has left
+        And the owner dies
+        And a new owner takes over
+        And 12 seconds pass while all runs make progress
+        And the owner dies
+        And a new owner takes over
+        And task 0.0.1 of K ends as done
+        Then 3 tasks of K run
