--- a/packages/scheduler/src/engine/mayHaveUnknownRuns.ts
+++ b/packages/scheduler/src/engine/mayHaveUnknownRuns.ts
@@ -7,10 +7,11 @@
  * @param scheduler - The scheduler.
  * @param id - The worker.
  * @returns True for a worker of earlier terms until it has listed all its runs, or until its lease has ended; this
- * owner extends the lease of a worker that has answered without listing all its ends.
+ * owner extends the lease of a worker that has answered without listing all its ends. The ownership must have been held
+ * after the end, since a successor may have extended the lease.
  */
 export function mayHaveUnknownRuns(scheduler: Scheduler, id: WorkerId): boolean {
     const leaseEndsAt = scheduler.fleet.get(id)?.leaseEndsAt ?? Number.NEGATIVE_INFINITY;
     return scheduler.unreconciledWorkers.has(id)
-        && scheduler.clock() < Math.max(scheduler.unknownRunsEndAt, leaseEndsAt);
+        && scheduler.ownership.heldAt() < Math.max(scheduler.unknownRunsEndAt, leaseEndsAt);
 }
--- a/packages/scheduler/src/engine/watchFleet.ts
+++ b/packages/scheduler/src/engine/watchFleet.ts
@@ -9,6 +9,7 @@
 import type { Scheduler } from "./Scheduler.js";
 import { storeRoster } from "./storeRoster.js";
 import { syncWorker } from "./syncWorker.js";
+import { hasLeaseEnded } from "./workerClock.js";
 
 /**
  * Polls the platform's list of workers during a term.
@@ -98,6 +99,6 @@
 
 function isRemovable(scheduler: Scheduler, worker: WorkerEntry): boolean {
     const hasNoRecentAnswer = scheduler.clock() - worker.lastAnswerAt > WORKER_LIST_INTERVAL_MS;
-    return hasNoRecentAnswer && scheduler.clock() >= worker.leaseEndsAt
+    return hasNoRecentAnswer && hasLeaseEnded(scheduler, worker)
         && !mayHaveUnknownRuns(scheduler, worker.id);
 }
