Play random takeovers against the stand-ins

Owners die, are suspended with a clock that runs on or stands still, are replaced, and lose workers; workers lose, delay and refuse orders, and have clocks that are right or 2% slow; jobs are accepted with and without a term, and are announced to earlier owners. No task may have two runs at the same time, and after the faults every job must run or be done. Workers that restart, and faults of the store, are not played.

--- /dev/null
+++ b/packages/scheduler/src/engine/takeoverSoak.steps.ts
@@ -0,0 +1,44 @@
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { SoakOutcome } from "../../../../features/support/soakTakeovers.js";
+import { soakTakeovers } from "../../../../features/support/soakTakeovers.js";
+import type { TestWorld } from "../../../../features/support/TestWorld.js";
+
+const SOAK_TIMEOUT_MS = 600_000;
+
+/** Variable that replaces the seeds for a long soak by hand. */
+const SEEDS_VARIABLE = "TAKEOVER_SEEDS";
+
+type SeedOutcome = SoakOutcome & { readonly seed: number };
+
+/** Parses seeds and ranges of seeds, such as '1-8 65'. */
+function parseSeeds(text: string): readonly number[] {
+    return text.split(" ").flatMap(range => {
+        const [first, last] = range.split("-").map(Number);
+        return Array.from({ length: (last ?? first!) - first! + 1 }, (_, index) => first! + index);
+    });
+}
+
+When(
+    "takeovers with faults are played for the seeds {string}",
+    { timeout: SOAK_TIMEOUT_MS },
+    async function(this: TestWorld, seeds: string) {
+        const outcomes: SeedOutcome[] = [];
+        for (const seed of parseSeeds(process.env[SEEDS_VARIABLE] ?? seeds)) {
+            outcomes.push({ seed, ...await soakTakeovers(seed) });
+        }
+        this.notes.set("outcomes", outcomes);
+    },
+);
+
+Then("no seed gave a task two runs at the same time", function(this: TestWorld) {
+    const failed = this.note<SeedOutcome[]>("outcomes").filter(outcome =>
+        outcome.overlappingTasks.length > 0
+    );
+    assert.deepEqual(failed, []);
+});
+
+Then("no seed left a job without runs", function(this: TestWorld) {
+    const failed = this.note<SeedOutcome[]>("outcomes").filter(outcome => outcome.stuckJobs.length > 0);
+    assert.deepEqual(failed, []);
+});
