--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -16,7 +16,7 @@
 import { createMetrics } from "@balsamward/scheduler";
 import { JobSchema, JobState, ScheduleSchema, StepSchema } from "@balsamward/schema/scheduling";
 import type { Job, Step } from "@balsamward/schema/scheduling";
-import { FakeFleetStore, FakeWorker } from "@balsamward/stand-ins";
+import { FakeFleetStore, FakeWorker, UNANSWERED } from "@balsamward/stand-ins";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { setMaxListeners } from "node:events";
@@ -36,6 +36,7 @@
 const WORKER_ACCELERATORS = 8;
 const MAX_HOLD_MS = 10_000;
 const WORKERS_PER_RACK = 4;
+const ORDER_TIMEOUT_MS = 400;
 
 /** A term of ownership that a test begins, and ends by aborting `end`. */
 export type Term = {
@@ -358,6 +359,9 @@
         ): Promise<OrderOutcome> => {
             const worker = findWorker(target.id);
             const outcome: OrderOutcome = worker === undefined ? refuseFor(target) : action(worker);
+            if (outcome.kind === "unclear" && outcome.cause === UNANSWERED) {
+                await this.clock.pause(ORDER_TIMEOUT_MS);
+            }
             await clock.waitUntilAwake();
             return outcome;
         };
--- a/packages/scheduler/src/engine/orders.feature
+++ b/packages/scheduler/src/engine/orders.feature
@@ -7,6 +7,14 @@
         Then 1 task of J runs
         And task 0.0.0 of J was started 1 time
 
+    Scenario: An unanswered start is sent again after the owner's term has ended
+        Given a fleet of 1 workers with an owner
+        When the next orders to w0 hit the faults "unanswered"
+        And ana submits the normal job J of "1 x 2"
+        And the owner dies
+        And 1 second passes
+        Then task 0.0.0 of J was started 0 times
+
     Scenario: A start with an unclear outcome is invalidated before the task runs elsewhere
         Given a fleet of 2 workers with an owner
         When the next orders to w0 hit the faults "late late"
--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -18,12 +18,17 @@
     | "lost-answer"
     /** The caller gets an unclear result; the order is executed at `executeDelayedOrders`. */
     | "late"
+    /** The order is not executed, and the caller gets an unclear result after its timeout. */
+    | "unanswered"
     /** The order is not executed, and the caller gets status 503. */
     | "refused";
 
 /** Longest lease that a worker grants, in milliseconds; a longer one is shortened. */
 const MAX_LEASE_MS = 10_000;
 
+/** Cause of the unclear result of an order that is not answered before its timeout. */
+export const UNANSWERED = "unanswered";
+
 type RunningTask = {
     readonly task: TaskName;
     readonly run: number;
@@ -208,6 +213,8 @@
         switch (fault) {
             case "refused":
                 return { kind: "unhealthy", status: 503 };
+            case "unanswered":
+                return { kind: "unclear", cause: UNANSWERED };
             case "late":
                 this.delayedOrders.push(execute);
                 return { kind: "unclear", cause: "late" };
