--- a/packages/scheduler/src/engine/workerClock.ts
+++ b/packages/scheduler/src/engine/workerClock.ts
@@ -64,13 +64,15 @@
     const latestEndMs = estimateClockMs(worker.confirmedClock ?? worker.unconfirmedClock, heldAt)
         + OWNER_LEASE_TTL_MS
         + leaseMs;
-    if (requestedEndMs > latestEndMs) {
+    const isLimited = requestedEndMs > latestEndMs;
+    if (isLimited && !worker.isLeaseLimited) {
         log.info("A lease is limited by the last proof of the ownership.", {
             worker: worker.id,
             byMs: Math.round(requestedEndMs - latestEndMs),
             provedMsAgo: Math.round(now - heldAt),
         });
     }
+    worker.isLeaseLimited = isLimited;
     worker.leaseEndsAt = Math.max(worker.leaseEndsAt, now + getMaxMonotonicMs(leaseMs));
     return Math.floor(Math.min(requestedEndMs, latestEndMs));
 }
--- a/packages/scheduler/src/state/WorkerEntry.ts
+++ b/packages/scheduler/src/state/WorkerEntry.ts
@@ -64,6 +64,8 @@
     confirmedClock: ClockReading | undefined;
     /** Monotonic time after which nothing can run on the worker any more, in milliseconds. */
     leaseEndsAt: number;
+    /** Whether the last proof of the ownership limited the latest extension of the lease. */
+    isLeaseLimited: boolean;
     /** Numbers of the ends that the current incarnation has reported; a restart begins new ones. */
     ends: EndNumbers;
     /** Monotonic time before which nothing is started on the worker, in milliseconds. */
@@ -111,6 +113,7 @@
         unconfirmedClock: undefined,
         confirmedClock: undefined,
         leaseEndsAt: Number.NEGATIVE_INFINITY,
+        isLeaseLimited: false,
         ends: createEndNumbers(),
         pausedUntil: Number.NEGATIVE_INFINITY,
         consecutiveFaults: 0,
