Play random restarts of workers against the stand-ins

The takeover soak had suspended owners, but no worker that restarts under its id. It has a second mix now: workers restart, register late or at once, and lose the answers to holds, while orders are lost and late and owners die.

--- a/features/support/soakTakeovers.ts
+++ b/features/support/soakTakeovers.ts
@@ -1,5 +1,7 @@
 import type { JobId, WorkerId } from "@balsamward/scheduler";
+import type { FakeWorker } from "@balsamward/stand-ins";
 import { OWNER_LEASE_TTL_MS } from "../../packages/scheduler/src/constants.js";
+import type { Term } from "./SchedulerTestHarness.js";
 import { SchedulerTestHarness } from "./SchedulerTestHarness.js";
 
 /** Outcome of a soak. */
@@ -12,6 +14,13 @@
     readonly starts: number;
 };
 
+/** Faults that a soak plays beside deaths of owners and lost orders. */
+export type SoakFaults =
+    /** Owners are suspended, and replaced while they live. */
+    | "suspended-owners"
+    /** Workers restart under their ids and lose the answers to holds. */
+    | "restarted-workers";
+
 const WORKER_COUNT = 4;
 const FAULTY_STEPS = 80;
 const MAX_STEP_MS = 1_200;
@@ -20,12 +29,13 @@
 const ORDER_FAULTS = ["lost-answer", "late", "refused"] as const;
 
 /**
- * Runs jobs while owners die, are suspended or replaced, and lose workers, and workers lose orders.
+ * Runs jobs while owners die or are replaced and lose workers, and workers lose orders.
  *
  * @param seed - Seed of the choices.
+ * @param faults - Further faults to play.
  * @returns What went wrong, and how much was done.
  */
-export async function soakTakeovers(seed: number): Promise<SoakOutcome> {
+export async function soakTakeovers(seed: number, faults: SoakFaults): Promise<SoakOutcome> {
     const random = createRandom(seed);
     const harness = new SchedulerTestHarness();
     harness.workerClockRate = random() < 0.5 ? 1 : 0.98;
@@ -33,8 +43,11 @@
     await harness.beginTerm();
     const jobs: JobId[] = [];
     for (let step = 0; step < FAULTY_STEPS; step++) {
-        chooseAction(harness, jobs, random);
+        chooseAction(harness, jobs, random, faults);
         if (canBeReplaced(harness, random)) {
+            if (faults === "restarted-workers") {
+                harness.killOwner();
+            }
             await harness.beginTerm(chooseWorkers(harness, random));
         }
         await harness.advance(Math.ceil(random() * MAX_STEP_MS));
@@ -68,7 +81,12 @@
     return [...harness.workers.keys()].filter(() => random() < 0.3);
 }
 
-function chooseAction(harness: SchedulerTestHarness, jobs: JobId[], random: () => number): void {
+function chooseAction(
+    harness: SchedulerTestHarness,
+    jobs: JobId[],
+    random: () => number,
+    faults: SoakFaults,
+): void {
     const worker = choose([...harness.workers.values()], random);
     const term = choose(harness.terms.slice(-3), random);
     const action = random();
@@ -97,10 +115,10 @@
         term.unreachableWorkers.clear();
     }
     else if (action < 0.72) {
-        term.clock.suspend(random() < 0.5);
+        beginFault(faults, worker, term, random);
     }
     else if (action < 0.8) {
-        term.clock.resume();
+        continueFault(faults, worker, term);
     }
     else if (action < 0.96) {
         endSomeRun(worker, random);
@@ -110,6 +128,27 @@
     }
 }
 
+function beginFault(faults: SoakFaults, worker: FakeWorker, term: Term, random: () => number): void {
+    switch (faults) {
+        case "suspended-owners":
+            term.clock.suspend(random() < 0.5);
+            return;
+        case "restarted-workers":
+            worker.restart();
+    }
+}
+
+function continueFault(faults: SoakFaults, worker: FakeWorker, term: Term): void {
+    switch (faults) {
+        case "suspended-owners":
+            term.clock.resume();
+            return;
+        case "restarted-workers":
+            worker.unansweredHoldCount += 1;
+            worker.register();
+    }
+}
+
 function endSomeRun(
     worker: { running: ReadonlyMap<string, unknown>; endRun: (task: string, how: "done" | "failed") => void },
     random: () => number,
@@ -140,6 +179,8 @@
 async function recover(harness: SchedulerTestHarness): Promise<void> {
     harness.workers.forEach(worker => {
         worker.orderFaults.splice(0);
+        worker.unansweredHoldCount = 0;
+        worker.register();
         worker.executeDelayedOrders();
     });
     harness.terms.forEach(term => term.clock.resume());
--- a/packages/scheduler/src/engine/takeoverSoak.steps.ts
+++ b/packages/scheduler/src/engine/takeoverSoak.steps.ts
@@ -1,6 +1,6 @@
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import type { SoakOutcome } from "../../../../features/support/soakTakeovers.js";
+import type { SoakFaults, SoakOutcome } from "../../../../features/support/soakTakeovers.js";
 import { soakTakeovers } from "../../../../features/support/soakTakeovers.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 
@@ -20,12 +20,12 @@
 }
 
 When(
-    "takeovers with faults are played for the seeds {string}",
+    "takeovers with {word} are played for the seeds {string}",
     { timeout: SOAK_TIMEOUT_MS },
-    async function(this: TestWorld, seeds: string) {
+    async function(this: TestWorld, faults: string, seeds: string) {
         const outcomes: SeedOutcome[] = [];
         for (const seed of parseSeeds(process.env[SEEDS_VARIABLE] ?? seeds)) {
-            outcomes.push({ seed, ...await soakTakeovers(seed) });
+            outcomes.push({ seed, ...await soakTakeovers(seed, faults as SoakFaults) });
         }
         this.notes.set("outcomes", outcomes);
     },
