--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -2,21 +2,15 @@
     AdviceOutcome,
     AdvisedStep,
     FleetConfiguration,
-    HoldOutcome,
     JobId,
-    MachineState,
-    OrderOutcome,
-    UpkeepOutcome,
     UpkeepWave,
     WorkerId,
-    WorkerPort,
     WorkerReport,
-    WorkerTarget,
 } from "@balsamward/scheduler";
 import { createMetrics } from "@balsamward/scheduler";
 import { JobSchema, JobState, ScheduleSchema, StepSchema } from "@balsamward/schema/scheduling";
 import type { Job, Step } from "@balsamward/schema/scheduling";
-import { FakeFleetStore, FakeWorker, UNANSWERED } from "@balsamward/stand-ins";
+import { FakeFleetStore, FakeWorker } from "@balsamward/stand-ins";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { setMaxListeners } from "node:events";
@@ -29,6 +23,8 @@
 import { createSuspendableStore } from "./createSuspendableStore.js";
 import { createTestConfiguration } from "./createTestConfiguration.js";
 import { FakeClock } from "./FakeClock.js";
+import { createFakeWorkerPort } from "./scheduler/createFakeWorkerPort.js";
+import { FakeMachines } from "./scheduler/FakeMachines.js";
 import { SuspendableClock } from "./SuspendableClock.js";
 
 const WORKER_CPU_MILLIS = 32_000;
@@ -36,7 +32,6 @@
 const WORKER_ACCELERATORS = 8;
 const MAX_HOLD_MS = 10_000;
 const WORKERS_PER_RACK = 4;
-const ORDER_TIMEOUT_MS = 400;
 
 /** A term of ownership that a test begins, and ends by aborting `end`. */
 export type Term = {
@@ -77,14 +72,12 @@
     readonly deniedWorkers = new Set<WorkerId>();
     /** Calls to the advice service, in order. */
     readonly adviceCalls: { readonly step: AdvisedStep; readonly workers: readonly WorkerId[] }[] = [];
-    /** State of each machine by name. */
-    readonly machines = new Map<string, MachineState>();
-    /** Highest number of machines that were down for upkeep at the same time. */
-    maxMachinesDown = 0;
-    /** Machines that went down while tasks ran on them. */
-    readonly machinesTakenDownWhileBusy: string[] = [];
-    /** Machines that have had their upkeep; a further order for one has no effect and succeeds. */
-    private readonly maintainedMachines = new Set<string>();
+    /** The machines on which the workers run. */
+    readonly machines = new FakeMachines({
+        clock: this.clock,
+        workers: this.workers,
+        addWorker: report => this.addWorker(report),
+    });
     /** Addresses to which the owner has closed its connections, in order. */
     readonly closedAddresses: string[] = [];
     /** Workers that have left but are still in the platform's list. */
@@ -120,17 +113,21 @@
                 rack: `r${Math.floor(number / WORKERS_PER_RACK)}`,
                 machine: `m${number}`,
             };
-            this.machines.set(report.machine, "up");
-            this.workers.set(report.id, new FakeWorker(report, () => this.clock.now * this.workerClockRate));
+            this.machines.add(report.machine);
+            this.addWorker(report);
         }
     }
 
+    private addWorker(report: WorkerReport): void {
+        this.workers.set(report.id, new FakeWorker(report, () => this.clock.now * this.workerClockRate));
+    }
+
     /** Replaces a worker by one with another id at the same address; the platform goes on listing both. */
     replaceWorker(id: WorkerId, nextId: WorkerId): void {
         const { report } = this.workers.get(id)!;
         this.workers.delete(id);
         this.departedReports.push(report);
-        this.workers.set(nextId, new FakeWorker({ ...report, id: nextId }, () => this.clock.now));
+        this.addWorker({ ...report, id: nextId });
     }
 
     /** Stores a job, as a daemon does that accepts it, and returns its id. */
@@ -189,11 +186,17 @@
         };
         const scheduler = createScheduler({
             store: createSuspendableStore(this.store.createClient(), clock),
-            workers: this.createWorkerPort(unreachable, clock),
+            workers: createFakeWorkerPort({
+                workers: this.workers,
+                unreachableWorkers: unreachable,
+                baseClock: this.clock,
+                clock,
+                onConnectionsClosed: address => this.closedAddresses.push(address),
+            }),
             node: "lab",
             machines: {
-                list: async () => [...this.machines].map(([name, state]) => ({ name, state })),
-                beginUpkeep: async ({ machine }) => this.beginUpkeep(machine),
+                list: async () => this.machines.list(),
+                beginUpkeep: async ({ machine }) => this.machines.beginUpkeep(machine),
             },
             waveRecordFormat: {
                 prefix: "waves/",
@@ -251,33 +254,6 @@
             .sort();
     }
 
-    /** Takes a machine down for upkeep; it comes up again with a new worker after two seconds. */
-    private beginUpkeep(machine: string): UpkeepOutcome {
-        if (this.maintainedMachines.has(machine)) {
-            return { kind: "begun" };
-        }
-        const worker = [...this.workers.values()].find(({ report }) => report.machine === machine);
-        if (worker === undefined || this.machines.get(machine) !== "up") {
-            return { kind: "busy" };
-        }
-        if (worker.running.size > 0) {
-            this.machinesTakenDownWhileBusy.push(machine);
-        }
-        this.machines.set(machine, "upkeep");
-        this.maintainedMachines.add(machine);
-        this.workers.delete(worker.id);
-        this.maxMachinesDown = Math.max(
-            this.maxMachinesDown,
-            [...this.machines.values()].filter(state => state === "upkeep").length,
-        );
-        void this.clock.pause(2_000).then(() => {
-            this.machines.set(machine, "up");
-            const report = { ...worker.report, id: `${worker.id}-next` as WorkerId };
-            this.workers.set(report.id, new FakeWorker(report, () => this.clock.now * this.workerClockRate));
-        });
-        return { kind: "begun" };
-    }
-
     /** Records the call, and allows all workers except the denied ones. */
     private async advise(step: AdvisedStep, workers: readonly WorkerId[]): Promise<AdviceOutcome> {
         this.adviceCalls.push({ step, workers });
@@ -342,45 +318,4 @@
             this.overlappingTasks.add(task)
         );
     }
-
-    private createWorkerPort(
-        unreachableWorkers: ReadonlySet<WorkerId>,
-        clock: SuspendableClock,
-    ): WorkerPort {
-        const findWorker = (id: WorkerId): FakeWorker | undefined =>
-            unreachableWorkers.has(id) ? undefined : this.workers.get(id);
-        const refuseFor = ({ id, address }: WorkerTarget): OrderOutcome & HoldOutcome =>
-            [...this.workers.values()].some(({ report }) => report.address === address && report.id !== id)
-                ? { kind: "other-life" }
-                : { kind: "unreachable", cause: "gone" };
-        const sendOrder = async (
-            target: WorkerTarget,
-            action: (worker: FakeWorker) => OrderOutcome,
-        ): Promise<OrderOutcome> => {
-            const worker = findWorker(target.id);
-            const outcome: OrderOutcome = worker === undefined ? refuseFor(target) : action(worker);
-            if (outcome.kind === "unclear" && outcome.cause === UNANSWERED) {
-                await this.clock.pause(ORDER_TIMEOUT_MS);
-            }
-            await clock.waitUntilAwake();
-            return outcome;
-        };
-        return {
-            start: (target, start) => sendOrder(target, worker => worker.start(start)),
-            stop: (target, stop) => sendOrder(target, worker => worker.stop(stop)),
-            pace: (target, pace) => sendOrder(target, worker => worker.pace(pace)),
-            hold: async (target, hold, signal): Promise<HoldOutcome> => {
-                const worker = findWorker(target.id);
-                if (worker === undefined) {
-                    return refuseFor(target);
-                }
-                // A long poll is answered after at most 100 ms, whether or not a run has ended.
-                await this.clock.pause(Math.min(hold.waitMs, 100), signal);
-                return clock.receive(Promise.resolve(worker.hold(hold)));
-            },
-            closeConnections: address => {
-                this.closedAddresses.push(address);
-            },
-        };
-    }
 }
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -155,7 +155,7 @@
         const harness = getHarness(this);
         const wave = {
             number: 1,
-            machines: [...harness.machines.keys()],
+            machines: harness.machines.list().map(({ name }) => name),
             durationMs: 60 * MS_PER_SECOND,
             maxDown,
         };
@@ -170,7 +170,7 @@
 Then(
     "the peak number of machines down is {int}, none with runs on it",
     function(this: TestWorld, peak: number) {
-        assert.equal(getHarness(this).maxMachinesDown, peak);
-        assert.deepEqual(getHarness(this).machinesTakenDownWhileBusy, []);
+        assert.equal(getHarness(this).machines.maxDown, peak);
+        assert.deepEqual(getHarness(this).machines.takenDownWhileBusy, []);
     },
 );
