--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -1,5 +1,5 @@
 import type { StepSchema } from "@balsamward/schema/scheduling";
-import type { OrderFault, WriteFault } from "@balsamward/stand-ins";
+import type { OrderFault } from "@balsamward/stand-ins";
 import { formatTaskName } from "@balsamward/stand-ins";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
@@ -101,74 +101,6 @@
     await getHarness(this).advance(100);
 });
 
-When("the owner is suspended, and its clock {word}", function(this: TestWorld, behaviour: string) {
-    getHarness(this).terms.at(-1)!.clock.suspend(behaviour === "stops");
-});
-
-When("the {word} owner wakes, and resigns after {float} second(s)", async function(
-    this: TestWorld,
-    ordinal: string,
-    seconds: number,
-) {
-    const { clock, scheduler } = getHarness(this).terms[["first", "second"].indexOf(ordinal)]!;
-    clock.resume();
-    await getHarness(this).advance(seconds * MS_PER_SECOND);
-    scheduler.ownership.resign("The store lease could not be renewed in time.");
-});
-
-When("the owner dies", function(this: TestWorld) {
-    getHarness(this).killOwner();
-});
-
-When("a new owner takes over", async function(this: TestWorld) {
-    await getHarness(this).beginTerm();
-    await getHarness(this).advance(500);
-});
-
-When("a new owner takes over that cannot reach {word}", async function(this: TestWorld, id: string) {
-    await getHarness(this).beginTerm([id as WorkerId]);
-    await getHarness(this).advance(500);
-});
-
-When(
-    "a new owner takes over that cannot reach the worker of task {word} of {word}",
-    async function(this: TestWorld, task: string, job: string) {
-        const worker = getHarness(this).workerOf(`${getJobId(this, job)}.${task}`)!;
-        await getHarness(this).beginTerm([worker.id]);
-    },
-);
-
-When(
-    "a new owner takes over that reaches only the worker of task {word} of {word}",
-    async function(this: TestWorld, task: string, job: string) {
-        const harness = getHarness(this);
-        const worker = harness.workerOf(`${getJobId(this, job)}.${task}`)!;
-        await harness.beginTerm([...harness.workers.keys()].filter(id => id !== worker.id));
-    },
-);
-
-When(
-    "the owner cannot reach the worker of task {word} of {word}",
-    function(this: TestWorld, task: string, job: string) {
-        const worker = getHarness(this).workerOf(`${getJobId(this, job)}.${task}`)!;
-        getHarness(this).terms.at(-1)!.unreachableWorkers.add(worker.id);
-        this.notes.set("disconnected", worker.id);
-    },
-);
-
-When("the owner cannot reach {word}", function(this: TestWorld, id: string) {
-    getHarness(this).terms.at(-1)!.unreachableWorkers.add(id as WorkerId);
-});
-
-When("the workers forget their fences, as after a restart", function(this: TestWorld) {
-    getHarness(this).workers.forEach(worker => worker.fence = 0);
-});
-
-When("the new owner reaches all workers", async function(this: TestWorld) {
-    getHarness(this).terms.at(-1)!.unreachableWorkers.clear();
-    await getHarness(this).advance(500);
-});
-
 When(
     "task {word} of {word} ends as {word}",
     async function(this: TestWorld, task: string, job: string, endKind: string) {
@@ -219,44 +151,6 @@
     await getHarness(this).advance(500);
 });
 
-When("the next store writes hit the faults {string}", function(this: TestWorld, faults: string) {
-    getHarness(this).store.writeFaults.push(...faults.split(" ") as WriteFault[]);
-});
-
-When("the late store writes are carried out", function(this: TestWorld) {
-    getHarness(this).store.applyDelayedTransactions();
-});
-
-When("the store refuses writes of progress", function(this: TestWorld) {
-    getHarness(this).store.refusedWritePrefix = storeKeys.progressPrefix;
-});
-
-When("the store accepts writes again", function(this: TestWorld) {
-    getHarness(this).store.refusedWritePrefix = undefined;
-});
-
-When("the store goes down", function(this: TestWorld) {
-    getHarness(this).store.isDown = true;
-});
-
-When("the store is up again", async function(this: TestWorld) {
-    getHarness(this).store.isDown = false;
-    await getHarness(this).advance(500);
-});
-
-When("the store's history is compacted", async function(this: TestWorld) {
-    getHarness(this).store.compact();
-    await getHarness(this).advance(500);
-});
-
-When("the watches stop delivering changes", function(this: TestWorld) {
-    getHarness(this).store.isWatchSilent = true;
-});
-
-When("the watches deliver changes again", function(this: TestWorld) {
-    getHarness(this).store.isWatchSilent = false;
-});
-
 Then("the job {word} is {word}", function(this: TestWorld, name: string, state: string) {
     assert.equal(getHarness(this).stateOf(getJobId(this, name)), state);
 });
