End the term of a daemon that stops while it claims the ownership

What callers saw: after a planned stop of a daemon nothing may be scheduled until its process has ended and its lease has run out.

Cause: the term listens for the daemon's stop. If the stop comes while the claim is under way, the signal is aborted before anybody listens, and the event never comes: the leaving daemon renews its lease until its process ends.

Evidence (the new scenario, before the change; the run of the tests then did not end either, as the renewals went on): A daemon that stops while it claims the ownership keeps it Then the store holds no owner's record: AssertionError: Expected values to be strictly equal

Fix: the term ends at once if the signal is already aborted.

--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -3,6 +3,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { err, ok } from "neverthrow";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import winston from "winston";
 import { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
@@ -143,6 +144,29 @@
     assert.equal(store.get(storeKeys.term)?.revision, store.get(storeKeys.owner)?.revision);
 });
 
+When(
+    "the daemon claims the ownership, and stops before the claim is answered",
+    async function(this: TestWorld) {
+        const end = new AbortController();
+        const client = this.note<FakeFleetStore>("store").createClient();
+        const store: FleetStore = {
+            ...client,
+            commit: transaction => {
+                end.abort();
+                return client.commit(transaction);
+            },
+        };
+        const claimed = once(end.signal, "abort");
+        void runOwnership({ cluster: this.note("cluster"), store, schedule: async () => {} }, end.signal);
+        await claimed;
+        await waitEventLoopTurns();
+    },
+);
+
+Then("the store holds no owner's record", function(this: TestWorld) {
+    assert.equal(this.note<FakeFleetStore>("store").get(storeKeys.owner), undefined);
+});
+
 Then("the owner is known", function(this: TestWorld) {
     assert.equal(this.note<Cluster>("cluster").owner?.node, "there");
 });
--- a/packages/scheduler/src/cluster/runOwnership.ts
+++ b/packages/scheduler/src/cluster/runOwnership.ts
@@ -167,6 +167,9 @@
     };
     const resignOnStop = (): void => resign("The daemon stops.");
     signal.addEventListener("abort", resignOnStop);
+    if (signal.aborted) {
+        resignOnStop();
+    }
     cluster.metrics.ownershipChanges.inc({ reason: "taken" });
     cluster.metrics.owner.set(1);
     cluster.log.info("The ownership is taken.", { revision: term.revision, term: term.number });
