Resign as soon as the daemon knows a newer owner

Cause: an owner whose daemon hears of its successor noticed that only after its next renewal, up to 0.6 s and one store call later. Until then it took jobs, placed them and extended leases.

Evidence (before the change): An owner schedules on although its daemon has heard of its successor Then the owner's term has ended: AssertionError: false == true

Fix: the view of the cluster reports each newer owner to the running term, which then ends. The check after each renewal is no longer needed; one at the beginning of the term covers an owner that became known before. A peer that names an older owner changes nothing (second scenario).

--- a/packages/scheduler/src/cluster/Cluster.ts
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -59,6 +59,8 @@
     leaving: boolean;
     /** Called when connections to the owner are refused repeatedly, so that its process is taken to be dead. */
     onOwnerDead: (owner: KnownOwner) => void;
+    /** Called when a newer owner becomes known, this daemon itself included. */
+    onNewerOwner: (owner: KnownOwner) => void;
     /**
      * Adds a peer and starts its task. Returns the existing peer if the address is known, and `undefined` for this
      * daemon's own address, an empty address, or when the peer limit is reached.
@@ -132,6 +134,7 @@
     if (owner.revision > (cluster.owner?.revision ?? 0)) {
         cluster.owner = owner;
         cluster.log.info("A newer owner is known.", { owner: owner.node, revision: owner.revision });
+        cluster.onNewerOwner(owner);
         cluster.peers.get(owner.address)?.requestExchange();
     }
 }
--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -1,4 +1,4 @@
-import { OwnerRecordSchema } from "@balsamward/schema/scheduling";
+import { HeartbeatSchema, OwnerRecordSchema } from "@balsamward/schema/scheduling";
 import { create, toBinary } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { err, ok } from "neverthrow";
@@ -8,11 +8,13 @@
 import { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
+import type { Ownership } from "../engine/Scheduler.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import { createMetrics } from "../Metrics.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 import { storeKeys } from "../storeKeys.js";
 import type { Cluster, Peer } from "./Cluster.js";
+import { receiveHeartbeat } from "./Cluster.js";
 import { couldMissNewOwner } from "./couldMissNewOwner.js";
 import { createCluster } from "./createCluster.js";
 import { createRelayingStore } from "./createRelayingStore.js";
@@ -144,6 +146,31 @@
     assert.equal(store.get(storeKeys.term)?.revision, store.get(storeKeys.owner)?.revision);
 });
 
+Given("the daemon is the owner", async function(this: TestWorld) {
+    const end = new AbortController();
+    this.cleanups.push(() => end.abort());
+    const store = this.note<FakeFleetStore>("store").createClient();
+    const ownership = await new Promise<Ownership>(resolve => {
+        const schedule = async (current: Ownership): Promise<void> => {
+            resolve(current);
+            if (!current.signal.aborted) {
+                await once(current.signal, "abort");
+            }
+        };
+        void runOwnership({ cluster: this.note("cluster"), store, schedule }, end.signal);
+    });
+    this.notes.set("ownership", ownership);
+});
+
+When(
+    "a peer's heartbeat names an owner that is newer by {int}",
+    function(this: TestWorld, revisions: number) {
+        const ownerRevision = this.note<Ownership>("ownership").revision + revisions;
+        const owner = { node: "there", address: "10.0.0.2:1" };
+        receiveHeartbeat(this.note("cluster"), create(HeartbeatSchema, { owner, ownerRevision }));
+    },
+);
+
 When(
     "the daemon claims the ownership, and stops before the claim is answered",
     async function(this: TestWorld) {
@@ -167,6 +194,14 @@
     assert.equal(this.note<FakeFleetStore>("store").get(storeKeys.owner), undefined);
 });
 
+Then("the owner's term has ended", function(this: TestWorld) {
+    assert.ok(this.note<Ownership>("ownership").signal.aborted);
+});
+
+Then("the owner's term goes on", function(this: TestWorld) {
+    assert.ok(!this.note<Ownership>("ownership").signal.aborted);
+});
+
 Then("the owner is known", function(this: TestWorld) {
     assert.equal(this.note<Cluster>("cluster").owner?.node, "there");
 });
--- a/packages/scheduler/src/cluster/createCluster.ts
+++ b/packages/scheduler/src/cluster/createCluster.ts
@@ -38,6 +38,7 @@
         reachesStore: true,
         leaving: false,
         onOwnerDead: () => {},
+        onNewerOwner: () => {},
         addPeer: () => undefined,
     };
 }
--- a/packages/scheduler/src/cluster/runOwnership.ts
+++ b/packages/scheduler/src/cluster/runOwnership.ts
@@ -170,10 +170,17 @@
     if (signal.aborted) {
         resignOnStop();
     }
+    // The successor acts as soon as it is known, so this owner must not wait for its next renewal.
+    cluster.onNewerOwner = owner => {
+        if (owner.revision > term.revision) {
+            resign("A newer owner is known.");
+        }
+    };
     cluster.metrics.ownershipChanges.inc({ reason: "taken" });
     cluster.metrics.owner.set(1);
     cluster.log.info("The ownership is taken.", { revision: term.revision, term: term.number });
     updateOwner(cluster, { node: cluster.node, address: cluster.address, revision: term.revision });
+    cluster.onNewerOwner(cluster.owner!);
     const termLease = createTermLease(cluster, term.lease.ttlMs, term.requestedAt);
     const ownership = {
         key: storeKeys.owner,
@@ -188,6 +195,7 @@
     }
     finally {
         signal.removeEventListener("abort", resignOnStop);
+        cluster.onNewerOwner = () => {};
         cluster.metrics.owner.set(0);
         await store.endLease(term.lease.id);
     }
@@ -211,9 +219,6 @@
         else if (renewed.error.kind === "lease-ended") {
             ownership.resign("The store lease has ended.");
         }
-        if ((cluster.owner?.revision ?? 0) > term.revision) {
-            ownership.resign("A peer knows a newer owner.");
-        }
         const overdueMs = termLease.overdueMs();
         if (overdueMs > 0 && (couldMissNewOwner(cluster) || overdueMs > MAX_OVERDUE_WITHOUT_STORE_MS)) {
             ownership.resign("The store lease could not be renewed in time.");
