Send no start again after the owner's term has ended

What callers saw: nothing that is shown to stem from this.

Cause: the loop that sends a start again did not ask whether the term goes on. Such a start reaches workers that know no higher fence: those that the successor has not called yet, or that have restarted since it did; for the latter it does not wait.

Evidence (before the change): A start whose answer is lost is ordered again after the owner's term has ended Then the workers have received 1 order to start a task: Expected values to be strictly equal (2 !== 1)

Fix: a start is sent only during the term. The first send is unaffected: it follows placement without a wait.

--- a/packages/scheduler/src/engine/replacedOwner.feature
+++ b/packages/scheduler/src/engine/replacedOwner.feature
@@ -23,6 +23,12 @@
         Then 3 tasks of J run
         And no task has had two runs at the same time
 
+    Scenario: A start whose answer is lost is ordered again after the owner's term has ended
+        When the owner's term ends before a start is answered, and the answer is lost
+        And ana submits the normal job J of "1 x 8"
+        And 1 second passes
+        Then the workers have received 1 order to start a task
+
     Scenario: A job that was accepted without a term is started by both owners
         When a new owner takes over that cannot reach w0
         And ana submits the normal job J of "4 x 8" through a daemon that stores no term
--- a/packages/scheduler/src/engine/startRun.ts
+++ b/packages/scheduler/src/engine/startRun.ts
@@ -20,7 +20,7 @@
 export async function startRun(scheduler: Scheduler, run: Run, ticket: string): Promise<void> {
     const { worker, task } = run;
     let mayHaveStarted = false;
-    for (let send = 0; send < MAX_START_SENDS && mayStillStart(run); send++) {
+    for (let send = 0; send < MAX_START_SENDS && mayStillStart(scheduler, run); send++) {
         const outcome = await scheduler.workers.start(worker, {
             task: task.name,
             run: run.number,
@@ -55,9 +55,9 @@
     }
 }
 
-/** Returns whether a run is still to be started: neither confirmed, nor stopped, nor released with its worker. */
-function mayStillStart(run: Run): boolean {
-    return run.phase === "starting" && run.worker.runs.has(run);
+/** Returns whether a run is still to be started: not confirmed, stopped or released, nor left to the next owner. */
+function mayStillStart({ ownership }: Scheduler, run: Run): boolean {
+    return !ownership.signal.aborted && run.phase === "starting" && run.worker.runs.has(run);
 }
 
 /**
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -4,7 +4,7 @@
 import { getHarness, getJobId } from "../../../../features/support/schedulerScenario.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { WORKER_LIST_INTERVAL_MS } from "../constants.js";
-import type { RunEndKind, WorkerId } from "../index.js";
+import type { RunEndKind, StartOrder, WorkerId } from "../index.js";
 
 const MS_PER_SECOND = 1_000;
 
@@ -80,6 +80,24 @@
     },
 );
 
+When("the owner's term ends before a start is answered, and the answer is lost", function(this: TestWorld) {
+    const harness = getHarness(this);
+    const { ownership } = harness.terms.at(-1)!.scheduler;
+    const orders: StartOrder[] = [];
+    this.notes.set("startOrders", orders);
+    harness.workers.forEach(worker => {
+        worker.start = order => {
+            orders.push(order);
+            ownership.resign("The store shows another owner.");
+            return { kind: "unclear", cause: "lost" };
+        };
+    });
+});
+
+Then("the workers have received {int} order(s) to start a task", function(this: TestWorld, count: number) {
+    assert.equal(this.note<StartOrder[]>("startOrders").length, count);
+});
+
 When("the worker {word} restarts and registers", async function(this: TestWorld, id: string) {
     const worker = getHarness(this).workers.get(id as WorkerId)!;
     worker.restart();
