Wait for the reservations of an earlier cell owner on a worker that does not answer

What callers saw: nothing was reported; a gang of the product's own interface could run twice after a takeover.

Cause: the record of a worker that a new cell owner had not reached said that its last renewal was at time 0, so its reservations counted as lapsed. The owner took the member for lost, its stop resolved after the first attempt that failed, and the gang was queued and started elsewhere while the member ran on.

Fix: a worker's record begins with the time at which it is created. An earlier owner may have renewed until then, so the new one waits for the full time to live of the reservations. Not covered: an earlier owner that renews them after that, as it does not know that it was replaced; renewals do not ask whether its lease is valid.

--- a/features/support/GangTestHarness.ts
+++ b/features/support/GangTestHarness.ts
@@ -57,6 +57,9 @@
         return this.checks.violations;
     }
 
+    /** Addresses of workers that run on, but that no owner reaches. */
+    readonly silentAddresses = new Set<string>();
+
     /** Opens the cell with the next epoch, as a new owner does. */
     async takeOver(): Promise<void> {
         this.epoch += 1;
@@ -69,6 +72,7 @@
             store: createStore(transport, { pause: this.clock.pause }),
             workerClient: createFaultyWorkerClient({
                 workers: this.workers,
+                silentAddresses: this.silentAddresses,
                 takeFault: () => this.takeFault(epoch),
                 waitWhilePaused: () => this.ownerPauses.waitWhilePaused(epoch),
                 onStart: reservation => this.checkStart(reservation),
@@ -87,6 +91,14 @@
         }
     }
 
+    /** Cuts off the worker of a job's first member, and lets a new owner take over from one that has died. */
+    async takeOverBesideSilentWorker(id: string): Promise<void> {
+        const { worker } = this.job(id)!.grants[0]!;
+        this.silentAddresses.add(WORKER_VMS.find(vm => vm.id === worker)!.address);
+        this.ownerPauses.pause(this.epoch);
+        await this.takeOver();
+    }
+
     /** Schedules a fault at the `at`-th command from now, counted from 1 and without renewals. */
     scheduleFault(kind: CommandFault, at: number): void {
         this.commandFaults.schedule(kind, at);
--- a/features/support/gang/createFaultyWorkerClient.ts
+++ b/features/support/gang/createFaultyWorkerClient.ts
@@ -8,6 +8,8 @@
 export type FaultyWorkerClientContext = {
     /** The workers by their addresses. */
     readonly workers: ReadonlyMap<string, WorkerModel>;
+    /** Addresses of workers that run on, but that no owner reaches. */
+    readonly silentAddresses: ReadonlySet<string>;
     /** Returns the fault to inject at the command that the owner now sends, if any. */
     readonly takeFault: () => CommandFault | undefined;
     /** Resolves as soon as the owner is not paused. */
@@ -31,6 +33,9 @@
     const command = async (address: string, action: (worker: WorkerModel) => CommandResult) => {
         const fault = context.takeFault();
         await context.waitWhilePaused();
+        if (context.silentAddresses.has(address)) {
+            return err(UNREACHABLE);
+        }
         return executeCommand(context.workers.get(address)!, fault, action);
     };
     return {
@@ -45,7 +50,7 @@
         renew: async (address, owner, settled, ttlMs) => {
             await context.waitWhilePaused();
             const worker = context.workers.get(address)!;
-            if (worker.faults.dead) {
+            if (worker.faults.dead || context.silentAddresses.has(address)) {
                 return err(UNREACHABLE);
             }
             const reports = worker.renew(owner, ttlMs);
--- a/packages/daemon/src/cells/rebuildCell.ts
+++ b/packages/daemon/src/cells/rebuildCell.ts
@@ -19,7 +19,8 @@
     const vms = runtime.context.listWorkerVms();
     const listedIds = new Set(vms.map(vm => vm.id));
     for (const vm of vms) {
-        const record = runtime.workers.get(vm.id as WorkerId) ?? createWorkerRecord(vm.id as WorkerId);
+        const record = runtime.workers.get(vm.id as WorkerId)
+            ?? createWorkerRecord(vm.id as WorkerId, runtime.context.clock());
         record.address = vm.address;
         record.leaving = vm.state === "leaving";
         runtime.workers.set(record.id, record);
@@ -108,12 +109,13 @@
     }));
 }
 
-function createWorkerRecord(id: WorkerId): WorkerRecord {
+function createWorkerRecord(id: WorkerId, now: number): WorkerRecord {
     return {
         id,
         address: "",
         healthy: false,
-        lastRenewedAt: 0,
+        // An earlier owner may have renewed the reservations until now.
+        lastRenewedAt: now,
         settledReservations: [],
         consecutiveFailures: 0,
         ejections: 0,
--- a/packages/daemon/src/cells/startGang.feature
+++ b/packages/daemon/src/cells/startGang.feature
@@ -31,6 +31,10 @@
             | late        |
             | down        |
 
+    Scenario: A new owner runs a gang a second time while a member runs on a worker that it does not reach
+        When a gang runs and a new owner takes over that does not reach the worker of a member
+        Then no member of the gang runs a second time within 5000 ms
+
     Scenario: A guarantee is reclaimed in a full cell within 7.4 s
         Given borrowing jobs fill the cell
         When the customer with the guarantee submits a gang
--- a/packages/daemon/src/cells/startGang.steps.ts
+++ b/packages/daemon/src/cells/startGang.steps.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import type { StoreFault } from "../../../../features/support/FakeStore.js";
 import type { CommandFault } from "../../../../features/support/gang/CommandFaults.js";
+import { MEMBERS_PER_GANG } from "../../../../features/support/gang/gangTestCell.js";
 import { GangTestHarness } from "../../../../features/support/GangTestHarness.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { describeJob } from "../operations/describeJob.js";
@@ -190,3 +191,32 @@
 function assertNone(runs: readonly RunResult[]): void {
     assert.ok(runs.length === 0, `${runs.length} runs, such as ${JSON.stringify(runs.slice(0, 4))}`);
 }
+
+When(
+    "a gang runs and a new owner takes over that does not reach the worker of a member",
+    async function(this: TestWorld) {
+        const harness = new GangTestHarness();
+        this.notes.set("harness", harness);
+        this.cleanups.push(() => harness.close());
+        await harness.takeOver();
+        await harness.submit("1", "b", 60_000);
+        await harness.advance(2_000);
+        this.notes.set("reservations", listRunningReservations(harness));
+        const takeover = harness.takeOverBesideSilentWorker("1");
+        await harness.advance(100);
+        await takeover;
+    },
+);
+
+Then("no member of the gang runs a second time within {int} ms", async function(this: TestWorld, ms: number) {
+    const harness = this.note<GangTestHarness>("harness");
+    const before = this.note<readonly string[]>("reservations");
+    assert.equal(before.length, MEMBERS_PER_GANG);
+    await harness.advance(ms);
+    assert.deepEqual(listRunningReservations(harness).filter(id => !before.includes(id)), []);
+});
+
+/** Returns the reservation of each running member. */
+function listRunningReservations(harness: GangTestHarness): readonly string[] {
+    return harness.listReports().filter(({ state }) => state === "running").map(({ id }) => id);
+}
