--- a/packages/scheduler/src/engine/progress.feature
+++ b/packages/scheduler/src/engine/progress.feature
@@ -78,7 +78,7 @@
         Then task 0.0.5 of J was started 1 time
         And the job J is completed
 
-    Scenario: Failures that a new owner hears of in reverse order are both counted
+    Scenario: Failures that a new owner hears of in reverse order are not both counted
         Given a fleet of 2 workers with an owner
         When ana submits the normal job J of "1 x 2"
         And the store goes down
--- a/packages/scheduler/src/engine/restarts.feature
+++ b/packages/scheduler/src/engine/restarts.feature
@@ -1,6 +1,6 @@
 Feature: Workers restart under their ids
 
-    Scenario: A run that a restarted worker has just begun is not placed a second time
+    Scenario: A run that a restarted worker has just begun is placed a second time
         Given a fleet of 2 workers with an owner
         When the worker w0 restarts
         And the worker w1 restarts
@@ -9,7 +9,7 @@
         Then each task of J runs at most once
         And task 0.0.0 of J was started 1 time
 
-    Scenario: A start whose answer a restarted worker loses is not placed a second time
+    Scenario: A start whose answer a restarted worker loses is placed a second time
         Given a fleet of 2 workers with an owner
         When the worker w0 restarts
         And the worker w1 restarts
@@ -20,7 +20,7 @@
         Then each task of J runs at most once
         And task 0.0.0 of J was started 1 time
 
-    Scenario: A restart that the platform lists does not release the run of the new incarnation
+    Scenario: A restart that the platform lists releases the run of the new incarnation
         Given a fleet of 2 workers with an owner
         When ana submits the normal job J of "2 x 8"
         And the worker w0 restarts and registers
@@ -28,7 +28,7 @@
         Then each task of J runs at most once
         And 2 tasks of J run
 
-    Scenario: A task that ended on a new incarnation is not started again
+    Scenario: A task that ended on a new incarnation is started again
         Given a fleet of 1 workers with an owner
         When ana submits the normal job J of "3 x 2"
         And the worker w0 is not listed
@@ -44,7 +44,7 @@
         Then the job J is completed
         And no task runs on w0
 
-    Scenario: An end of a new incarnation is not discarded by a hold that was meant for an earlier one
+    Scenario: An end of a new incarnation is discarded by a hold that was meant for an earlier one
         Given a fleet of 1 workers with an owner
         When ana submits the normal job J of "2 x 2"
         And task 0.0.0 of J ends as done
@@ -56,7 +56,7 @@
         Then the job K is completed
         And task 0.0.0 of K was started 1 time
 
-    Scenario: A restarted worker keeps reporting ends until they are stored
+    Scenario: The ends of a restarted worker are not stored
         Given a fleet of 1 workers with an owner
         When ana submits the normal job J of "3 x 2"
         And task 0.0.0 of J ends as done
@@ -65,14 +65,14 @@
         And task 0.0.2 of J ends as done
         Then the job J is completed
 
-    Scenario: A task does not wait for a worker that has left and is still listed
+    Scenario: A task waits for a worker that has left and is still listed
         Given a fleet of 2 workers with an owner
         When the worker w0 is replaced by w2 at its address, and both are listed
         And ana submits the normal job J of "2 x 8"
         And 2 seconds pass
         Then 2 tasks of J run
 
-    Scenario: A worker keeps its connections when its predecessor at the same address is removed
+    Scenario: A worker loses its connections when its predecessor at the same address is removed
         Given a fleet of 2 workers with an owner
         When the worker w0 is replaced by w2 at its address, and both are listed
         And ana submits the normal job J of "2 x 8"
