--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -1,14 +1,14 @@
-import { JobSchema, ProgressSchema, RosterRecordSchema } from "@balsamward/schema/scheduling";
-import { fromBinary } from "@bufbuild/protobuf";
-import type { DescMessage, MessageShape } from "@bufbuild/protobuf";
+import { JobSchema, ProgressSchema } from "@balsamward/schema/scheduling";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import { createWakeSignal } from "../_lib/createWakeSignal.js";
 import { OWNER_LEASE_TTL_MS } from "../constants.js";
-import type { JobId, WorkerId } from "../ids.js";
+import type { JobId } from "../ids.js";
 import type { StoreError, StoreItem } from "../ports/FleetStore.js";
 import { createWorkerEntry } from "../state/WorkerEntry.js";
 import { storeKeys } from "../storeKeys.js";
+import { decodeRecord } from "./decodeRecord.js";
+import { decodeRoster } from "./decodeRoster.js";
 import { cancelJob, registerJob } from "./registerJob.js";
 import type { Scheduler } from "./Scheduler.js";
 import { addWorker, applyReports } from "./watchFleet.js";
@@ -45,31 +45,6 @@
     return ok(jobs.value.revision);
 }
 
-/**
- * Decodes a stored record.
- *
- * @param scheduler - The scheduler, whose log reports a malformed record.
- * @param desc - Schema of the record.
- * @param item - Store item that holds the record.
- * @returns The record, or `undefined` if it is malformed.
- */
-export function decodeRecord<Desc extends DescMessage>(
-    scheduler: Pick<Scheduler, "log">,
-    desc: Desc,
-    item: { readonly key: string; readonly value: Uint8Array },
-): MessageShape<Desc> | undefined {
-    try {
-        return fromBinary(desc, item.value);
-    }
-    catch (error) {
-        scheduler.log.error("A stored record cannot be decoded. Remove its key from the store.", {
-            key: item.key,
-            error: String(error),
-        });
-        return undefined;
-    }
-}
-
 function restoreJobs(
     scheduler: Scheduler,
     items: readonly StoreItem[],
@@ -135,10 +110,8 @@
         return;
     }
     scheduler.rosterRevision = item.revision;
-    const record = decodeRecord(scheduler, RosterRecordSchema, item);
-    for (const { worker, address } of record?.workers ?? []) {
-        const id = worker as WorkerId;
-        scheduler.roster.add(id);
+    scheduler.roster = decodeRoster(scheduler, item);
+    for (const [id, address] of scheduler.roster) {
         scheduler.unreconciledWorkers.add(id);
         addWorker(scheduler, createWorkerEntry(id, address, createWakeSignal(scheduler.pause)));
     }
--- a/packages/scheduler/src/engine/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/runPlacementPass.ts
@@ -2,6 +2,7 @@
 import { addDueOccurrences } from "./addDueOccurrences.js";
 import { findReadySteps } from "./findReadySteps.js";
 import { findSchedulableWorkers } from "./findSchedulableWorkers.js";
+import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
 import { orderJobs } from "./orderJobs.js";
 import { placeCopies } from "./placeCopies.js";
 import type { PlacementPass } from "./placeStep.js";
@@ -51,7 +52,6 @@
  * answered have ended.
  */
 function isPlaceable(scheduler: Scheduler, entry: JobEntry): boolean {
-    return scheduler.unreconciledWorkers.size === 0
-        || entry.job.termRevision === scheduler.ownership.revision
-        || scheduler.clock() >= scheduler.unknownRunsEndAt;
+    return entry.job.termRevision === scheduler.ownership.revision
+        || ![...scheduler.unreconciledWorkers].some(id => mayHaveUnknownRuns(scheduler, id));
 }
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -13,7 +13,8 @@
 import { runPlacementPass } from "./runPlacementPass.js";
 import { runUpkeep } from "./runUpkeep.js";
 import type { Ownership, Scheduler, SchedulerDependencies } from "./Scheduler.js";
-import { storeRoster, watchFleet } from "./watchFleet.js";
+import { storeRoster } from "./storeRoster.js";
+import { watchFleet } from "./watchFleet.js";
 import { watchJobs } from "./watchJobs.js";
 
 /** Maximum number of concurrent background tasks of one term. */
@@ -36,9 +37,11 @@
         fleet: new Map(),
         unreconciledWorkers: new Set(),
         unknownRunsEndAt: 0,
-        roster: new Set(),
+        roster: new Map(),
         rosterRevision: 0,
+        isRosterUnclear: false,
         isLoaded: false,
+        jobsReadAt: Number.NEGATIVE_INFINITY,
         runTimePredictor: createRunTimePredictor(),
         adviceQueue: new PQueue({ concurrency: 1 }),
         requestPass: () => {},
@@ -68,6 +71,7 @@
         return;
     }
     scheduler.isLoaded = true;
+    scheduler.jobsReadAt = scheduler.clock();
     scheduler.log.info("The state is loaded.", {
         jobs: scheduler.activeJobs.size,
         workers: scheduler.fleet.size,
--- /dev/null
+++ b/packages/scheduler/src/engine/storeRoster.ts
@@ -0,0 +1,94 @@
+import { RosterRecordSchema } from "@balsamward/schema/scheduling";
+import { create, toBinary } from "@bufbuild/protobuf";
+import type { StoreError, StoreItem } from "../ports/FleetStore.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { storeKeys } from "../storeKeys.js";
+import { decodeRoster } from "./decodeRoster.js";
+import type { Roster, Scheduler } from "./Scheduler.js";
+
+/**
+ * Stores the roster of workers that may have runs or unstored ends, so that the next owner reconciles each of them.
+ *
+ * While the outcome of a write is unclear, `scheduler.roster` holds only the workers that the store lists whether
+ * or not the write takes effect. The next write succeeds only if the unclear one has not taken effect, and then
+ * also prevents that it does so later; otherwise, it conflicts and returns what is stored.
+ *
+ * @param scheduler - The scheduler.
+ */
+export async function storeRoster(scheduler: Scheduler): Promise<void> {
+    const rosterWorkers = [...scheduler.fleet.values()].filter(worker => mustBeAsked(scheduler, worker));
+    const roster: Roster = new Map(rosterWorkers.map(worker => [worker.id, worker.address]));
+    if (!scheduler.isRosterUnclear && isSameRoster(scheduler.roster, roster)) {
+        return;
+    }
+    const message = create(RosterRecordSchema, {
+        workers: [...roster].map(([worker, address]) => ({ worker, address })),
+    });
+    const written = await scheduler.store.commit({
+        expect: [
+            { key: scheduler.ownership.key, revision: scheduler.ownership.revision },
+            { key: storeKeys.roster, revision: scheduler.rosterRevision },
+        ],
+        puts: [{ key: storeKeys.roster, value: toBinary(RosterRecordSchema, message) }],
+        removals: [],
+    });
+    if (written.isOk()) {
+        setRoster(scheduler, written.value, roster);
+        return;
+    }
+    scheduler.log.warn("The roster of workers cannot be stored.", {
+        reason: written.error.kind,
+        workers: roster.size,
+    });
+    handleCommitError(scheduler, written.error, roster);
+}
+
+/**
+ * Returns whether the next owner must ask the worker. An unlisted worker gets no starts, so once it has listed all its
+ * runs it is needed only for those that are known, and for ends that are not stored.
+ */
+function mustBeAsked(scheduler: Scheduler, worker: WorkerEntry): boolean {
+    return worker.isListed || !worker.hasAnswered || scheduler.unreconciledWorkers.has(worker.id)
+        || worker.runs.size > 0 || worker.ends.lastApplied > worker.ends.lastDurable;
+}
+
+function isSameRoster(left: Roster, right: Roster): boolean {
+    return left.size === right.size && [...left].every(([id, address]) => right.get(id) === address);
+}
+
+function setRoster(scheduler: Scheduler, revision: number, roster: Roster): void {
+    scheduler.roster = roster;
+    scheduler.rosterRevision = revision;
+    scheduler.isRosterUnclear = false;
+    scheduler.requestPass();
+}
+
+function handleCommitError(scheduler: Scheduler, error: StoreError, roster: Roster): void {
+    switch (error.kind) {
+        case "unavailable":
+            return;
+        case "conflict":
+            adoptStoredRoster(scheduler, error.items);
+            return;
+        case "unclear":
+        case "compacted":
+        case "lease-ended":
+        case "invalid":
+            scheduler.roster = new Map(
+                [...scheduler.roster].filter(([id, address]) => roster.get(id) === address),
+            );
+            scheduler.isRosterUnclear = true;
+    }
+}
+
+/** Adopts the roster that a conflict shows: an earlier write of this owner, unless there is a newer owner. */
+function adoptStoredRoster(scheduler: Scheduler, items: readonly StoreItem[]): void {
+    const { ownership } = scheduler;
+    const storedItems = new Map(items.map(item => [item.key, item]));
+    if (storedItems.get(ownership.key)?.revision !== ownership.revision) {
+        ownership.resign("The store shows another owner.");
+        return;
+    }
+    const item = storedItems.get(storeKeys.roster);
+    setRoster(scheduler, item?.revision ?? 0, decodeRoster(scheduler, item));
+}
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -1,8 +1,10 @@
+import { FakeWorker } from "@balsamward/stand-ins";
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { getHarness, getJobId } from "../../../../features/support/schedulerScenario.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
-import type { WorkerId } from "../index.js";
+import { WORKER_LIST_INTERVAL_MS } from "../constants.js";
+import type { RunEndKind, WorkerId } from "../index.js";
 
 const MS_PER_SECOND = 1_000;
 
@@ -25,6 +27,48 @@
     getHarness(this).workers.delete(id as WorkerId);
 });
 
+When("workers list at most {int} run end(s)", function(this: TestWorld, count: number) {
+    getHarness(this).workers.forEach(worker => worker.maxListedEnds = count);
+});
+
+When(
+    "all tasks of {word} end as {word} at once",
+    async function(this: TestWorld, job: string, endKind: string) {
+        for (const worker of getHarness(this).workers.values()) {
+            [...worker.running.keys()].filter(task => task.startsWith(getJobId(this, job)))
+                .forEach(task => worker.endRun(task, endKind as RunEndKind));
+        }
+        await getHarness(this).advance(200);
+    },
+);
+
+When(
+    "the worker of task {word} of {word} is not listed",
+    function(this: TestWorld, task: string, job: string) {
+        const { id } = getHarness(this).workerOf(`${getJobId(this, job)}.${task}`)!;
+        getHarness(this).unlistedWorkers.add(id);
+    },
+);
+
+When("all workers are listed again", async function(this: TestWorld) {
+    getHarness(this).unlistedWorkers.clear();
+    await getHarness(this).advance(WORKER_LIST_INTERVAL_MS);
+});
+
+When("the worker {word} is missing from one list", async function(this: TestWorld, id: string) {
+    getHarness(this).unlistedWorkers.add(id as WorkerId);
+    await getHarness(this).advance(WORKER_LIST_INTERVAL_MS);
+    getHarness(this).unlistedWorkers.delete(id as WorkerId);
+});
+
+When("the worker {word} restarts at another address", async function(this: TestWorld, id: string) {
+    const harness = getHarness(this);
+    const { report } = harness.workers.get(id as WorkerId)!;
+    const restarted = { ...report, address: "10.0.1.1:80", bornMs: report.bornMs + 1 };
+    harness.workers.set(report.id, new FakeWorker(restarted, () => harness.clock.now));
+    await harness.advance(2 * WORKER_LIST_INTERVAL_MS);
+});
+
 When("the worker {word} restarts", function(this: TestWorld, id: string) {
     getHarness(this).workers.get(id as WorkerId)!.restart();
 });
--- a/packages/scheduler/src/ports/WorkerPort.ts
+++ b/packages/scheduler/src/ports/WorkerPort.ts
@@ -48,7 +48,7 @@
 /** A hold call: extends the worker's lease, acknowledges ended runs, and requests the lists of runs. */
 export type HoldOrder = {
     readonly fence: number;
-    /** Number of the last end whose effect is durable; the worker may discard the ends up to it. */
+    /** Number of the last end whose effect is durable; the worker may discard the ends up to it; 0 for none. */
     readonly lastDurableEnd: number;
     /** New end of the lease on the worker's clock, in milliseconds; `undefined` leaves the lease unchanged. */
     readonly leaseUntilMs: number | undefined;
@@ -87,7 +87,10 @@
     /** Wall time at which this incarnation started, in milliseconds since 1970; 0 if unknown. */
     readonly bornMs: number;
     readonly running: readonly RunningRun[];
+    /** The ends that are not acknowledged, the oldest first. */
     readonly ended: readonly EndedRun[];
+    /** Whether `ended` is complete; otherwise, further ends are listed once these are acknowledged. */
+    readonly listsAllEnds: boolean;
 };
 
 /** Reasons for which a call to a worker has had no effect. */
