Limit orders in flight by the latency of their answers; smaller heartbeats

Cause: an owner that was short of processor time or link sent every order at once. Each counted its timeout while it waited for the processor, was aborted (which closes its connection), was sent again, then stopped, and broke its gang. Ruled out: placement itself, 5% of the owner's time in a sampled profile.

Change: starts and stops go through a queue whose window follows the latency of the answers (additive increase, multiplicative decrease), at most two orders a worker, stops first; placement places no more than can be sent, gangs whole; a run whose start was not sent is released without a stop. A deadline reads the input that has arrived before it aborts. Holds to workers that may not answer are limited to 64 at a time. A placement pass is followed by a pause of three times its duration. Heartbeats list 5 random peers, the owner receives 10 a second from all daemons together, and counts of pending jobs older than a second are asked for.

--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -25,6 +25,7 @@
 import { FakeClock } from "./FakeClock.js";
 import { createFakeWorkerPort } from "./scheduler/createFakeWorkerPort.js";
 import { FakeMachines } from "./scheduler/FakeMachines.js";
+import { OwnerProcessor } from "./scheduler/OwnerProcessor.js";
 import { SuspendableClock } from "./SuspendableClock.js";
 
 const WORKER_CPU_MILLIS = 32_000;
@@ -66,6 +67,8 @@
     readonly clock = new FakeClock();
     readonly store = new FakeFleetStore(() => this.clock.now);
     readonly workers = new Map<WorkerId, FakeWorker>();
+    /** Processor of every owner's process. */
+    readonly processor = new OwnerProcessor(this.clock);
     /** Workers that are missing from the platform's list. */
     readonly unlistedWorkers = new Set<WorkerId>();
     /** Workers that the advice service rejects. */
@@ -191,6 +194,7 @@
                 unreachableWorkers: unreachable,
                 baseClock: this.clock,
                 clock,
+                processor: this.processor,
                 onConnectionsClosed: address => this.closedAddresses.push(address),
             }),
             node: "lab",
--- a/features/support/scheduler/createFakeWorkerPort.ts
+++ b/features/support/scheduler/createFakeWorkerPort.ts
@@ -3,6 +3,7 @@
 import { UNANSWERED } from "@balsamward/stand-ins";
 import type { FakeClock } from "../FakeClock.js";
 import type { SuspendableClock } from "../SuspendableClock.js";
+import type { OwnerProcessor } from "./OwnerProcessor.js";
 
 const ORDER_TIMEOUT_MS = 400;
 
@@ -18,6 +19,8 @@
     readonly baseClock: FakeClock;
     /** Clock of the owner's process. */
     readonly clock: SuspendableClock;
+    /** Processor of the owner's process. */
+    readonly processor: OwnerProcessor;
     readonly onConnectionsClosed: (address: string) => void;
 };
 
@@ -28,7 +31,7 @@
  * @returns The port, whose answers reach the process only while it runs.
  */
 export function createFakeWorkerPort(
-    { workers, unreachableWorkers, baseClock, clock, onConnectionsClosed }: FakeWorkerPortOptions,
+    { workers, unreachableWorkers, baseClock, clock, processor, onConnectionsClosed }: FakeWorkerPortOptions,
 ): WorkerPort {
     const findWorker = (id: WorkerId): FakeWorker | undefined =>
         unreachableWorkers.has(id) ? undefined : workers.get(id);
@@ -45,8 +48,9 @@
         if (outcome.kind === "unclear" && outcome.cause === UNANSWERED) {
             await baseClock.pause(ORDER_TIMEOUT_MS);
         }
+        const isInTime = await processor.handleOrder(ORDER_TIMEOUT_MS);
         await clock.waitUntilAwake();
-        return outcome;
+        return isInTime ? outcome : { kind: "unclear", cause: "the answer was read too late" };
     };
     return {
         start: (target, start) => sendOrder(target, worker => worker.start(start)),
--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -5,9 +5,10 @@
 import type { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import type { FakeFleetStore, WriteFault } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
-import type { Cluster } from "../cluster/Cluster.js";
+import type { Cluster, Peer } from "../cluster/Cluster.js";
 import { composeHeartbeat, receiveHeartbeat, updateOwner } from "../cluster/Cluster.js";
 import { createCluster } from "../cluster/createCluster.js";
+import type { PeerClient } from "../cluster/createPeerClient.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { JobId, QueueName } from "../ids.js";
 import { storeKeys } from "../storeKeys.js";
@@ -60,6 +61,21 @@
     world.notes.set("tookMs", clock.now - startedAt);
 }
 
+function createTestPeer(address: string, calls: PeerClient["calls"]): Peer {
+    return {
+        address,
+        node: address,
+        client: { calls, reset: () => {} },
+        lastContactAt: 0,
+        refusedConnections: 0,
+        reachesStore: true,
+        wallClockOffsetMs: 0,
+        leaving: false,
+        requestExchange: () => {},
+        abortController: new AbortController(),
+    };
+}
+
 /** Delivers a heartbeat of a new owner, whose count is `undefined` until it has loaded its state. */
 function receiveHeartbeatOfNewOwner(world: TestWorld, pending: number | undefined): void {
     const cluster = world.note<Cluster>("cluster");
@@ -166,12 +182,28 @@
     receiveHeartbeatOfNewOwner(this, undefined);
 });
 
+Given("the owner now has {int} pending jobs", function(this: TestWorld, pending: number) {
+    const cluster = this.note<Cluster>("cluster");
+    const { node, address, revision } = cluster.owner!;
+    const heartbeat = create(HeartbeatSchema, {
+        sender: { node, address },
+        owner: { node, address },
+        ownerRevision: revision,
+        depths: [{ queue: QUEUE, jobs: pending }],
+    });
+    const calls = { exchange: async () => ({ heartbeat }) };
+    cluster.peers.set(address, {
+        ...createTestPeer(address, calls as unknown as PeerClient["calls"]),
+        node,
+    });
+});
+
 When("{float} second(s) pass without a heartbeat", async function(this: TestWorld, seconds: number) {
     await getClock(this).advance(seconds * MS_PER_SECOND);
 });
 
-When("ana counts the pending jobs", function(this: TestWorld) {
-    this.notes.set("reply", countPendingJobs(createCallContext(this), QUEUE));
+When("ana counts the pending jobs", async function(this: TestWorld) {
+    this.notes.set("reply", await countPendingJobs(createCallContext(this), QUEUE));
 });
 
 When("the store applies its delayed writes", function(this: TestWorld) {
--- a/packages/scheduler/src/callers/countPendingJobs.feature
+++ b/packages/scheduler/src/callers/countPendingJobs.feature
@@ -40,3 +40,12 @@
         And a new owner has reported 5 pending jobs
         And ana counts the pending jobs
         Then the reply counts 5 pending jobs
+
+    Scenario: The owner is asked for a count that is no longer new
+        Given the owner has reported 0 pending jobs
+        And the owner now has 7 pending jobs
+        When ana counts the pending jobs
+        Then the reply counts 0 pending jobs
+        When 1.1 seconds pass without a heartbeat
+        And ana counts the pending jobs
+        Then the reply counts 7 pending jobs
--- a/packages/scheduler/src/cluster/Cluster.ts
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -1,10 +1,14 @@
 import type { Heartbeat, HeartbeatSchema, QueueDepth } from "@balsamward/schema/scheduling";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { Logger } from "winston";
+import { sample } from "../_lib/sample.js";
 import type { Metrics } from "../Metrics.js";
 import type { ActiveConfiguration } from "./createActiveConfiguration.js";
 import type { PeerClient } from "./createPeerClient.js";
 
+/** Number of random peers that a heartbeat lists; the size of a heartbeat does not depend on that of the cluster. */
+const MAX_LISTED_PEERS = 5;
+
 /** The owner, the daemon that schedules, as far as this daemon knows. */
 export type KnownOwner = {
     readonly node: string;
@@ -85,8 +89,7 @@
         ownerRevision: cluster.owner?.revision ?? 0,
         depths: [...depths ?? []],
         depthsUnknown: depths === undefined,
-        peers: [...cluster.peers.values()]
-            .filter(peer => !peer.leaving && peer.lastContactAt > Number.NEGATIVE_INFINITY)
+        peers: sample(listKnownPeers(cluster), MAX_LISTED_PEERS, Math.random)
             .map(({ node, address }) => ({ node, address })),
         wallMs: Date.now(),
         storeReachable: cluster.reachesStore,
@@ -94,6 +97,11 @@
     };
 }
 
+/** Lists the peers that this daemon has heard from, except those that are leaving. */
+function listKnownPeers({ peers }: Cluster): readonly Peer[] {
+    return [...peers.values()].filter(peer => !peer.leaving && peer.lastContactAt > Number.NEGATIVE_INFINITY);
+}
+
 /**
  * Updates the view of the cluster from a peer's heartbeat.
  *
--- /dev/null
+++ b/packages/scheduler/src/cluster/computeHeartbeatIntervalMs.ts
@@ -0,0 +1,35 @@
+import { HEARTBEAT_INTERVAL_MS } from "../constants.js";
+
+/** Mean time between two heartbeats that the owner receives from all its peers together, in milliseconds. */
+const OWNER_HEARTBEAT_SPACING_MS = 100;
+
+/** Number of peers, besides the owner, with which a daemon exchanges heartbeats per interval on average. */
+const PEERS_PER_INTERVAL = 1;
+
+/** Pause before a refused connection to the owner, whose process may be dead, is tried again, in milliseconds. */
+const REFUSAL_RETRY_MS = 100;
+
+/** What the interval to a peer depends on. */
+export type HeartbeatTarget = {
+    readonly isOwner: boolean;
+    /** Whether the peer refused the last connection. */
+    readonly hasRefused: boolean;
+    /** Number of peers that this daemon knows. */
+    readonly peerCount: number;
+};
+
+/**
+ * Returns the time until the next heartbeat to a peer. Neither the owner nor any other daemon exchanges more heartbeats
+ * per second in a larger cluster.
+ *
+ * @param target - The peer, and the number of all peers.
+ * @returns The time in milliseconds, before jitter.
+ */
+export function computeHeartbeatIntervalMs({ isOwner, hasRefused, peerCount }: HeartbeatTarget): number {
+    if (!isOwner) {
+        return HEARTBEAT_INTERVAL_MS * Math.max(1, peerCount / PEERS_PER_INTERVAL);
+    }
+    return hasRefused
+        ? REFUSAL_RETRY_MS
+        : Math.max(HEARTBEAT_INTERVAL_MS, peerCount * OWNER_HEARTBEAT_SPACING_MS);
+}
--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -1,14 +1,13 @@
 import type { WakeSignal } from "../_lib/createWakeSignal.js";
 import { createWakeSignal } from "../_lib/createWakeSignal.js";
-import { HEARTBEAT_INTERVAL_MS, PEER_CALL_TIMEOUT_MS, REFUSED_CONNECTIONS_LIMIT } from "../constants.js";
+import { sample } from "../_lib/sample.js";
+import { PEER_CALL_TIMEOUT_MS, REFUSED_CONNECTIONS_LIMIT } from "../constants.js";
 import { pause } from "../pause.js";
 import type { Cluster, Peer } from "./Cluster.js";
 import { composeHeartbeat, receiveHeartbeat } from "./Cluster.js";
+import { computeHeartbeatIntervalMs } from "./computeHeartbeatIntervalMs.js";
 import { createPeerClient, isConnectionRefused } from "./createPeerClient.js";
 
-/** Number of peers, besides the owner, with which a daemon exchanges heartbeats per interval on average. */
-const PEERS_PER_INTERVAL = 1;
-
 /** Number of peers to which a change is sent at once. */
 const NOTIFIED_PEER_COUNT = 4;
 
@@ -70,7 +69,7 @@
                 });
                 return;
             }
-            await exchangeSignal.wait(computeHeartbeatIntervalMs(cluster, peer), signal);
+            await exchangeSignal.wait(chooseHeartbeatIntervalMs(cluster, peer), signal);
         }
     }
     finally {
@@ -79,14 +78,22 @@
     }
 }
 
-function computeHeartbeatIntervalMs(cluster: Cluster, peer: Peer): number {
+function chooseHeartbeatIntervalMs(cluster: Cluster, peer: Peer): number {
     const jitter = 0.9 + Math.random() * 0.2;
-    const isOwner = cluster.owner?.address === peer.address;
-    return HEARTBEAT_INTERVAL_MS * jitter
-        * (isOwner ? 1 : Math.max(1, cluster.peers.size / PEERS_PER_INTERVAL));
+    return jitter * computeHeartbeatIntervalMs({
+        isOwner: cluster.owner?.address === peer.address,
+        hasRefused: peer.refusedConnections > 0,
+        peerCount: cluster.peers.size,
+    });
 }
 
-async function exchangeHeartbeats(cluster: Cluster, peer: Peer): Promise<void> {
+/**
+ * Exchanges heartbeats with a peer once; a failure is counted and logged.
+ *
+ * @param cluster - This daemon's view of the cluster.
+ * @param peer - The peer.
+ */
+export async function exchangeHeartbeats(cluster: Cluster, peer: Peer): Promise<void> {
     try {
         const heartbeat = composeHeartbeat(cluster);
         const answer = await peer.client.calls.exchange({ heartbeat }, { timeoutMs: PEER_CALL_TIMEOUT_MS });
@@ -146,6 +153,6 @@
  * @param cluster - This daemon's view of the cluster.
  */
 export function notifyPeers(cluster: Cluster): void {
-    const peers = [...cluster.peers.values()].sort(() => Math.random() - 0.5).slice(0, NOTIFIED_PEER_COUNT);
-    peers.forEach(peer => void exchangeHeartbeats(cluster, peer));
+    sample([...cluster.peers.values()], NOTIFIED_PEER_COUNT, Math.random)
+        .forEach(peer => void exchangeHeartbeats(cluster, peer));
 }
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -3,6 +3,7 @@
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { JobId, WorkerId } from "../ids.js";
 import type { Metrics } from "../Metrics.js";
+import type { OrderQueue } from "../orders/createOrderQueue.js";
 import type { Pause } from "../pause.js";
 import type { AdvicePort } from "../ports/AdvicePort.js";
 import type { FleetStore } from "../ports/FleetStore.js";
@@ -86,6 +87,10 @@
     /** Monotonic time up to which the owner knows the stored jobs, in milliseconds. */
     jobsReadAt: number;
     readonly runTimePredictor: RunTimePredictor;
+    /** Queue of the orders to start and stop runs. */
+    readonly orders: OrderQueue;
+    /** Queue of the holds to workers of which it is not known whether, and in which incarnation, they answer. */
+    readonly probes: PQueue;
     /** Queue of calls to the advice service, which handles one call at a time. */
     readonly adviceQueue: PQueue;
     /** Requests a placement pass. */
--- a/packages/scheduler/src/engine/placeStep.ts
+++ b/packages/scheduler/src/engine/placeStep.ts
@@ -25,6 +25,10 @@
     readonly unplacedShapes: Set<string>;
     /** Workers that are kept free for a waiting step. */
     readonly reservedWorkers: Set<WorkerEntry>;
+    /** Number of starts that can still be ordered without a long wait. */
+    freeStarts: number;
+    /** Whether a start that was ordered before waits to be sent. */
+    hasWaitingStarts: boolean;
 };
 
 /**
@@ -48,6 +52,11 @@
         return;
     }
     const waiting = listWaitingTasks(step);
+    const startable = limitToFreeStarts(pass, step, waiting);
+    if (startable.length === 0) {
+        pass.freeStarts = 0;
+        return;
+    }
     const eligible = pass.workers.filter(worker => isEligible(worker, ranked.queue, step));
     const { advice } = ranked.queue;
     const workers = filterAllowedWorkers(advice, step, eligible, scheduler.clock())
@@ -55,9 +64,11 @@
     const nonDraining = pass.nonDrainingWorkers.filter(worker => isEligible(worker, ranked.queue, step));
     const assignments = pass.unplacedShapes.has(shape)
         ? []
-        : assignTasks(step, waiting, workers, nonDraining);
+        : assignTasks(step, startable, workers, nonDraining);
     startRuns(scheduler, step, assignments);
-    if (assignments.length === waiting.length) {
+    pass.freeStarts -= assignments.length;
+    pass.hasWaitingStarts ||= assignments.length > 0;
+    if (assignments.length === startable.length) {
         step.isReservingWorkers = false;
         return;
     }
@@ -73,6 +84,21 @@
     }
 }
 
+/**
+ * Returns the waiting tasks whose starts can be ordered now. The members of a gang are ordered together or not yet; one
+ * with more members than starts are ever free is ordered when no other start waits.
+ */
+function limitToFreeStarts(
+    { freeStarts, hasWaitingStarts }: PlacementPass,
+    step: StepEntry,
+    waiting: readonly TaskEntry[],
+): readonly TaskEntry[] {
+    if (!step.spec.gang) {
+        return waiting.slice(0, freeStarts);
+    }
+    return waiting.length <= freeStarts || !hasWaitingStarts ? waiting : [];
+}
+
 /** Logs a reservation once per wait, although its workers may change from pass to pass. */
 function recordReservation(
     scheduler: Scheduler,
--- a/packages/scheduler/src/engine/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/runPlacementPass.ts
@@ -36,8 +36,13 @@
         nonDrainingWorkers,
         unplacedShapes: new Set(),
         reservedWorkers: new Set(),
+        freeStarts: scheduler.orders.countFreeStarts(),
+        hasWaitingStarts: scheduler.orders.countWaitingStarts() > 0,
     };
     for (const ranked of jobs) {
+        if (pass.freeStarts <= 0) {
+            return;
+        }
         if (isPlaceable(scheduler, ranked.entry)) {
             findReadySteps(ranked.entry).forEach(step => placeStep(scheduler, pass, ranked, step));
         }
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -6,6 +6,7 @@
     RECONCILIATION_WAIT_MS,
     STORE_RETRY_MS,
 } from "../constants.js";
+import { createOrderQueue } from "../orders/createOrderQueue.js";
 import { createRunTimePredictor } from "./createRunTimePredictor.js";
 import { flushProgress } from "./flushProgress.js";
 import { loadState } from "./loadState.js";
@@ -17,6 +18,12 @@
 import { watchFleet } from "./watchFleet.js";
 import { watchJobs } from "./watchJobs.js";
 
+/** Maximum number of concurrent holds to workers that may not answer; a new owner opens a connection for each. */
+const MAX_CONCURRENT_PROBES = 64;
+
+/** Minimum pause after a placement pass, as a multiple of its duration; answers and renewals go on meanwhile. */
+const PAUSE_PER_PASS = 3;
+
 /** Maximum number of concurrent background tasks of one term. */
 const MAX_BACKGROUND_TASKS = 10_000;
 
@@ -29,7 +36,7 @@
  */
 export function createScheduler(dependencies: SchedulerDependencies, ownership: Ownership): Scheduler {
     const tasks = new PQueue({ concurrency: MAX_BACKGROUND_TASKS });
-    return {
+    const scheduler: Scheduler = {
         ...dependencies,
         ownership,
         jobs: new Map(),
@@ -43,6 +50,8 @@
         isLoaded: false,
         jobsReadAt: Number.NEGATIVE_INFINITY,
         runTimePredictor: createRunTimePredictor(),
+        orders: createOrderQueue({ clock: dependencies.clock, onFree: () => scheduler.requestPass() }),
+        probes: new PQueue({ concurrency: MAX_CONCURRENT_PROBES }),
         adviceQueue: new PQueue({ concurrency: 1 }),
         requestPass: () => {},
         requestFlush: () => {},
@@ -54,6 +63,7 @@
             });
         },
     };
+    return scheduler;
 }
 
 /**
@@ -108,11 +118,13 @@
     const { signal } = scheduler.ownership;
     const startedAt = scheduler.clock();
     while (!signal.aborted) {
+        const passStartedAt = scheduler.clock();
         const isReconciling = [...scheduler.fleet.values()].some(worker => !worker.hasAnswered);
         if (!isReconciling || scheduler.clock() - startedAt >= RECONCILIATION_WAIT_MS) {
             runPlacementPass(scheduler);
         }
-        await scheduler.pause(MIN_PASS_INTERVAL_MS, signal);
+        const passMs = scheduler.clock() - passStartedAt;
+        await scheduler.pause(Math.max(MIN_PASS_INTERVAL_MS, passMs * PAUSE_PER_PASS), signal);
         await waitForTrigger(MAX_PASS_INTERVAL_MS, signal);
     }
 }
--- a/packages/scheduler/src/engine/runs.ts
+++ b/packages/scheduler/src/engine/runs.ts
@@ -25,6 +25,7 @@
         number,
         phase: "starting",
         coversWholeTask: isOrderedHere && task.checkpoint === "",
+        isOrderSent: !isOrderedHere,
         isConfirmed: false,
         orderedAt: now,
         confirmedAt: now,
--- a/packages/scheduler/src/engine/startRun.ts
+++ b/packages/scheduler/src/engine/startRun.ts
@@ -18,18 +18,13 @@
  * @param ticket - Ticket of the advice service; empty if none is needed.
  */
 export async function startRun(scheduler: Scheduler, run: Run, ticket: string): Promise<void> {
-    const { worker, task } = run;
+    const { worker } = run;
     let mayHaveStarted = false;
     for (let send = 0; send < MAX_START_SENDS && mayStillStart(scheduler, run); send++) {
-        const outcome = await scheduler.workers.start(worker, {
-            task: task.name,
-            run: run.number,
-            spec: task.step.job.job.spec,
-            leaseUntilMs: extendLease(scheduler, worker),
-            fence: scheduler.ownership.revision,
-            checkpoint: task.checkpoint,
-            ticket,
-        });
+        const outcome = await sendStart(scheduler, run, ticket);
+        if (outcome === undefined) {
+            return;
+        }
         logStart(scheduler, run, send, outcome);
         if (outcome.kind === "done") {
             confirmRun(run, scheduler.clock());
@@ -55,6 +50,29 @@
     }
 }
 
+/** Sends an order to start a run; returns `undefined` if the run was stopped or released before its turn came. */
+async function sendStart(scheduler: Scheduler, run: Run, ticket: string): Promise<OrderOutcome | undefined> {
+    const { worker, task } = run;
+    let outcome: OrderOutcome | undefined;
+    await scheduler.orders.add("start", worker, async () => {
+        if (!mayStillStart(scheduler, run)) {
+            return undefined;
+        }
+        run.isOrderSent = true;
+        outcome = await scheduler.workers.start(worker, {
+            task: task.name,
+            run: run.number,
+            spec: task.step.job.job.spec,
+            leaseUntilMs: extendLease(scheduler, worker),
+            fence: scheduler.ownership.revision,
+            checkpoint: task.checkpoint,
+            ticket,
+        });
+        return outcome.kind !== "unclear";
+    });
+    return outcome;
+}
+
 /** Returns whether a run is still to be started: not confirmed, stopped or released, in a term that goes on. */
 function mayStillStart({ ownership }: Scheduler, run: Run): boolean {
     return run.phase === "starting" && run.worker.runs.has(run) && !ownership.signal.aborted;
--- a/packages/scheduler/src/engine/stopRun.ts
+++ b/packages/scheduler/src/engine/stopRun.ts
@@ -1,5 +1,7 @@
 import { STOP_RETRY_MS } from "../constants.js";
+import type { OrderOutcome, StopOrder } from "../ports/WorkerPort.js";
 import type { Run, StepEntry } from "../state/JobEntry.js";
+import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { releaseRun } from "./runs.js";
 import type { Scheduler } from "./Scheduler.js";
 
@@ -18,8 +20,9 @@
 /**
  * Stops a run, and repeats the order until the worker answers.
  *
- * Once the stop is answered, the worker refuses any later start with this run number. The run is released
- * when the worker reports its end, or when the answer to a later hold does not list it.
+ * A run whose start was never sent is released at once. Once the stop is answered, the worker refuses any later start
+ * with this run number. The run is released when the worker reports its end, or when the answer to a later hold does
+ * not list it.
  *
  * @param scheduler - The scheduler.
  * @param run - The run; one that is already being stopped is ignored.
@@ -37,7 +40,13 @@
         worker: run.worker.id,
         reason,
     });
-    scheduler.spawn(() => sendStop(scheduler, run));
+    if (run.isOrderSent) {
+        scheduler.spawn(() => sendStop(scheduler, run));
+    }
+    else {
+        releaseRun(run);
+        scheduler.requestPass();
+    }
 }
 
 /**
@@ -57,7 +66,7 @@
     const { worker } = run;
     const order = { task: run.task.name, run: run.number, fence: scheduler.ownership.revision };
     while (worker.runs.has(run) && !scheduler.ownership.signal.aborted) {
-        const outcome = await scheduler.workers.stop(worker, order);
+        const outcome = await sendOrder(scheduler, worker, order);
         switch (outcome.kind) {
             case "done":
                 run.stopAnsweredAt = scheduler.clock();
@@ -85,6 +94,19 @@
     }
 }
 
+async function sendOrder(
+    scheduler: Scheduler,
+    worker: WorkerEntry,
+    order: StopOrder,
+): Promise<OrderOutcome> {
+    let outcome: OrderOutcome = { kind: "unclear", cause: "not sent" };
+    await scheduler.orders.add("stop", worker, async () => {
+        outcome = await scheduler.workers.stop(worker, order);
+        return outcome.kind !== "unclear";
+    });
+    return outcome;
+}
+
 /**
  * Stops the remaining members of a gang's run after one of them has ended.
  *
--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/syncWorker.ts
@@ -58,7 +58,8 @@
             ? MAX_HOLD_WAIT_MS
             : 0,
     };
-    const outcome = await scheduler.workers.hold(worker, order, signal);
+    const sendCall = (): Promise<HoldOutcome> => scheduler.workers.hold(worker, order, signal);
+    const outcome = isKnown ? await sendCall() : await scheduler.probes.add(sendCall);
     if (outcome.kind === "held" && !await loadUnknownJobs(scheduler, outcome.answer)) {
         await scheduler.pause(HOLD_RETRY_MS, signal);
         return;
--- /dev/null
+++ b/packages/scheduler/src/orders/orders.feature
@@ -0,0 +1,46 @@
+Feature: An owner orders no more than it can read the answers of
+
+    Scenario: The number of orders in flight follows the latency of the answers
+        Then the windows after series of answers match their snapshot
+
+    Scenario: An owner whose processor is too slow orders less, and catches up once it is fast again
+        Given a fleet of 40 workers with an owner
+        And an order takes 25 ms of the owner's processor
+        When ana submits the normal job J of "200 x 1"
+        And 2 seconds pass while all runs make progress
+        Then no run has been stopped
+        When an order takes 0 ms of the owner's processor
+        And 3 seconds pass while all runs make progress
+        Then 200 tasks of J run
+        And each task of J was started 1 time
+        And no run has been stopped
+
+    Scenario: A gang with more members than orders may be in flight is ordered whole
+        Given a fleet of 40 workers with an owner
+        And an order takes 25 ms of the owner's processor
+        When ana submits the normal job J of "30 x 1"
+        And ana submits the normal job G of "60 x 1 gang"
+        And 4 seconds pass while all runs make progress
+        Then 60 tasks of G run
+        And each task of G was started 1 time
+        And no run has been stopped
+
+    Scenario: A run that is stopped before its start was sent needs no order
+        Given a fleet of 40 workers with an owner
+        And an order takes 50 ms of the owner's processor
+        When ana submits the normal job J of "100 x 1"
+        And J is cancelled by its caller
+        And an order takes 0 ms of the owner's processor
+        And 2 seconds pass
+        Then fewer than 20 runs of J were started
+        And 0 tasks of J run
+        When ana submits the normal job K of "320 x 1"
+        And 3 seconds pass
+        Then 320 tasks of K run
+
+    Scenario: A few silent workers do not keep the others from being ordered
+        Given a fleet of 40 workers with an owner
+        When the next orders to w0 hit the faults "unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered"
+        And ana submits the normal job J of "200 x 1"
+        And 2 seconds pass while all runs make progress
+        Then at least 192 tasks of J run
--- a/packages/scheduler/src/startDeadline.ts
+++ b/packages/scheduler/src/startDeadline.ts
@@ -9,6 +9,9 @@
 /**
  * Starts a deadline.
  *
+ * Input that has arrived by the deadline is read first: a process that was busy until then still gets an answer that
+ * came in time.
+ *
  * The timer keeps a reference to the controller. The signal of `AbortSignal.timeout` instead can be lost to garbage
  * collection once it is referenced only through `AbortSignal.any`, and then never aborts.
  *
@@ -23,9 +26,14 @@
 export function startDeadline(timeoutMs: number, signal?: AbortSignal): Deadline {
     const controller = new AbortController();
     const abort = (): void => controller.abort(signal?.reason);
-    const timer = setTimeout(() => {
-        controller.abort(new DOMException("The deadline has passed.", "TimeoutError"));
-    }, timeoutMs);
+    let isEnded = false;
+    const expire = (): void => {
+        if (!isEnded) {
+            controller.abort(new DOMException("The deadline has passed.", "TimeoutError"));
+        }
+    };
+    // Immediates run after the poll for input, timers before it.
+    const timer = setTimeout(() => setImmediate(expire), timeoutMs);
     if (signal?.aborted) {
         abort();
     }
@@ -33,6 +41,7 @@
     return {
         signal: controller.signal,
         end: () => {
+            isEnded = true;
             clearTimeout(timer);
             signal?.removeEventListener("abort", abort);
         },
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -13,6 +13,8 @@
     phase: RunPhase;
     /** Whether this owner ordered the run and the task started from the beginning rather than from a checkpoint. */
     readonly coversWholeTask: boolean;
+    /** Whether an order to start the run may have reached the worker. */
+    isOrderSent: boolean;
     /** Whether the worker has confirmed that the run exists. */
     isConfirmed: boolean;
     /** Monotonic time of the order, in milliseconds. */
