Prefer fast owners, plan fewer reservations, and exchange fewer heartbeats

Cause: an owner on a weak machine (0.324 of a core beside 1.35 on others) did the work of all, and nothing moved the ownership. A pass planned a reservation for each waiting gang from all runs: 2.8 of 4.2 s of passes in a profile. One exchange of heartbeats costs 2.5 ms of processor time here (400 measured, with the runtime's threads), and the owner of 17 daemons took part in some 25 a second. Each loss of an owner drew a claim from every daemon: 245 in vain in 60 s.

Change: daemons tell their processor in heartbeats; the owner hands over to one at least 1.5 times as fast once, after 2 s, and slower daemons claim 300 ms later. Claims are spread over a time that grows with the cluster, and read the record first. A pass plans reservations for four gangs on time, groups workers by rack once, and skips racks that cannot hold the gang. The owner receives a heartbeat each 150 ms, and clusters of more than eight peers exchange half as many others.

--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -71,6 +71,7 @@
         reachesStore: true,
         wallClockOffsetMs: 0,
         leaving: false,
+        processorCores: 0,
         requestExchange: () => {},
         abortController: new AbortController(),
     };
--- a/packages/scheduler/src/cluster/Cluster.ts
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -31,6 +31,8 @@
     /** Its wall clock minus this daemon's, in milliseconds. */
     wallClockOffsetMs: number;
     leaving: boolean;
+    /** Processor of its machine, in cores; 0 if unknown. */
+    processorCores: number;
     /** Exchanges heartbeats with the peer at once, rather than after the interval. */
     readonly requestExchange: () => void;
     /** Ends the task that exchanges heartbeats with the peer. */
@@ -48,6 +50,8 @@
 export type Cluster = {
     readonly node: string;
     readonly address: string;
+    /** Processor of this daemon's machine, in cores; 0 if unknown. */
+    readonly processorCores: number;
     readonly peers: Map<string, Peer>;
     readonly configuration: ActiveConfiguration;
     readonly log: Logger;
@@ -61,6 +65,8 @@
     /** Whether this daemon's last direct store call was answered. */
     reachesStore: boolean;
     leaving: boolean;
+    /** Monotonic time at which this daemon last gave up the ownership for a faster one, in milliseconds. */
+    handedOverAt: number;
     /** Called when connections to the owner are refused repeatedly, so that its process is taken to be dead. */
     onOwnerDead: (owner: KnownOwner) => void;
     /** Called when a newer owner becomes known, this daemon itself included. */
@@ -94,6 +100,7 @@
         wallMs: Date.now(),
         storeReachable: cluster.reachesStore,
         leaving: cluster.leaving,
+        processorCores: cluster.processorCores,
     };
 }
 
@@ -118,6 +125,7 @@
         peer.refusedConnections = 0;
         peer.reachesStore = heartbeat.storeReachable;
         peer.leaving = heartbeat.leaving;
+        peer.processorCores = heartbeat.processorCores;
         peer.wallClockOffsetMs = heartbeat.wallMs - Date.now();
     }
     heartbeat.peers.forEach(({ address, node }) => cluster.addPeer(address, node));
--- a/packages/scheduler/src/cluster/computeHeartbeatIntervalMs.ts
+++ b/packages/scheduler/src/cluster/computeHeartbeatIntervalMs.ts
@@ -1,10 +1,13 @@
 import { HEARTBEAT_INTERVAL_MS } from "../constants.js";
 
 /** Mean time between two heartbeats that the owner receives from all its peers together, in milliseconds. */
-const OWNER_HEARTBEAT_SPACING_MS = 100;
+const OWNER_HEARTBEAT_SPACING_MS = 150;
 
-/** Number of peers, besides the owner, with which a daemon exchanges heartbeats per interval on average. */
-const PEERS_PER_INTERVAL = 1;
+/** Number of peers up to which a cluster is small. */
+const SMALL_CLUSTER_PEERS = 8;
+
+/** Intervals for each peer, besides the owner, in a cluster that is not small. */
+const INTERVALS_PER_PEER = 2;
 
 /** Pause before a refused connection to the owner, whose process may be dead, is tried again, in milliseconds. */
 const REFUSAL_RETRY_MS = 100;
@@ -27,7 +30,8 @@
  */
 export function computeHeartbeatIntervalMs({ isOwner, hasRefused, peerCount }: HeartbeatTarget): number {
     if (!isOwner) {
-        return HEARTBEAT_INTERVAL_MS * Math.max(1, peerCount / PEERS_PER_INTERVAL);
+        const intervals = peerCount <= SMALL_CLUSTER_PEERS ? peerCount : peerCount * INTERVALS_PER_PEER;
+        return HEARTBEAT_INTERVAL_MS * Math.max(1, intervals);
     }
     return hasRefused
         ? REFUSAL_RETRY_MS
--- a/packages/scheduler/src/cluster/createCluster.ts
+++ b/packages/scheduler/src/cluster/createCluster.ts
@@ -9,6 +9,8 @@
     readonly node: string;
     /** Address at which peers reach this daemon, as `IP:port`. */
     readonly address: string;
+    /** Processor of this daemon's machine, in cores; unknown by default. */
+    readonly processorCores?: number;
     readonly decodeConfiguration: DecodeConfiguration;
     readonly log: Logger;
     readonly metrics: Metrics;
@@ -27,6 +29,7 @@
     return {
         node,
         address,
+        processorCores: options.processorCores ?? 0,
         peers: new Map(),
         configuration: createActiveConfiguration(decodeConfiguration, { log, metrics }),
         log,
@@ -37,6 +40,7 @@
         countQueueDepths: () => undefined,
         reachesStore: true,
         leaving: false,
+        handedOverAt: Number.NEGATIVE_INFINITY,
         onOwnerDead: () => {},
         onNewerOwner: () => {},
         addPeer: () => undefined,
--- a/packages/scheduler/src/cluster/runOwnership.ts
+++ b/packages/scheduler/src/cluster/runOwnership.ts
@@ -13,12 +13,11 @@
 import { storeKeys } from "../storeKeys.js";
 import type { Cluster, KnownOwner } from "./Cluster.js";
 import { updateOwner } from "./Cluster.js";
+import { computeClaimDelayMs } from "./computeClaimDelayMs.js";
 import { couldMissNewOwner } from "./couldMissNewOwner.js";
 import type { TermLease } from "./createTermLease.js";
 import { createTermLease } from "./createTermLease.js";
-
-/** Longest random delay before a daemon claims the ownership when there is no owner, in milliseconds. */
-const CLAIM_JITTER_MS = 60;
+import { shouldHandOver } from "./shouldHandOver.js";
 
 /** Longest time for which an owner continues past its lease while no peer reaches the store, in milliseconds. */
 const MAX_OVERDUE_WITHOUT_STORE_MS = 30_000;
@@ -49,8 +48,8 @@
         }
         const record = listed.value.items.find(item => item.key === storeKeys.owner);
         if (record === undefined) {
-            await pause(Math.random() * CLAIM_JITTER_MS, signal);
-            await claimOwnership(options, signal);
+            await pause(computeClaimDelayMs(cluster, Math.random), signal);
+            await claimIfFree(options, signal);
             continue;
         }
         updateOwnerFromRecord(cluster, record);
@@ -100,6 +99,14 @@
     cluster.log.warn("The lease of a dead owner is ended.", { owner: owner.node, result: ended.isOk() });
 }
 
+/** Claims the ownership unless another daemon has become the owner meanwhile. */
+async function claimIfFree(options: OwnershipOptions, signal: AbortSignal): Promise<void> {
+    const current = await options.store.read(storeKeys.owner);
+    if (current.isOk() && current.value === undefined && !signal.aborted) {
+        await claimOwnership(options, signal);
+    }
+}
+
 async function claimOwnership(options: OwnershipOptions, signal: AbortSignal): Promise<void> {
     const { cluster, store } = options;
     const requestedAt = cluster.clock();
@@ -208,6 +215,7 @@
     ownership: Ownership,
 ): Promise<void> {
     let pauseMs = LEASE_RENEWAL_INTERVAL_MS;
+    const beganAt = cluster.clock();
     while (!ownership.signal.aborted) {
         await pause(pauseMs, ownership.signal);
         const sentAt = cluster.clock();
@@ -215,6 +223,10 @@
         pauseMs = renewed.isOk() ? LEASE_RENEWAL_INTERVAL_MS : STORE_RETRY_MS;
         if (renewed.isOk()) {
             termLease.confirm(sentAt);
+            if (shouldHandOver(cluster, cluster.clock() - beganAt)) {
+                cluster.handedOverAt = cluster.clock();
+                ownership.resign("A daemon with a faster processor can take over.");
+            }
         }
         else if (renewed.error.kind === "lease-ended") {
             ownership.resign("The store lease has ended.");
--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -42,6 +42,7 @@
             reachesStore: false,
             wallClockOffsetMs: 0,
             leaving: false,
+            processorCores: 0,
             requestExchange: exchangeSignal.notify,
             abortController: new AbortController(),
         };
--- a/packages/scheduler/src/engine/isStarved.ts
+++ b/packages/scheduler/src/engine/isStarved.ts
@@ -25,7 +25,7 @@
  * @returns True if a step has waited long and the job has no runs; a lasting step counts even if the job has runs.
  */
 export function isStarved(entry: JobEntry, capacity: ServiceCapacity, now: number): boolean {
-    if (capacity.usedShare > MAX_USED_SHARE) {
+    if (capacity.usedShare > MAX_USED_SHARE || now - entry.acceptedAt < LASTING_STARVATION_MS) {
         return false;
     }
     const longWaiting = findReadySteps(entry).filter(step => hasWaitedLong(step, now));
--- a/packages/scheduler/src/engine/placeStep.ts
+++ b/packages/scheduler/src/engine/placeStep.ts
@@ -13,6 +13,9 @@
 import { startRuns } from "./startRuns.js";
 import { filterAllowedWorkers, requestAdvice } from "./stepAdvice.js";
 
+/** Number of gangs on time for which a pass plans reservations. */
+const MAX_PLANNED_RESERVATIONS = 4;
+
 /** State of a placement pass. */
 export type PlacementPass = {
     /** Jobs covered by their customers' guarantees. */
@@ -25,6 +28,8 @@
     readonly unplacedShapes: Set<string>;
     /** Workers that are kept free for a waiting step. */
     readonly reservedWorkers: Set<WorkerEntry>;
+    /** Number of gangs on time for which the pass has planned a reservation. */
+    plannedReservations: number;
     /** Number of starts that can still be ordered without a long wait. */
     freeStarts: number;
     /** Whether a start that was ordered before waits to be sent. */
@@ -48,7 +53,7 @@
 ): void {
     step.readyAt ??= scheduler.clock();
     const shape = createShapeKey(ranked.queue, step);
-    if (pass.unplacedShapes.has(shape) && !mayReserveWorkers(ranked)) {
+    if (pass.unplacedShapes.has(shape) && !mayReserveWorkers(pass, ranked, step)) {
         return;
     }
     const waiting = listWaitingTasks(step);
@@ -76,7 +81,8 @@
     if (advice !== undefined) {
         requestAdvice(scheduler, advice, step, eligible);
     }
-    if (!step.spec.gang || waiting.length === step.tasks.length) {
+    if (mayReserveWorkers(pass, ranked, step) && (!step.spec.gang || waiting.length === step.tasks.length)) {
+        pass.plannedReservations += ranked.schedulingClass === "on-time" ? 1 : 0;
         const taskCount = waiting.length - assignments.length;
         const reserved = chooseReservedWorkers(scheduler, pass, ranked, { step, workers, taskCount });
         reserved.forEach(worker => pass.reservedWorkers.add(worker));
@@ -137,16 +143,32 @@
         case "starved":
             return findWorkersToReserve(scheduler, ranked, step, workers);
         case "on-time":
-            return step.spec.gang ? findWorkersToReserve(scheduler, ranked, step, workers) : [];
+            return findWorkersToReserve(scheduler, ranked, step, workers);
         case "late":
         case "too-late":
             return [];
     }
 }
 
-/** A job that will miss its objective reserves no workers. */
-function mayReserveWorkers({ schedulingClass }: RankedJob): boolean {
-    return schedulingClass !== "late" && schedulingClass !== "too-late";
+/**
+ * Returns whether workers may be kept free for a step. A job that will miss its objective reserves none, and of the
+ * gangs that are on time only the first of a pass do: a plan looks at every run.
+ */
+function mayReserveWorkers(
+    { plannedReservations }: PlacementPass,
+    { schedulingClass }: RankedJob,
+    { spec }: StepEntry,
+): boolean {
+    switch (schedulingClass) {
+        case "entitled":
+        case "starved":
+            return true;
+        case "on-time":
+            return spec.gang && plannedReservations < MAX_PLANNED_RESERVATIONS;
+        case "late":
+        case "too-late":
+            return false;
+    }
 }
 
 function assignTasks(
--- a/packages/scheduler/src/engine/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/runPlacementPass.ts
@@ -36,6 +36,7 @@
         nonDrainingWorkers,
         unplacedShapes: new Set(),
         reservedWorkers: new Set(),
+        plannedReservations: 0,
         freeStarts: scheduler.orders.countFreeStarts(),
         hasWaitingStarts: scheduler.orders.countWaitingStarts() > 0,
     };
--- a/packages/scheduler/src/placement/planReclaim.ts
+++ b/packages/scheduler/src/placement/planReclaim.ts
@@ -58,12 +58,9 @@
     if (!gang || !sameRack) {
         return chooseIncrements(increments, options.taskCount);
     }
-    const racks = new Set(workers.map(worker => worker.rack));
-    const plans = [...racks].flatMap(rack => {
-        const plan = chooseIncrements(
-            increments.filter(increment => increment.worker.rack === rack),
-            options.taskCount,
-        );
+    const racks = groupByRack(increments);
+    const plans = [...racks].flatMap(([rack, rackIncrements]) => {
+        const plan = chooseIncrements(rackIncrements, options.taskCount);
         return plan === undefined ? [] : [{ plan, isDataRack: rack === dataRack }];
     });
     plans.sort((left, right) =>
@@ -72,6 +69,19 @@
     return plans[0]?.plan ?? (racks.size > 1 ? chooseIncrements(increments, options.taskCount) : undefined);
 }
 
+function groupByRack(
+    increments: readonly CapacityIncrement[],
+): ReadonlyMap<string, readonly CapacityIncrement[]> {
+    const racks = new Map<string, CapacityIncrement[]>();
+    for (const increment of increments) {
+        const { rack } = increment.worker;
+        const rackIncrements = racks.get(rack) ?? [];
+        rackIncrements.push(increment);
+        racks.set(rack, rackIncrements);
+    }
+    return racks;
+}
+
 /** Lists the increments by which the capacity of a worker grows while its runs end, the cheapest run first. */
 function listIncrements(
     step: StepEntry,
@@ -123,6 +133,10 @@
     increments: readonly CapacityIncrement[],
     taskCount: number,
 ): ReclaimPlan | undefined {
+    const totalSlots = increments.reduce((sum, increment) => sum + increment.addedSlots, 0);
+    if (totalSlots < taskCount) {
+        return undefined;
+    }
     const byCostPerSlot = [...increments].sort((left, right) =>
         left.cost / left.addedSlots - right.cost / right.addedSlots
     );
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -26,6 +26,8 @@
     readonly node: string;
     /** Address on which the daemon serves its peers, as `IP:port`. */
     readonly peerAddress: string;
+    /** Processor of the daemon's machine, in cores; 0 if unknown. */
+    readonly processorCores: number;
     /** Addresses of peers to contact at the start, as `IP:port`; they need not be reachable. */
     readonly seeds: readonly string[];
     /** The platform's store, called directly rather than through a peer. */
