--- a/packages/scheduler/src/engine/PlacementPass.ts
+++ b/packages/scheduler/src/engine/PlacementPass.ts
@@ -17,7 +17,7 @@
     readonly reservedWorkers: Set<WorkerEntry>;
     /** Number of gangs on time that hold a reservation in the pass. */
     reservingGangs: number;
-    /** Whether the pass has planned a reservation; further plans wait for later passes, since one looks at every run. */
+    /** Whether the pass has planned a reservation. A plan looks at every run, so further ones wait for later passes. */
     hasPlanned: boolean;
     /** Number of starts that can still be ordered without a long wait. */
     freeStarts: number;
