--- a/packages/coordination/src/createHttpStoreTransport.ts
+++ b/packages/coordination/src/createHttpStoreTransport.ts
@@ -103,7 +103,12 @@
 }
 
 async function sendRequest(agent: Agent, address: string, request: StoreRequest): Promise<StoreResponse> {
-    const deadline = startDeadline(request.timeoutMs ?? STORE_CALL_TIMEOUT_MS, request.signal);
+    const controller = new AbortController();
+    const endDeadline = startDeadline(
+        request.timeoutMs ?? STORE_CALL_TIMEOUT_MS,
+        reason => controller.abort(reason),
+        request.signal,
+    );
     try {
         const response = await agent.request({
             origin: address,
@@ -113,12 +118,12 @@
             ),
             method: request.method,
             body: request.body ?? null,
-            signal: deadline.signal,
+            signal: controller.signal,
         });
         return { status: response.statusCode, json: await response.body.json() };
     }
     finally {
-        deadline.end();
+        endDeadline();
     }
 }
 
--- a/packages/scheduler/src/_lib/createWakeSignal.ts
+++ b/packages/scheduler/src/_lib/createWakeSignal.ts
@@ -8,6 +8,9 @@
     readonly wait: (timeoutMs: number, signal: AbortSignal) => Promise<void>;
 };
 
+/** Reason of an ended wait; a given reason spares the creation of an error with a stack trace for each. */
+const WAIT_ENDED = "The wait has ended.";
+
 /**
  * Creates a wake signal.
  *
@@ -25,12 +28,12 @@
     return {
         notify: () => {
             isNotified = true;
-            pendingWait?.abort();
+            pendingWait?.abort(WAIT_ENDED);
         },
         wait: async (timeoutMs, signal) => {
             if (!isNotified && !signal.aborted) {
                 const end = new AbortController();
-                const endWait = (): void => end.abort();
+                const endWait = (): void => end.abort(WAIT_ENDED);
                 signal.addEventListener("abort", endWait, { once: true });
                 pendingWait = end;
                 await pause(timeoutMs, end.signal);
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -43,7 +43,7 @@
 /** Minimum time between two placement passes, in milliseconds. */
 export const MIN_PASS_INTERVAL_MS = 10;
 
-/** Maximum time between two placement passes, and between two checks of other idle loops, in milliseconds. */
+/** Maximum time between two placement passes, in milliseconds. */
 export const MAX_PASS_INTERVAL_MS = 250;
 
 /** Interval at which the owner lists the workers, in milliseconds. */
--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/syncWorker.ts
@@ -3,7 +3,6 @@
     HOLD_DURABILITY_PAUSE_MS,
     HOLD_RETRY_MS,
     MAX_HOLD_WAIT_MS,
-    MAX_PASS_INTERVAL_MS,
 } from "../constants.js";
 import type { HoldOutcome } from "../ports/WorkerPort.js";
 import type { EndNumbers, WorkerEntry } from "../state/WorkerEntry.js";
@@ -16,6 +15,12 @@
 import type { Scheduler } from "./Scheduler.js";
 import { extendLease, hasLeaseEnded } from "./workerClock.js";
 
+/**
+ * Maximum time for which an idle worker's task waits, in milliseconds. The task is woken by whatever ends the idleness,
+ * except for the age of the worker's clock.
+ */
+const MAX_IDLE_WAIT_MS = 5_000;
+
 /**
  * Keeps a worker in sync while it is in the fleet: renews its lease, applies the run ends that it reports, and
  * acknowledges those that are stored. Sends no holds to a worker that is responsive, has no runs and has no ends
@@ -25,10 +30,22 @@
  * @param worker - The worker.
  */
 export async function syncWorker(scheduler: Scheduler, worker: WorkerEntry): Promise<void> {
-    const { signal } = scheduler.ownership;
-    while (!signal.aborted && scheduler.fleet.get(worker.id) === worker) {
+    // Waits add and remove listeners, which takes time in proportion to the listeners that a signal has.
+    const controller = new AbortController();
+    const abort = (): void => controller.abort(scheduler.ownership.signal.reason);
+    scheduler.ownership.signal.addEventListener("abort", abort, { once: true });
+    try {
+        await sendHolds(scheduler, worker, controller.signal);
+    }
+    finally {
+        scheduler.ownership.signal.removeEventListener("abort", abort);
+    }
+}
+
+async function sendHolds(scheduler: Scheduler, worker: WorkerEntry, signal: AbortSignal): Promise<void> {
+    while (!scheduler.ownership.signal.aborted && scheduler.fleet.get(worker.id) === worker) {
         if (isIdle(scheduler, worker)) {
-            await worker.wakeSignal.wait(MAX_PASS_INTERVAL_MS, signal);
+            await worker.wakeSignal.wait(MAX_IDLE_WAIT_MS, signal);
             continue;
         }
         if (worker.ends.lastApplied > worker.ends.lastDurable) {
--- a/packages/scheduler/src/pause.ts
+++ b/packages/scheduler/src/pause.ts
@@ -1,5 +1,3 @@
-import { setTimeout as sleep } from "node:timers/promises";
-
 /** Function that waits for a time in milliseconds, or until the signal aborts. */
 export type Pause = (ms: number, signal?: AbortSignal) => Promise<void>;
 
@@ -9,6 +7,17 @@
  * @param ms - Time to wait, in milliseconds.
  * @param signal - Ends the wait early.
  */
-export const pause: Pause = async (ms, signal) => {
-    await sleep(ms, undefined, signal === undefined ? {} : { signal }).catch(() => undefined);
-};
+export const pause: Pause = (ms, signal) =>
+    new Promise(resolve => {
+        if (signal?.aborted) {
+            resolve();
+            return;
+        }
+        const end = (): void => {
+            clearTimeout(timer);
+            signal?.removeEventListener("abort", end);
+            resolve();
+        };
+        const timer = setTimeout(end, ms);
+        signal?.addEventListener("abort", end, { once: true });
+    });
--- a/packages/scheduler/src/startDeadline.ts
+++ b/packages/scheduler/src/startDeadline.ts
@@ -1,49 +1,44 @@
-/** A running deadline. */
-export type Deadline = {
-    /** Aborts at the deadline, or when the given signal aborts. */
-    readonly signal: AbortSignal;
-    /** Stops the timer and releases the given signal; must be called once the limited operation is over. */
-    readonly end: () => void;
-};
-
 /**
  * Starts a deadline.
  *
  * Input that has arrived by the deadline is read first: a process that was busy until then still gets an answer that
  * came in time.
  *
- * The timer keeps a reference to the controller. The signal of `AbortSignal.timeout` instead can be lost to garbage
- * collection once it is referenced only through `AbortSignal.any`, and then never aborts.
- *
  * @param timeoutMs - Time until the deadline, in milliseconds.
- * @param signal - Signal that aborts the deadline's signal earlier.
- * @returns The deadline.
+ * @param onExpired - Called at the deadline, or when the signal aborts, with the reason; not called synchronously.
+ * @param signal - Signal that ends the operation earlier.
+ * @returns A function that stops the timer and releases the signal; must be called once the operation is over.
  *
  * @example
- * const deadline = startDeadline(500);
- * await fetch(url, { signal: deadline.signal }).finally(deadline.end);
+ * const endDeadline = startDeadline(500, error => request.destroy(error));
+ * request.once("close", endDeadline);
  */
-export function startDeadline(timeoutMs: number, signal?: AbortSignal): Deadline {
-    const controller = new AbortController();
-    const abort = (): void => controller.abort(signal?.reason);
+export function startDeadline(
+    timeoutMs: number,
+    onExpired: (reason: unknown) => void,
+    signal?: AbortSignal,
+): () => void {
     let isEnded = false;
-    const expire = (): void => {
+    const expire = (reason: unknown): void => {
         if (!isEnded) {
-            controller.abort(new DOMException("The deadline has passed.", "TimeoutError"));
+            end();
+            onExpired(reason);
         }
     };
+    const abort = (): void => expire(signal?.reason);
     // Immediates run after the poll for input, timers before it.
-    const timer = setTimeout(() => setImmediate(expire), timeoutMs);
+    const timer = setTimeout(
+        () => setImmediate(expire, new DOMException("The deadline has passed.", "TimeoutError")),
+        timeoutMs,
+    );
+    const end = (): void => {
+        isEnded = true;
+        clearTimeout(timer);
+        signal?.removeEventListener("abort", abort);
+    };
     if (signal?.aborted) {
-        abort();
+        setImmediate(abort);
     }
     signal?.addEventListener("abort", abort, { once: true });
-    return {
-        signal: controller.signal,
-        end: () => {
-            isEnded = true;
-            clearTimeout(timer);
-            signal?.removeEventListener("abort", abort);
-        },
-    };
+    return end;
 }
