Exchange heartbeats with eight peers in a large cluster; a takeover keeps waiting times

Change: a daemon exchanges heartbeats with the owner and eight peers of lowest random rank, and takes others in place of those that do not answer. A first step of a job counts as waiting since the job was accepted.

The scenario for the takeover failed before.

--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -67,6 +67,8 @@
         node: address,
         client: { calls, reset: () => {} },
         lastContactAt: 0,
+        rank: 0,
+        failedExchanges: 0,
         refusedConnections: 0,
         reachesStore: true,
         wallClockOffsetMs: 0,
--- a/packages/scheduler/src/cluster/Cluster.ts
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -22,8 +22,12 @@
     readonly address: string;
     node: string;
     readonly client: PeerClient;
+    /** Random number from 0 to below 1; in a large cluster, heartbeats are exchanged with the peers of lowest rank. */
+    readonly rank: number;
     /** Monotonic time of its last answer or call in milliseconds; negative infinity before the first. */
     lastContactAt: number;
+    /** Number of consecutive exchanges of heartbeats that this daemon began and that failed. */
+    failedExchanges: number;
     /** Number of consecutive refused connections. */
     refusedConnections: number;
     /** Whether it reaches the store, according to its last heartbeat; false after a relay through it failed. */
@@ -122,6 +126,7 @@
     if (peer !== undefined) {
         peer.node = sender!.node;
         peer.lastContactAt = cluster.clock();
+        peer.failedExchanges = 0;
         peer.refusedConnections = 0;
         peer.reachesStore = heartbeat.storeReachable;
         peer.leaving = heartbeat.leaving;
--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -62,6 +62,8 @@
         node: name,
         client: { calls, reset: () => {} },
         lastContactAt,
+        rank: 0,
+        failedExchanges: 0,
         refusedConnections: 0,
         reachesStore,
         wallClockOffsetMs: 0,
--- a/packages/scheduler/src/cluster/computeHeartbeatIntervalMs.ts
+++ b/packages/scheduler/src/cluster/computeHeartbeatIntervalMs.ts
@@ -1,12 +1,10 @@
 import { HEARTBEAT_INTERVAL_MS } from "../constants.js";
+import { MAX_ACTIVE_PEERS } from "./listActivePeers.js";
 
 /** Mean time between two heartbeats that the owner receives from all its peers together, in milliseconds. */
 const OWNER_HEARTBEAT_SPACING_MS = 150;
 
-/** Number of peers up to which a cluster is small. */
-const SMALL_CLUSTER_PEERS = 8;
-
-/** Intervals for each peer, besides the owner, in a cluster that is not small. */
+/** Intervals for each active peer, besides the owner, in a cluster in which not every peer is active. */
 const INTERVALS_PER_PEER = 2;
 
 /** Pause before a refused connection to the owner, whose process may be dead, is tried again, in milliseconds. */
@@ -30,7 +28,7 @@
  */
 export function computeHeartbeatIntervalMs({ isOwner, hasRefused, peerCount }: HeartbeatTarget): number {
     if (!isOwner) {
-        const intervals = peerCount <= SMALL_CLUSTER_PEERS ? peerCount : peerCount * INTERVALS_PER_PEER;
+        const intervals = peerCount <= MAX_ACTIVE_PEERS ? peerCount : MAX_ACTIVE_PEERS * INTERVALS_PER_PEER;
         return HEARTBEAT_INTERVAL_MS * Math.max(1, intervals);
     }
     return hasRefused
--- a/packages/scheduler/src/cluster/handOver.steps.ts
+++ b/packages/scheduler/src/cluster/handOver.steps.ts
@@ -24,6 +24,8 @@
                 processorCores: Number(cores),
                 reachesStore: reaches === "reach",
                 leaving: false,
+                rank: 0,
+                failedExchanges: 0,
                 refusedConnections: 0,
                 lastContactAt: Number.POSITIVE_INFINITY,
                 requestExchange: () => {},
--- a/packages/scheduler/src/cluster/heartbeats.steps.ts
+++ b/packages/scheduler/src/cluster/heartbeats.steps.ts
@@ -9,6 +9,7 @@
 import { composeHeartbeat, receiveHeartbeat } from "./Cluster.js";
 import { computeHeartbeatIntervalMs } from "./computeHeartbeatIntervalMs.js";
 import { createCluster } from "./createCluster.js";
+import { listActivePeers } from "./listActivePeers.js";
 
 /** Creates a daemon's view of the cluster that keeps peers without calling them. */
 function createTestCluster(node: string, address: string): Cluster {
@@ -24,7 +25,14 @@
     });
     cluster.addPeer = (peerAddress, peerNode) => {
         const peer = cluster.peers.get(peerAddress)
-            ?? { address: peerAddress, node: peerNode, lastContactAt: Number.NEGATIVE_INFINITY } as Peer;
+            ?? {
+                address: peerAddress,
+                node: peerNode,
+                rank: cluster.peers.size,
+                failedExchanges: 0,
+                refusedConnections: 0,
+                lastContactAt: Number.NEGATIVE_INFINITY,
+            } as Peer;
         cluster.peers.set(peerAddress, peer);
         return peer;
     };
@@ -74,3 +82,29 @@
 Then("the other daemon knows {int} peers", function(this: TestWorld, count: number) {
     assert.equal(this.note<Cluster>("other").peers.size, count);
 });
+
+When("{int} of these peers fail twice", function(this: TestWorld, count: number) {
+    for (const peer of listActivePeers(this.note<Cluster>("cluster")).slice(0, count)) {
+        peer.failedExchanges = 2;
+    }
+});
+
+When("another peer becomes the owner", function(this: TestWorld) {
+    const cluster = this.note<Cluster>("cluster");
+    const { node, address } = [...cluster.peers.values()].at(-1)!;
+    cluster.owner = { node, address, revision: 1 };
+});
+
+Then("it exchanges heartbeats with {int} peers", function(this: TestWorld, count: number) {
+    assert.equal(listActivePeers(this.note<Cluster>("cluster")).length, count);
+});
+
+Then(
+    "it exchanges heartbeats with {int} peers, the owner among them",
+    function(this: TestWorld, count: number) {
+        const cluster = this.note<Cluster>("cluster");
+        const addresses = listActivePeers(cluster).map(peer => peer.address);
+        assert.equal(addresses.length, count);
+        assert.ok(addresses.includes(cluster.owner!.address));
+    },
+);
--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -7,8 +7,9 @@
 import { composeHeartbeat, receiveHeartbeat } from "./Cluster.js";
 import { computeHeartbeatIntervalMs } from "./computeHeartbeatIntervalMs.js";
 import { createPeerClient, isConnectionRefused } from "./createPeerClient.js";
+import { listActivePeers } from "./listActivePeers.js";
 
-/** Number of peers to which a change is sent at once. */
+/** Number of active peers to which a change is sent at once. */
 const NOTIFIED_PEER_COUNT = 4;
 
 /** Time without contact after which a peer is removed, in milliseconds. */
@@ -37,7 +38,9 @@
             address,
             node,
             client: createPeerClient(address),
+            rank: Math.random(),
             lastContactAt: Number.NEGATIVE_INFINITY,
+            failedExchanges: 0,
             refusedConnections: 0,
             reachesStore: false,
             wallClockOffsetMs: 0,
@@ -59,12 +62,14 @@
     signal: AbortSignal,
 ): Promise<void> {
     const addedAt = cluster.clock();
-    cluster.log.info("A peer is added.", { peer: peer.node, address: peer.address });
+    cluster.log.debug("A peer is added.", { peer: peer.node, address: peer.address });
     try {
         while (!signal.aborted) {
-            await exchangeHeartbeats(cluster, peer);
+            if (listActivePeers(cluster).includes(peer)) {
+                await exchangeHeartbeats(cluster, peer);
+            }
             if (cluster.clock() - Math.max(peer.lastContactAt, addedAt) > PEER_RETENTION_MS) {
-                cluster.log.info("An unresponsive peer is removed.", {
+                cluster.log.debug("An unresponsive peer is removed.", {
                     peer: peer.node,
                     address: peer.address,
                 });
@@ -107,11 +112,22 @@
         cluster.metrics.peerCalls.inc({ call: "exchange", result: "failed" });
         cluster.log.debug("A peer does not answer.", { peer: peer.node, error: String(error) });
         peer.client.reset();
+        peer.failedExchanges += 1;
         peer.refusedConnections = isConnectionRefused(error) ? peer.refusedConnections + 1 : 0;
+        if (peer.refusedConnections > 0) {
+            requestFirstExchanges(cluster);
+        }
         detectDeadOwner(cluster, peer);
     }
 }
 
+/** Requests an exchange with the peers that have become active in place of one that refused the connection. */
+function requestFirstExchanges(cluster: Cluster): void {
+    listActivePeers(cluster)
+        .filter(peer => peer.failedExchanges === 0 && peer.lastContactAt === Number.NEGATIVE_INFINITY)
+        .forEach(peer => peer.requestExchange());
+}
+
 function detectDeadOwner(cluster: Cluster, peer: Peer): void {
     const { owner } = cluster;
     if (
@@ -149,11 +165,12 @@
 }
 
 /**
- * Exchanges heartbeats with a few random peers at once, so that a change spreads without waiting for the interval.
+ * Exchanges heartbeats with a few random active peers at once, so that a change spreads without waiting for the
+ * interval.
  *
  * @param cluster - This daemon's view of the cluster.
  */
 export function notifyPeers(cluster: Cluster): void {
-    sample([...cluster.peers.values()], NOTIFIED_PEER_COUNT, Math.random)
+    sample(listActivePeers(cluster), NOTIFIED_PEER_COUNT, Math.random)
         .forEach(peer => void exchangeHeartbeats(cluster, peer));
 }
--- a/packages/scheduler/src/engine/findWorkersToReserve.feature
+++ b/packages/scheduler/src/engine/findWorkersToReserve.feature
@@ -43,3 +43,19 @@
         And 5 seconds pass while all runs make progress
         And task 0.0.0 of B ends as done
         Then 1 task of S runs
+
+    Scenario: A takeover does not restart the time that a gang has waited
+        Given a fleet of 12 workers with an owner
+        When bob submits the bulk job B of "12 x 1 spread"
+        And ana submits the hasty job G of "4 x 8 gang one-rack"
+        And bob submits the bulk job S of "8 x 8"
+        And 9 seconds pass while all runs make progress
+        And the owner dies
+        And a new owner takes over
+        And 2 seconds pass while all runs make progress
+        And task 0.0.0 of B ends as done
+        And task 0.0.1 of B ends as done
+        And task 0.0.2 of B ends as done
+        Then 0 tasks of S run
+        When task 0.0.3 of B ends as done
+        Then 4 tasks of G run
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -1,4 +1,4 @@
-import type { Job, Progress } from "@balsamward/schema/scheduling";
+import type { Job, Progress, Step } from "@balsamward/schema/scheduling";
 import { JobState } from "@balsamward/schema/scheduling";
 import type { JobId, QueueName } from "../ids.js";
 import type { JobEntry, StepEntry, TaskEntry } from "./JobEntry.js";
@@ -72,7 +72,7 @@
             tasks,
             doneCount: 0,
             advice: undefined,
-            readyAt: undefined,
+            readyAt: isReadyOnAcceptance(entry, spec) ? entry.acceptedAt : undefined,
             reservation: undefined,
         };
         for (let index = 0; index < spec.taskCount; index++) {
@@ -84,6 +84,11 @@
     return steps;
 }
 
+/** Such a step has waited since the job was accepted, whichever owner has known it since when. */
+function isReadyOnAcceptance({ job }: JobEntry, { after }: Step): boolean {
+    return job.schedule === undefined && after.length === 0;
+}
+
 function createTaskEntry(step: StepEntry, index: number): TaskEntry {
     return {
         name: { job: step.job.id, occurrence: step.occurrence, step: step.number, index },
