Contain unexpected errors: one job, one term, one connection

Looked for here: the peers' server survives malformed calls (new scenarios, passed at once). But an error in a placement pass ended the term's loops without ending the term, so that the owner renewed its lease and placed nothing, and the daemon never claimed the ownership again; a failed background task of a daemon was only logged; an error that nothing handles ended the process.

On the code before, the run of the two scenarios of ownership and placement did not end within 60 s.

--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -8,6 +8,7 @@
 import { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
+import { keepRunning } from "../_lib/keepRunning.js";
 import type { Ownership } from "../engine/Scheduler.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import { createMetrics } from "../Metrics.js";
@@ -164,6 +165,35 @@
     this.notes.set("ownership", ownership);
 });
 
+Given(
+    "the daemon keeps trying to be the owner, and its first term fails unexpectedly",
+    async function(this: TestWorld) {
+        const end = new AbortController();
+        this.cleanups.push(() => end.abort());
+        const cluster = this.note<Cluster>("cluster");
+        const store = this.note<FakeFleetStore>("store").createClient();
+        const terms: Ownership[] = [];
+        this.notes.set("terms", terms);
+        await new Promise<void>(resolve => {
+            const schedule = async (ownership: Ownership): Promise<void> => {
+                terms.push(ownership);
+                if (terms.length === 1) {
+                    throw new Error("The scheduler fails.");
+                }
+                resolve();
+                await once(ownership.signal, "abort");
+            };
+            const task = (): Promise<void> => runOwnership({ cluster, store, schedule }, end.signal);
+            void keepRunning("ownership", task, end.signal, { log: cluster.log, pause: async () => {} });
+        });
+        this.notes.set("ownership", terms[0]);
+    },
+);
+
+Then("the daemon has become the owner twice", function(this: TestWorld) {
+    assert.equal(this.note<readonly Ownership[]>("terms").length, 2);
+});
+
 When(
     "a peer's heartbeat names an owner that is newer by {int}",
     function(this: TestWorld, revisions: number) {
--- a/packages/scheduler/src/cluster/runOwnership.feature
+++ b/packages/scheduler/src/cluster/runOwnership.feature
@@ -61,3 +61,8 @@
         And 1 peers with a processor of 1.3 cores that reach the store
         When the owner's term has lasted 2 seconds
         Then the owner's term ends
+
+    Scenario: A daemon whose scheduler fails unexpectedly ends the term and claims the ownership again
+        Given the daemon keeps trying to be the owner, and its first term fails unexpectedly
+        Then the owner's term has ended
+        And the daemon has become the owner twice
--- a/packages/scheduler/src/cluster/runOwnership.ts
+++ b/packages/scheduler/src/cluster/runOwnership.ts
@@ -200,6 +200,10 @@
     try {
         await Promise.all([options.schedule(ownership), renewTerm(options, term, termLease, ownership)]);
     }
+    catch (error) {
+        resign("The scheduler fails unexpectedly.");
+        throw error;
+    }
     finally {
         signal.removeEventListener("abort", resignOnStop);
         cluster.onNewerOwner = () => {};
--- /dev/null
+++ b/packages/scheduler/src/cluster/serveCluster.steps.ts
@@ -0,0 +1,109 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import type { ClientHttp2Stream, IncomingHttpHeaders } from "node:http2";
+import { connect, constants } from "node:http2";
+import { connect as connectTcp } from "node:net";
+import winston from "winston";
+import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
+import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import { collectUnhandledErrors, SETTLING_TURNS } from "../../../../features/support/unhandledErrors.js";
+import { waitTurns } from "../../../../features/support/waitTurns.js";
+import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
+import { createMetrics } from "../Metrics.js";
+import { createCluster } from "./createCluster.js";
+import { createPeerClient } from "./createPeerClient.js";
+import { runPeers } from "./runPeers.js";
+import { serveCluster } from "./serveCluster.js";
+
+const CALL_TIMEOUT_MS = 2_000;
+
+Given("a daemon that serves its peers", async function(this: TestWorld) {
+    collectUnhandledErrors(this);
+    const cluster = createCluster({
+        node: "here",
+        address: await findFreeAddress(),
+        decodeConfiguration: () => {
+            throw new Error("No configuration is expected.");
+        },
+        log: winston.createLogger({ silent: true }),
+        metrics: createMetrics(),
+        clock: () => performance.now(),
+    });
+    const end = new AbortController();
+    runPeers(cluster, end.signal);
+    const store = new FakeFleetStore(() => 0).createClient();
+    const listener = await serveCluster({ cluster, store, localOwner: () => undefined }, cluster.address);
+    const client = createPeerClient(cluster.address);
+    this.notes.set("address", cluster.address);
+    this.notes.set("client", client);
+    this.cleanups.push(async () => {
+        end.abort();
+        client.reset();
+        await listener.close();
+    });
+});
+
+/** Opens a call on a connection of its own, which lasts until the scenario ends. */
+function openCall(world: TestWorld): ClientHttp2Stream {
+    const session = connect(`http://${world.note<string>("address")}`);
+    session.on("error", () => {});
+    world.cleanups.push(() => session.destroy());
+    const stream = session.request({
+        ":method": "POST",
+        ":path": "/balsamward.scheduling.v1.ClusterService/Exchange",
+        "content-type": "application/proto",
+        "connect-protocol-version": "1",
+    });
+    stream.on("error", () => {});
+    return stream;
+}
+
+When("a peer sends a call with a malformed message", async function(this: TestWorld) {
+    const stream = openCall(this);
+    stream.end(Buffer.from("not a message"));
+    const [headers] = await once(stream, "response") as [IncomingHttpHeaders];
+    this.notes.set("status", headers[":status"]);
+    stream.resume();
+});
+
+When("a peer resets a call before its message is complete", async function(this: TestWorld) {
+    const stream = openCall(this);
+    await new Promise(resolve => stream.write(Buffer.from([10]), resolve));
+    const closed = new Promise(resolve => stream.once("close", resolve));
+    stream.close(constants.NGHTTP2_INTERNAL_ERROR);
+    await closed;
+    await waitTurns(SETTLING_TURNS);
+});
+
+When("a peer sends a request of another protocol", async function(this: TestWorld) {
+    const [host, port] = this.note<string>("address").split(":");
+    const socket = connectTcp(Number(port), host);
+    socket.on("error", () => {});
+    socket.end("GET / HTTP/1.1\r\n\r\n");
+    socket.resume();
+    await once(socket, "close");
+});
+
+When(
+    "a peer sends a heartbeat from the address {string} that lists a peer at {string}",
+    async function(this: TestWorld, address: string, listedAddress: string) {
+        const client = this.note<ReturnType<typeof createPeerClient>>("client");
+        const heartbeat = {
+            sender: { node: "there", address },
+            peers: [{ node: "elsewhere", address: listedAddress }],
+        };
+        await client.calls.exchange({ heartbeat }, { timeoutMs: CALL_TIMEOUT_MS }).catch(() => undefined);
+        await waitTurns(SETTLING_TURNS);
+    },
+);
+
+Then("the peer's call is refused", function(this: TestWorld) {
+    assert.ok(this.note<number>("status") >= constants.HTTP_STATUS_BAD_REQUEST);
+});
+
+Then("a heartbeat to the daemon is answered", async function(this: TestWorld) {
+    const client = this.note<ReturnType<typeof createPeerClient>>("client");
+    const answer = await client.calls.exchange({}, { timeoutMs: CALL_TIMEOUT_MS });
+    assert.equal(answer.heartbeat?.sender?.node, "here");
+});
--- a/packages/scheduler/src/engine/orderJobs.ts
+++ b/packages/scheduler/src/engine/orderJobs.ts
@@ -5,6 +5,7 @@
 import type { JobTimes } from "./estimateJobTimes.js";
 import { estimateJobTimes, LATE_FACTOR } from "./estimateJobTimes.js";
 import { findReadySteps } from "./findReadySteps.js";
+import { isolateJob } from "./isolateJob.js";
 import { isStarved } from "./isStarved.js";
 import { measureCapacity } from "./measureCapacity.js";
 import type { Scheduler } from "./Scheduler.js";
@@ -55,18 +56,20 @@
     const now = scheduler.clock();
     const ranked: RankedJob[] = [];
     for (const entry of scheduler.activeJobs) {
-        const queue = queues.get(entry.queue);
-        const readySteps = queue === undefined ? [] : findReadySteps(entry, now);
-        if (queue !== undefined && readySteps.length > 0) {
-            const times = estimateJobTimes(entry, queue, scheduler.runTimePredictor);
-            const capacity = capacities.get(queue.service);
-            const schedulingClass = entitled.has(entry)
-                ? "entitled"
-                : capacity !== undefined && isStarved(entry, readySteps, capacity, now)
-                ? "starved"
-                : classifyByObjective(entry, times, now);
-            ranked.push({ entry, queue, readySteps, times, schedulingClass });
-        }
+        isolateJob(scheduler, entry, () => {
+            const queue = queues.get(entry.queue);
+            const readySteps = queue === undefined ? [] : findReadySteps(entry, now);
+            if (queue !== undefined && readySteps.length > 0) {
+                const times = estimateJobTimes(entry, queue, scheduler.runTimePredictor);
+                const capacity = capacities.get(queue.service);
+                const schedulingClass = entitled.has(entry)
+                    ? "entitled"
+                    : capacity !== undefined && isStarved(entry, readySteps, capacity, now)
+                    ? "starved"
+                    : classifyByObjective(entry, times, now);
+                ranked.push({ entry, queue, readySteps, times, schedulingClass });
+            }
+        });
     }
     return ranked.sort(compareRanks);
 }
--- a/packages/scheduler/src/engine/orders.feature
+++ b/packages/scheduler/src/engine/orders.feature
@@ -50,3 +50,10 @@
         And ana submits the normal job J of "4 x 2"
         Then 4 tasks of J run
         And no task runs on w0
+
+    Scenario: A job that causes an unexpected error does not keep others from running
+        Given a fleet of 2 workers with an owner
+        And the estimate of run times in the queue bulk fails unexpectedly
+        When ana submits the bulk job J of "1 x 2"
+        And bob submits the normal job K of "1 x 2"
+        Then 1 task of K runs
--- a/packages/scheduler/src/engine/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/runPlacementPass.ts
@@ -5,6 +5,7 @@
 import { addDueOccurrences } from "./addDueOccurrences.js";
 import { findEntitledJobs } from "./findEntitledJobs.js";
 import { findSchedulableWorkers } from "./findSchedulableWorkers.js";
+import { isolateJob } from "./isolateJob.js";
 import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
 import { orderJobs } from "./orderJobs.js";
 import { placeCopies } from "./placeCopies.js";
@@ -24,7 +25,7 @@
         return;
     }
     for (const entry of scheduler.activeJobs) {
-        addDueOccurrences(scheduler, entry);
+        isolateJob(scheduler, entry, () => addDueOccurrences(scheduler, entry));
     }
     const workers = findSchedulableWorkers(scheduler);
     const nonDrainingWorkers = [...scheduler.fleet.values()].filter(worker =>
@@ -49,7 +50,9 @@
             return;
         }
         if (canPlaceInheritedJobs || isOfThisTerm(scheduler, ranked.entry)) {
-            ranked.readySteps.forEach(step => placeStep(scheduler, pass, ranked, step));
+            isolateJob(scheduler, ranked.entry, () => {
+                ranked.readySteps.forEach(step => placeStep(scheduler, pass, ranked, step));
+            });
         }
     }
     if (!pass.hasUnplacedSteps) {
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -7,7 +7,7 @@
 import { getHarness, getJobId } from "../../../../features/support/schedulerScenario.js";
 import { SchedulerTestHarness } from "../../../../features/support/SchedulerTestHarness.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
-import type { RunEndKind, WorkerId } from "../index.js";
+import type { QueueName, RunEndKind, WorkerId } from "../index.js";
 import { storeKeys } from "../storeKeys.js";
 
 type StepInit = MessageInitShape<typeof StepSchema>;
@@ -165,6 +165,19 @@
     assert.equal(getHarness(this).stateOf(getJobId(this, name)), state);
 });
 
+Given(
+    "the estimate of run times in the queue {word} fails unexpectedly",
+    function(this: TestWorld, name: string) {
+        const { runTimePredictor } = getHarness(this).terms.at(-1)!.scheduler;
+        const { predict } = runTimePredictor;
+        const predictOrFail = (queue: QueueName, estimatedMs: number): number => {
+            assert.notEqual(queue, name, "The run time cannot be estimated.");
+            return predict(queue, estimatedMs);
+        };
+        Object.assign(runTimePredictor, { predict: predictOrFail });
+    },
+);
+
 Then("{int} task(s) of {word} run(s)", function(this: TestWorld, count: number, job: string) {
     const id = getJobId(this, job);
     const running = getHarness(this).listRunningTasks().filter(text => text.startsWith(id));
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "winston";
+import { keepRunning } from "./_lib/keepRunning.js";
 import type { CallContext } from "./callers/CallContext.js";
 import { couldMissNewOwner } from "./cluster/couldMissNewOwner.js";
 import type { DecodeConfiguration } from "./cluster/createActiveConfiguration.js";
@@ -114,15 +115,18 @@
     const addPeers: Node["addPeers"] = addresses =>
         addresses.forEach(address => cluster.addPeer(address, address));
     addPeers(options.seeds);
-    const backgroundTasks = [
-        runMembership(cluster, store, leaving.signal),
-        watchConfiguration(cluster, store, options.configurationKey, closing.signal),
-        runOwnership({ cluster, store, schedule }, leaving.signal),
-    ];
-    backgroundTasks.forEach(backgroundTask =>
-        void backgroundTask.catch(error =>
-            log.error("A background task of the daemon fails unexpectedly.", { error: String(error.stack) })
-        )
+    const runInBackground = (name: string, task: () => Promise<void>, signal: AbortSignal): void =>
+        void keepRunning(name, task, signal, { log, pause });
+    runInBackground("membership", () => runMembership(cluster, store, leaving.signal), leaving.signal);
+    runInBackground(
+        "configuration",
+        () => watchConfiguration(cluster, store, options.configurationKey, closing.signal),
+        closing.signal,
+    );
+    runInBackground(
+        "ownership",
+        () => runOwnership({ cluster, store, schedule }, leaving.signal),
+        leaving.signal,
     );
     return {
         callContext: { cluster, store, localOwner, pause },
