Call fewer peers at the start of a large cluster

Cause: daemons that start together list each other in the store's order, so all of them called the same first peers, and each called those that were active only until it knew better ones: 39 first calls each among 40, 17 of them timed out. Each known peer got a client, whether or not it was called.

Change: members are added in random order; in a large cluster a new peer is not called within its first second unless it is active then; clients are made on the first call.

--- a/packages/scheduler/src/cluster/createPeerClient.ts
+++ b/packages/scheduler/src/cluster/createPeerClient.ts
@@ -1,6 +1,7 @@
 import { ClusterService } from "@balsamward/schema/scheduling";
 import type { Client } from "@connectrpc/connect";
 import { createClient } from "@connectrpc/connect";
+import type { PeerTransport } from "../createPeerTransport.js";
 import { createPeerTransport } from "../createPeerTransport.js";
 
 /** Client for the calls to one peer. */
@@ -11,14 +12,23 @@
 };
 
 /**
- * Creates a client for a peer; it connects on the first call.
+ * Creates a client for a peer. It is set up and connects on the first call: a daemon of a large cluster calls few of
+ * the peers that it knows.
  *
  * @param address - The peer's address as `IP:port`.
  * @returns The client.
  */
 export function createPeerClient(address: string): PeerClient {
-    const { transport, reset } = createPeerTransport(address);
-    return { calls: createClient(ClusterService, transport), reset };
+    let transport: PeerTransport | undefined;
+    let calls: PeerClient["calls"] | undefined;
+    return {
+        get calls() {
+            transport ??= createPeerTransport(address);
+            calls ??= createClient(ClusterService, transport.transport);
+            return calls;
+        },
+        reset: () => transport?.reset(),
+    };
 }
 
 /**
--- a/packages/scheduler/src/cluster/runMembership.ts
+++ b/packages/scheduler/src/cluster/runMembership.ts
@@ -1,5 +1,6 @@
 import { MemberRecordSchema } from "@balsamward/schema/scheduling";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { sample } from "../_lib/sample.js";
 import { MEMBER_LEASE_TTL_MS, STORE_RETRY_MS } from "../constants.js";
 import { pause } from "../pause.js";
 import type { FleetStore, LeaseId } from "../ports/FleetStore.js";
@@ -59,7 +60,8 @@
         cluster.log.debug("The members cannot be listed.", { reason: members.error.kind });
         return;
     }
-    for (const item of members.value.items) {
+    // In random order: in a large cluster, the first peers that a daemon knows are called before the others.
+    for (const item of sample(members.value.items, members.value.items.length, Math.random)) {
         const record = fromBinary(MemberRecordSchema, item.value);
         cluster.addPeer(record.peerAddress, record.node);
     }
--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -7,11 +7,17 @@
 import { composeHeartbeat, receiveHeartbeat } from "./Cluster.js";
 import { computeHeartbeatIntervalMs } from "./computeHeartbeatIntervalMs.js";
 import { createPeerClient, isConnectionRefused } from "./createPeerClient.js";
-import { listActivePeers } from "./listActivePeers.js";
+import { listActivePeers, MAX_ACTIVE_PEERS } from "./listActivePeers.js";
 
 /** Number of active peers to which a change is sent at once. */
 const NOTIFIED_PEER_COUNT = 4;
 
+/**
+ * Maximum delay before a daemon decides in a large cluster whether it calls a new peer, in milliseconds. A daemon that
+ * starts learns of the other peers meanwhile, and does not call those that are active only until then.
+ */
+const MAX_FIRST_DELAY_MS = 1_000;
+
 /** Time without contact after which a peer is removed, in milliseconds. */
 const PEER_RETENTION_MS = 60_000;
 
@@ -64,6 +70,9 @@
     const addedAt = cluster.clock();
     cluster.log.debug("A peer is added.", { peer: peer.node, address: peer.address });
     try {
+        if (cluster.peers.size > MAX_ACTIVE_PEERS) {
+            await exchangeSignal.wait(Math.random() * MAX_FIRST_DELAY_MS, signal);
+        }
         while (!signal.aborted) {
             if (listActivePeers(cluster).includes(peer)) {
                 await exchangeHeartbeats(cluster, peer);
