--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -8,6 +8,10 @@
 
 const MS_PER_SECOND = 1_000;
 
+When("{int} worker(s) join(s) the fleet", function(this: TestWorld, count: number) {
+    getHarness(this).addWorkers(count);
+});
+
 When("the worker {word} drains", async function(this: TestWorld, id: string) {
     getHarness(this).workers.get(id as WorkerId)!.isDraining = true;
     await getHarness(this).advance(600);
