--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/loadState.ts
@@ -1,4 +1,3 @@
-import { JobSchema, ProgressSchema } from "@balsamward/schema/scheduling";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import { createWakeSignal } from "../_lib/createWakeSignal.js";
@@ -7,9 +6,9 @@
 import type { StoreError, StoreItem } from "../ports/FleetStore.js";
 import { createWorkerEntry } from "../state/WorkerEntry.js";
 import { storeKeys } from "../storeKeys.js";
-import { decodeRecord } from "./decodeRecord.js";
 import { decodeRoster } from "./decodeRoster.js";
-import { cancelJob, registerJob } from "./registerJob.js";
+import { cancelJob } from "./registerJob.js";
+import { parseCancellationKey, parseJobKey, restoreJob } from "./restoreJob.js";
 import type { Scheduler } from "./Scheduler.js";
 import { addWorker, applyReports } from "./watchFleet.js";
 import { getMaxLeaseMs, getMaxMonotonicMs } from "./workerClock.js";
@@ -63,48 +62,6 @@
     cancelledIds.forEach(id => cancelJob(scheduler, id));
 }
 
-/**
- * Registers a job with its stored progress.
- *
- * @param scheduler - The scheduler.
- * @param item - Store item of the job; a malformed one is logged and ignored.
- * @param progressItem - Store item of the job's progress, if there is any.
- */
-export function restoreJob(
-    scheduler: Scheduler,
-    item: StoreItem,
-    progressItem: StoreItem | undefined,
-): void {
-    const job = decodeRecord(scheduler, JobSchema, item);
-    if (job === undefined) {
-        return;
-    }
-    const progress = progressItem === undefined
-        ? undefined
-        : decodeRecord(scheduler, ProgressSchema, progressItem);
-    registerJob(scheduler, job, item.revision, {
-        ...(progress === undefined
-            ? {}
-            : { progress: { message: progress, revision: progressItem!.revision } }),
-    });
-}
-
-/** Parses the job id from the key of a job. */
-function parseJobKey(key: string): string {
-    return key.slice(storeKeys.jobPrefix.length);
-}
-
-/**
- * Parses the job id from the key of a cancellation.
- *
- * @param key - A store key under the prefix of jobs.
- * @returns The id of the cancelled job, or `undefined` if the key is that of a job.
- */
-export function parseCancellationKey(key: string): JobId | undefined {
-    const [id, kind] = key.slice(storeKeys.jobPrefix.length).split("/");
-    return kind === undefined ? undefined : id as JobId;
-}
-
 function restoreRoster(scheduler: Scheduler, item: StoreItem | undefined): void {
     if (item === undefined) {
         return;
--- a/packages/scheduler/src/engine/loadUnknownJobs.ts
+++ b/packages/scheduler/src/engine/loadUnknownJobs.ts
@@ -1,6 +1,6 @@
 import type { HoldAnswer } from "../ports/WorkerPort.js";
 import { storeKeys } from "../storeKeys.js";
-import { restoreJob } from "./loadState.js";
+import { restoreJob } from "./restoreJob.js";
 import type { Scheduler } from "./Scheduler.js";
 
 /**
--- a/packages/scheduler/src/engine/watchJobs.ts
+++ b/packages/scheduler/src/engine/watchJobs.ts
@@ -2,8 +2,8 @@
 import { MAX_WATCH_WAIT_MS, STORE_RETRY_MS } from "../constants.js";
 import { storeKeys } from "../storeKeys.js";
 import { decodeRecord } from "./decodeRecord.js";
-import { parseCancellationKey } from "./loadState.js";
 import { cancelJob, registerJob } from "./registerJob.js";
+import { parseCancellationKey } from "./restoreJob.js";
 import type { Scheduler } from "./Scheduler.js";
 
 type StoredItem = { readonly key: string; readonly revision: number; readonly value: Uint8Array };
