Restart the task of a worker after an unexpected error

Cause: an error while a worker's answer was handled ended the task that renews its lease, so that everything on the worker lapsed. Looked for with the failures of similar systems; the scenario fails on the code before.

Change: the task is run again after a pause, as the daemon's own are.

--- a/packages/scheduler/src/engine/watchFleet.ts
+++ b/packages/scheduler/src/engine/watchFleet.ts
@@ -1,4 +1,5 @@
 import { createWakeSignal } from "../_lib/createWakeSignal.js";
+import { keepRunning } from "../_lib/keepRunning.js";
 import { WORKER_LIST_INTERVAL_MS } from "../constants.js";
 import type { WorkerReport } from "../ports/WorkerPort.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
@@ -56,7 +57,8 @@
  */
 export function addWorker(scheduler: Scheduler, worker: WorkerEntry): void {
     scheduler.fleet.set(worker.id, worker);
-    scheduler.spawn(() => syncWorker(scheduler, worker));
+    const sync = (): Promise<void> => syncWorker(scheduler, worker);
+    scheduler.spawn(() => keepRunning(`worker ${worker.id}`, sync, scheduler.ownership.signal, scheduler));
 }
 
 function applyReport(scheduler: Scheduler, report: WorkerReport): void {
--- a/packages/scheduler/src/engine/workerLeases.feature
+++ b/packages/scheduler/src/engine/workerLeases.feature
@@ -41,3 +41,11 @@
         And 12 seconds pass
         Then no task has had two runs at the same time
         And 1 task of J runs
+
+    Scenario: An unexpected error while a worker's answer is handled does not end the renewals of its lease
+        Given a fleet of 1 workers with an owner
+        When ana submits the normal job J of "1 x 2"
+        And the answer to the next hold causes an unexpected error
+        And 15 seconds pass while all runs make progress
+        Then 1 task of J runs
+        And task 0.0.0 of J was started 1 time
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -8,6 +8,17 @@
 
 const MS_PER_SECOND = 1_000;
 
+When("the answer to the next hold causes an unexpected error", function(this: TestWorld) {
+    const { workers } = getHarness(this).terms.at(-1)!.scheduler;
+    const { hold } = workers;
+    const failOnce: typeof hold = async (...order) => {
+        await hold(...order);
+        Object.assign(workers, { hold });
+        throw new Error("The answer cannot be handled.");
+    };
+    Object.assign(workers, { hold: failOnce });
+});
+
 When("{int} worker(s) join(s) the fleet", function(this: TestWorld, count: number) {
     getHarness(this).addWorkers(count);
 });
