--- a/packages/scheduler/src/cluster/createPeerClient.steps.ts
+++ b/packages/scheduler/src/cluster/createPeerClient.steps.ts
@@ -2,15 +2,13 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { ok, ResultAsync } from "neverthrow";
 import assert from "node:assert/strict";
-import winston from "winston";
+import { createTestCluster } from "../../../../features/support/createTestCluster.js";
 import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { collectUnhandledErrors, SETTLING_TURNS } from "../../../../features/support/unhandledErrors.js";
 import { waitTurns } from "../../../../features/support/waitTurns.js";
 import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
-import { createMetrics } from "../Metrics.js";
 import type { FleetStore, StoreItem } from "../ports/FleetStore.js";
-import { createCluster } from "./createCluster.js";
 import type { PeerClient } from "./createPeerClient.js";
 import { createPeerClient, isConnectionRefused } from "./createPeerClient.js";
 import { serveCluster } from "./serveCluster.js";
@@ -26,16 +24,7 @@
 };
 
 async function startCalledPeer(): Promise<CalledPeer> {
-    const cluster = createCluster({
-        node: "peer",
-        address: await findFreeAddress(),
-        decodeConfiguration: () => {
-            throw new Error("No configuration is expected.");
-        },
-        log: winston.createLogger({ silent: true }),
-        metrics: createMetrics(),
-        clock: () => performance.now(),
-    });
+    const cluster = createTestCluster("peer", await findFreeAddress());
     let answerReads = (): void => {};
     const answered = new Promise<void>(resolve => answerReads = resolve);
     const store: FleetStore = {
--- a/packages/scheduler/src/cluster/heartbeats.steps.ts
+++ b/packages/scheduler/src/cluster/heartbeats.steps.ts
@@ -2,27 +2,16 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import winston from "winston";
+import { createTestCluster } from "../../../../features/support/createTestCluster.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
-import { createMetrics } from "../Metrics.js";
 import type { Cluster, Peer } from "./Cluster.js";
 import { composeHeartbeat, receiveHeartbeat } from "./Cluster.js";
 import { computeHeartbeatIntervalMs } from "./computeHeartbeatIntervalMs.js";
-import { createCluster } from "./createCluster.js";
 import { listActivePeers } from "./listActivePeers.js";
 
 /** Creates a daemon's view of the cluster that keeps peers without calling them. */
-function createTestCluster(node: string, address: string): Cluster {
-    const cluster = createCluster({
-        node,
-        address,
-        decodeConfiguration: () => {
-            throw new Error("No configuration is expected.");
-        },
-        log: winston.createLogger({ silent: true }),
-        metrics: createMetrics(),
-        clock: () => 0,
-    });
+function createClusterWithoutCalls(node: string, address: string): Cluster {
+    const cluster = createTestCluster(node, address, () => 0);
     cluster.addPeer = (peerAddress, peerNode) => {
         const peer = cluster.peers.get(peerAddress)
             ?? {
@@ -50,7 +39,7 @@
 });
 
 Given("a daemon that has heard from {int} peers", function(this: TestWorld, count: number) {
-    const cluster = createTestCluster("entry-joao-pessoa-d-100", "10.100.100.100:8526");
+    const cluster = createClusterWithoutCalls("entry-joao-pessoa-d-100", "10.100.100.100:8526");
     for (let number = 1; number <= count; number++) {
         const peer = cluster.addPeer(
             `10.100.${Math.floor(number / 100)}.${100 + number % 100}:8526`,
@@ -62,7 +51,7 @@
 });
 
 When("another daemon receives {int} of its heartbeats", function(this: TestWorld, count: number) {
-    const other = createTestCluster("other", "10.0.0.1:1");
+    const other = createClusterWithoutCalls("other", "10.0.0.1:1");
     for (let received = 0; received < count; received++) {
         receiveHeartbeat(other, create(HeartbeatSchema, composeHeartbeat(this.note("cluster"))));
     }
--- a/packages/scheduler/src/cluster/runPeers.steps.ts
+++ b/packages/scheduler/src/cluster/runPeers.steps.ts
@@ -1,13 +1,11 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { setTimeout as sleep } from "node:timers/promises";
-import winston from "winston";
+import { createTestCluster } from "../../../../features/support/createTestCluster.js";
 import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
-import { createMetrics } from "../Metrics.js";
 import type { Cluster } from "./Cluster.js";
 import { updateOwner } from "./Cluster.js";
-import { createCluster } from "./createCluster.js";
 import { runPeers } from "./runPeers.js";
 import { serveCluster } from "./serveCluster.js";
 
@@ -15,19 +13,6 @@
 const POLL_INTERVAL_MS = 10;
 const FIRST_ANSWER_TIMEOUT_MS = 5_000;
 
-function createTestCluster(node: string, address: string): Cluster {
-    return createCluster({
-        node,
-        address,
-        decodeConfiguration: () => {
-            throw new Error("No configuration is expected.");
-        },
-        log: winston.createLogger({ silent: true }),
-        metrics: createMetrics(),
-        clock: () => performance.now(),
-    });
-}
-
 /** Waits until the daemon has heard from the peer again. */
 async function waitForContact(world: TestWorld, timeoutMs: number): Promise<void> {
     const peer = world.note<Cluster>("cluster").peers.get(world.note("peerAddress"))!;
--- a/packages/scheduler/src/cluster/serveCluster.steps.ts
+++ b/packages/scheduler/src/cluster/serveCluster.steps.ts
@@ -4,14 +4,12 @@
 import type { ClientHttp2Stream, IncomingHttpHeaders } from "node:http2";
 import { connect, constants } from "node:http2";
 import { connect as connectTcp } from "node:net";
-import winston from "winston";
+import { createTestCluster } from "../../../../features/support/createTestCluster.js";
 import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { collectUnhandledErrors, SETTLING_TURNS } from "../../../../features/support/unhandledErrors.js";
 import { waitTurns } from "../../../../features/support/waitTurns.js";
 import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
-import { createMetrics } from "../Metrics.js";
-import { createCluster } from "./createCluster.js";
 import { createPeerClient } from "./createPeerClient.js";
 import { runPeers } from "./runPeers.js";
 import { serveCluster } from "./serveCluster.js";
@@ -20,16 +18,7 @@
 
 Given("a daemon that serves its peers", async function(this: TestWorld) {
     collectUnhandledErrors(this);
-    const cluster = createCluster({
-        node: "here",
-        address: await findFreeAddress(),
-        decodeConfiguration: () => {
-            throw new Error("No configuration is expected.");
-        },
-        log: winston.createLogger({ silent: true }),
-        metrics: createMetrics(),
-        clock: () => performance.now(),
-    });
+    const cluster = createTestCluster("here", await findFreeAddress());
     const end = new AbortController();
     runPeers(cluster, end.signal);
     const store = new FakeFleetStore(() => 0).createClient();
