A gang's member that has done its work and waits for the others has not stalled

A member that has done its work is listed at 100 percent until the slowest member ends (218 gang runs of the small twin were seen so, for up to 4.6 s; no other run). Its progress stands still then, which counted as a stall after 4 s.

Change: a gang's member at 100 percent is not stalled; a slower one that stands still is found by itself. The scenario of the waiting member fails on the code before.

--- a/packages/scheduler/src/engine/relocateRuns.feature
+++ b/packages/scheduler/src/engine/relocateRuns.feature
@@ -16,6 +16,24 @@
         And 3 seconds pass
         Then task 0.0.0 of J was started 1 time
 
+    Scenario: A member of a gang that waits for a slower one stays on its worker
+        When ana submits the normal job J of "2 x 2 gang"
+        And 3 seconds pass
+        And task 0.0.0 of J is 100 percent done
+        And task 0.0.1 of J is 60 percent done
+        And 3 seconds pass
+        And task 0.0.1 of J is 90 percent done
+        And 3 seconds pass
+        Then each task of J was started 1 time
+
+    Scenario: A gang of which one member has stalled is started again
+        When ana submits the normal job J of "2 x 2 gang"
+        And 3 seconds pass
+        And task 0.0.0 of J is 100 percent done
+        And task 0.0.1 of J is 60 percent done
+        And 6 seconds pass
+        Then each task of J was started 2 times
+
     Scenario: A task that cannot end before its worker leaves continues on another worker
         When ana submits the normal job J of "1 x 2"
         And the worker w0 drains and leaves in 2 seconds
--- a/packages/scheduler/src/engine/relocateRuns.ts
+++ b/packages/scheduler/src/engine/relocateRuns.ts
@@ -7,6 +7,9 @@
 /** Time without progress after which a run counts as stalled, in milliseconds. */
 const STALL_TIMEOUT_MS = 4_000;
 
+/** Progress of a run that has done its work, in percent. */
+const DONE_PERCENT = 100;
+
 /** Progress below which the remaining time cannot be extrapolated from it, in percent. */
 const MIN_PROGRESS_PERCENT = 5;
 
@@ -37,13 +40,17 @@
     }
 }
 
-/** Returns whether a run has stalled. The members of a gang make no progress until the last one has started. */
+/**
+ * Returns whether a run has stalled. The members of a gang make no progress until the last one has started, and a
+ * member that has done its work waits for the others.
+ */
 function isStalled(run: Run, now: number): boolean {
     const { step } = run.task;
     const members = step.spec.gang ? step.tasks.flatMap(task => task.runs) : [run];
     const allMembersRun = !step.spec.gang || members.length === step.tasks.length;
+    const waitsForMembers = step.spec.gang && run.percent >= DONE_PERCENT;
     const lastConfirmedAt = Math.max(...members.map(member => member.confirmedAt));
-    return allMembersRun && !step.spec.lasting && run.pacePercent === 100
+    return allMembersRun && !waitsForMembers && !step.spec.lasting && run.pacePercent === 100
         && now - Math.max(run.progressedAt, lastConfirmedAt) > STALL_TIMEOUT_MS;
 }
 
