A guaranteed job keeps the workers on which it has had runs stopped

A stopped run takes up to 0.9 s to end.

Change: guaranteed jobs for which runs have been stopped come first, the earliest before the others, and no more runs are stopped while the kept workers will have room for the step. The log of a stop tells the run's progress.

--- a/packages/scheduler/src/engine/orderJobs.ts
+++ b/packages/scheduler/src/engine/orderJobs.ts
@@ -27,6 +27,11 @@
     readonly readySteps: readonly StepEntry[];
     readonly times: JobTimes;
     readonly schedulingClass: SchedulingClass;
+    /**
+     * Monotonic time since which workers have been kept free for the guaranteed job, in milliseconds; infinity if none
+     * are.
+     */
+    readonly reclaimedAt: number;
 };
 
 /** Options of `orderJobs`. */
@@ -42,7 +47,8 @@
 /**
  * Orders the jobs for a placement pass. Guaranteed jobs come first, then starved ones, and jobs that are far
  * too late for their objective come last; within each of these tiers the order is by queue priority,
- * scheduling class, remaining work (least first) and age.
+ * scheduling class, remaining work (least first) and age. Guaranteed jobs for which other runs have been stopped come
+ * first, the earliest before the others, since any other job would take the room and cause further stops.
  *
  * @param scheduler - The scheduler.
  * @param options - The queues, guaranteed jobs and workers of the pass.
@@ -67,13 +73,22 @@
                     : capacity !== undefined && isStarved(entry, readySteps, capacity, now)
                     ? "starved"
                     : classifyByObjective(entry, times, now);
-                ranked.push({ entry, queue, readySteps, times, schedulingClass });
+                const reclaimedAt = schedulingClass === "entitled"
+                    ? Math.min(...readySteps.map(getReservationTime))
+                    : Number.POSITIVE_INFINITY;
+                ranked.push({ entry, queue, readySteps, times, schedulingClass, reclaimedAt });
             }
         });
     }
     return ranked.sort(compareRanks);
 }
 
+function getReservationTime({ reservation }: StepEntry): number {
+    return reservation === undefined || reservation.workers.length === 0
+        ? Number.POSITIVE_INFINITY
+        : reservation.plannedAt;
+}
+
 function classifyByObjective(entry: JobEntry, times: JobTimes, now: number): SchedulingClass {
     const expectedDurationMs = now - entry.acceptedAt + times.remainingCriticalPathMs;
     if (entry.job.schedule !== undefined || expectedDurationMs <= times.objectiveMs) {
@@ -92,12 +107,18 @@
 
 function compareRanks(left: RankedJob, right: RankedJob): number {
     return getTier(left) - getTier(right)
+        || compareTimes(left.reclaimedAt, right.reclaimedAt)
         || left.queue.priority - right.queue.priority
         || CLASS_RANKS[left.schedulingClass] - CLASS_RANKS[right.schedulingClass]
         || left.times.remainingWorkCoreMs - right.times.remainingWorkCoreMs
         || left.entry.revision - right.entry.revision;
 }
 
+/** Compares two times, of which both may be infinite. */
+function compareTimes(left: number, right: number): number {
+    return left === right ? 0 : left - right;
+}
+
 /** Returns the tier of a job; a lower tier is placed first, whatever its priority. */
 function getTier({ schedulingClass }: RankedJob): number {
     switch (schedulingClass) {
--- a/packages/scheduler/src/engine/preemptForStep.feature
+++ b/packages/scheduler/src/engine/preemptForStep.feature
@@ -43,3 +43,28 @@
         And ana submits the urgent job G of "4 x 2 spread"
         And 1 seconds pass
         Then 4 tasks of G run
+
+    Scenario: A guaranteed job keeps the workers that it has preempted while their runs end
+        Given the workers take 0.5 seconds to stop a run
+        When bob submits the bulk job B of "32 x 1"
+        And 1 second passes
+        And ana submits the urgent job G of "1 x 8"
+        And 0.1 seconds pass
+        And ana submits the urgent job H of "2 x 1"
+        And 2 seconds pass
+        Then 1 task of G run
+        And 2 tasks of H run
+        And 22 tasks of B run
+        And 32 runs of B were started
+
+    Scenario: A guaranteed job does not preempt again while cheaper runs begin elsewhere
+        Given the workers take 0.9 seconds to stop a run
+        When bob submits the bulk job B of "4 x 8"
+        And 2 seconds pass
+        And ana submits the urgent job G of "1 x 8"
+        And ana submits the urgent job H of "4 x 2 gang one-rack"
+        And 1.5 seconds pass
+        Then 1 task of G run
+        And 4 tasks of H run
+        And 2 tasks of B run
+        And 4 runs of B were started
--- a/packages/scheduler/src/engine/reserveWorkers.ts
+++ b/packages/scheduler/src/engine/reserveWorkers.ts
@@ -1,3 +1,4 @@
+import { planReclaim } from "../placement/planReclaim.js";
 import type { Reservation, StepEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { findWorkersToReserve } from "./findWorkersToReserve.js";
@@ -78,7 +79,11 @@
     const plannedAt = scheduler.clock();
     switch (ranked.schedulingClass) {
         case "entitled": {
-            const target = { workers: listWorkers(), taskCount, entitled: pass.entitled };
+            const workers = listWorkers();
+            if (willFitWithoutPreemption(step, workers, taskCount)) {
+                return step.reservation;
+            }
+            const target = { workers, taskCount, entitled: pass.entitled };
             return { workers: preemptForStep(scheduler, step, target), plannedAt };
         }
         case "starved":
@@ -96,6 +101,16 @@
     }
 }
 
+/** Returns whether the workers kept for a step have room for it once the runs that are being stopped have ended. */
+function willFitWithoutPreemption(
+    step: StepEntry,
+    workers: readonly WorkerEntry[],
+    taskCount: number,
+): boolean {
+    const kept = workers.filter(worker => step.reservation?.workers.includes(worker));
+    return kept.length > 0 && planReclaim(step, kept, { costOf: () => undefined, taskCount }) !== undefined;
+}
+
 /** Logs a reservation once per wait, although its workers may change from plan to plan. */
 function logReservation(
     scheduler: Scheduler,
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -222,6 +222,12 @@
     assert.deepEqual(repeated, []);
 });
 
+Then("{int} runs of {word} were started", function(this: TestWorld, count: number, job: string) {
+    const starts = [...getHarness(this).workers.values()].flatMap(worker => worker.starts)
+        .filter(({ task }) => task.job === getJobId(this, job));
+    assert.equal(starts.length, count);
+});
+
 Then("the tasks of {word} run in one rack", function(this: TestWorld, job: string) {
     const harness = getHarness(this);
     const racks = [...harness.workers.values()]
--- a/packages/scheduler/src/engine/stopRun.ts
+++ b/packages/scheduler/src/engine/stopRun.ts
@@ -73,6 +73,7 @@
         run: run.number,
         worker: run.worker.id,
         reason,
+        percent: run.percent,
     });
 }
 
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -1,5 +1,5 @@
 import { FakeWorker } from "@balsamward/stand-ins";
-import { Then, When } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { getHarness, getJobId } from "../../../../features/support/schedulerScenario.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
@@ -8,6 +8,12 @@
 
 const MS_PER_SECOND = 1_000;
 
+Given("the workers take {float} seconds to stop a run", function(this: TestWorld, seconds: number) {
+    for (const worker of getHarness(this).workers.values()) {
+        worker.stopDurationMs = seconds * MS_PER_SECOND;
+    }
+});
+
 When("the answer to the next hold causes an unexpected error", function(this: TestWorld) {
     const { workers } = getHarness(this).terms.at(-1)!.scheduler;
     const { hold } = workers;
--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -50,6 +50,8 @@
     readonly orderFaults: OrderFault[] = [];
     /** Number of holds that will be executed without an answer reaching the caller. */
     unansweredHoldCount = 0;
+    /** Time that a run takes to end after it is stopped, in milliseconds. */
+    stopDurationMs = 0;
     /** Whether the worker is unreachable: start, stop and hold calls do not arrive. */
     isDisconnected = false;
     /** Executed starts, in order. */
@@ -81,6 +83,8 @@
     /** Highest run number by task that must not start any more. */
     private readonly highestRejectedRuns = new Map<string, number>();
     private readonly delayedOrders: (() => void)[] = [];
+    /** Monotonic times at which the runs that are being stopped end, in milliseconds, by name of the task. */
+    private readonly stopTimes = new Map<string, number>();
     /** Monotonic time at which the clock of the current incarnation reads 0, in milliseconds. */
     private clockStartedAt = 0;
 
@@ -129,6 +133,7 @@
         }
         this.fence = order.fence;
         this.endExpiredRuns();
+        this.endStoppedRuns();
         this.extendLease(order.leaseUntilMs);
         const previousEndCount = this.endedRuns.length;
         this.endedRuns = this.endedRuns.filter(end => end.number > order.lastDurableEnd);
@@ -155,6 +160,7 @@
         this.bornMs += 1;
         this.clockStartedAt = this.monotonicClock();
         this.running.clear();
+        this.stopTimes.clear();
         this.highestRejectedRuns.clear();
         this.delayedOrders.splice(0);
         this.endedRuns = [];
@@ -177,6 +183,7 @@
      * @throws If the task does not run on this worker.
      */
     endRun(task: string, how: RunEndKind, checkpoint = ""): void {
+        this.stopTimes.delete(task);
         const run = this.running.get(task);
         if (run === undefined) {
             throw new Error(
@@ -268,13 +275,22 @@
             return { kind: "fenced" };
         }
         this.fence = fence;
-        if (this.running.get(name)?.run === run) {
-            this.endRun(name, "stopped");
+        if (this.running.get(name)?.run === run && !this.stopTimes.has(name)) {
+            this.stopTimes.set(name, this.monotonicClock() + this.stopDurationMs);
         }
+        this.endStoppedRuns();
         this.rejectRunsUpTo(name, run);
         return { kind: "done", clockMs };
     }
 
+    private endStoppedRuns(): void {
+        for (const [name, stopAt] of this.stopTimes) {
+            if (stopAt <= this.monotonicClock()) {
+                this.endRun(name, "stopped");
+            }
+        }
+    }
+
     private extendLease(leaseUntilMs: number | undefined): void {
         const latestMs = this.clock() + MAX_LEASE_MS;
         this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.min(leaseUntilMs ?? 0, latestMs));
