Keep workers free for starved gangs up to three quarters of the fleet in use

Workers are kept free for a starved gang only once at most 0.6 of the fleet is in use; the runs there last up to 11 s more, while the rest of the fleet empties within 3 s.

Change: kept free up to 0.75. The scenario fails on the code before.

--- a/packages/scheduler/src/engine/findWorkersToReserve.feature
+++ b/packages/scheduler/src/engine/findWorkersToReserve.feature
@@ -35,6 +35,19 @@
         Then 4 tasks of G run
         And the tasks of G run in one rack
 
+    Scenario: A gang that is too late does not starve while two thirds of a fleet are in use
+        Given a fleet of 12 workers with an owner
+        When bob submits the bulk job B of "12 x 6 spread"
+        And ana submits the hasty job G of "3 x 4 gang one-rack"
+        And bob submits the bulk job S of "8 x 8"
+        And 11 seconds pass while all runs make progress
+        And task 0.0.0 of B ends as done
+        And task 0.0.1 of B ends as done
+        Then 0 tasks of S run
+        When task 0.0.2 of B ends as done
+        Then 3 tasks of G run
+        And the tasks of G run in one rack
+
     Scenario: A gang that is too late and has not waited long reserves no workers
         Given a fleet of 12 workers with an owner
         When bob submits the bulk job B of "12 x 1 spread"
--- a/packages/scheduler/src/engine/isStarved.ts
+++ b/packages/scheduler/src/engine/isStarved.ts
@@ -10,7 +10,7 @@
 const LASTING_STARVATION_MS = 2_000;
 
 /** Share of the resources in use up to which a wait is not explained by load. */
-const MAX_USED_SHARE = 0.6;
+const MAX_USED_SHARE = 0.75;
 
 /** Number of times that a step must fit into the free resources for fragmentation to be the cause of its wait. */
 const MIN_FIT_RATIO = 2;
