Drop datagrams that are sent on a closed socket

Cause: by reading: a heartbeat sent while a daemon closes would throw, and a caller that asks for a count then would get an internal error. The scenario fails on the code before.

--- a/packages/scheduler/src/cluster/createDatagramExchange.feature
+++ b/packages/scheduler/src/cluster/createDatagramExchange.feature
@@ -63,3 +63,9 @@
         Given the port of the first is taken
         When the first exchanges heartbeats with the second
         Then the exchanges of the first are "exchange done"
+
+    Scenario: A daemon that has closed its socket exchanges heartbeats by calls
+        Given the socket of the first is closed
+        And the second is the owner
+        When the first exchanges heartbeats with the second
+        Then the exchanges of the first are "datagram unanswered, exchange done"
--- a/packages/scheduler/src/cluster/createDatagramExchange.steps.ts
+++ b/packages/scheduler/src/cluster/createDatagramExchange.steps.ts
@@ -144,6 +144,12 @@
     this.cleanups.push(() => socket?.close());
 });
 
+Given("the socket of the first is closed", async function(this: TestWorld) {
+    const port = Number((await findFreeAddress()).split(":")[1]);
+    const socket = await openHeartbeatSocket(this.note<Link>("link").first, port);
+    socket!.close();
+});
+
 Given("the port of the first is taken", async function(this: TestWorld) {
     const { first } = this.note<Link>("link");
     const port = await openFirstSocket(this);
--- a/packages/scheduler/src/openDatagramSocket.ts
+++ b/packages/scheduler/src/openDatagramSocket.ts
@@ -3,7 +3,7 @@
 
 /** A UDP socket. */
 export type DatagramSocket = {
-    /** Sends a datagram to an address, as `IP:port`; it may be lost. */
+    /** Sends a datagram to an address, as `IP:port`; it may be lost, and is if the socket is closed. */
     readonly send: (bytes: Uint8Array, address: string) => void;
     readonly close: () => void;
 };
@@ -21,6 +21,7 @@
     onDatagram: (bytes: Uint8Array, sender: string) => void,
 ): Promise<DatagramSocket> {
     const socket = createSocket("udp4");
+    let isClosed = false;
     const [host, port] = address.split(":");
     socket.bind(Number(port), host);
     await once(socket, "listening");
@@ -31,8 +32,13 @@
     return {
         send: (bytes, target) => {
             const [targetHost, targetPort] = target.split(":");
-            socket.send(bytes, Number(targetPort), targetHost, () => {});
+            if (!isClosed) {
+                socket.send(bytes, Number(targetPort), targetHost, () => {});
+            }
+        },
+        close: () => {
+            isClosed = true;
+            socket.close();
         },
-        close: () => socket.close(),
     };
 }
