Sort the owner's modules into folders by their job

The engine was one flat folder of some 80 files, in which ranking, placement passes, orders, takeover, upkeep and fleet lay side by side. They are now passes, runs, fleet, jobs and takeover, beside what starts a term.

--- a/packages/measure/src/fleet/createOfflineFleet.ts
+++ b/packages/measure/src/fleet/createOfflineFleet.ts
@@ -1,10 +1,10 @@
 import type { JobId, WorkerId, WorkerReport } from "@balsamward/scheduler";
 import { createMetrics } from "@balsamward/scheduler";
-import { applyRunEnd } from "@balsamward/scheduler/engine/applyRunEnd";
-import { registerJob } from "@balsamward/scheduler/engine/registerJob";
+import { applyReports } from "@balsamward/scheduler/engine/fleet/watchFleet";
+import { registerJob } from "@balsamward/scheduler/engine/jobs/registerJob";
+import { applyRunEnd } from "@balsamward/scheduler/engine/runs/applyRunEnd";
 import { createScheduler } from "@balsamward/scheduler/engine/runScheduler";
 import type { Scheduler } from "@balsamward/scheduler/engine/Scheduler";
-import { applyReports } from "@balsamward/scheduler/engine/watchFleet";
 import { JobSchema } from "@balsamward/schema/scheduling";
 import { FakeFleetStore } from "@balsamward/stand-ins";
 import { create } from "@bufbuild/protobuf";
--- a/packages/measure/src/fleet/placeInArrivalOrder.ts
+++ b/packages/measure/src/fleet/placeInArrivalOrder.ts
@@ -1,5 +1,5 @@
+import { startRuns } from "@balsamward/scheduler/engine/runs/startRuns";
 import type { Scheduler } from "@balsamward/scheduler/engine/Scheduler";
-import { startRuns } from "@balsamward/scheduler/engine/startRuns";
 import type { Assignment } from "@balsamward/scheduler/placement/countFittingTasks";
 import { countFittingTasks } from "@balsamward/scheduler/placement/countFittingTasks";
 import { listSteps } from "@balsamward/scheduler/state/listSteps";
--- a/packages/measure/src/measureFleet.ts
+++ b/packages/measure/src/measureFleet.ts
@@ -1,4 +1,4 @@
-import { runPlacementPass } from "@balsamward/scheduler/engine/runPlacementPass";
+import { runPlacementPass } from "@balsamward/scheduler/engine/passes/runPlacementPass";
 import type { Scheduler } from "@balsamward/scheduler/engine/Scheduler";
 import type { JobKind } from "./fleet/generateTrace.js";
 import { generateTrace, JOB_KINDS } from "./fleet/generateTrace.js";
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -11,7 +11,7 @@
 import type { WorkerPort, WorkerReport } from "../ports/WorkerPort.js";
 import type { JobEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
-import type { RunTimePredictor } from "./createRunTimePredictor.js";
+import type { RunTimePredictor } from "./passes/createRunTimePredictor.js";
 
 /** Lists the workers that have registered, without malformed entries; `undefined` if the list cannot be read. */
 export type ListWorkers = () => Promise<readonly WorkerReport[] | undefined>;
--- a/packages/scheduler/src/engine/createOwnerService.ts
+++ b/packages/scheduler/src/engine/createOwnerService.ts
@@ -5,7 +5,7 @@
 import { MAX_JOBS_AGE_MS } from "../constants.js";
 import type { JobId } from "../ids.js";
 import { isFinalState } from "../state/isFinalState.js";
-import { cancelJob, registerJob } from "./registerJob.js";
+import { cancelJob, registerJob } from "./jobs/registerJob.js";
 import type { Scheduler } from "./Scheduler.js";
 
 /** Options of `createOwnerService`. */
--- a/packages/scheduler/src/engine/applyHoldAnswer.ts
+++ b/packages/scheduler/src/engine/fleet/applyHoldAnswer.ts
@@ -1,16 +1,16 @@
-import type { HoldAnswer, RunningRun } from "../ports/WorkerPort.js";
-import { isFinalState } from "../state/isFinalState.js";
-import type { Run } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
-import { applyRunEnd } from "./applyRunEnd.js";
-import { findTask } from "./findTask.js";
-import { paceBestEffortRuns } from "./paceBestEffortRuns.js";
-import { releaseLostRun } from "./releaseLostRun.js";
-import { relocateRuns } from "./relocateRuns.js";
-import { createRun } from "./runs.js";
-import type { Scheduler } from "./Scheduler.js";
-import { confirmRun } from "./startRun.js";
-import { stopRun } from "./stopRun.js";
+import type { HoldAnswer, RunningRun } from "../../ports/WorkerPort.js";
+import { isFinalState } from "../../state/isFinalState.js";
+import type { Run } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { applyRunEnd } from "../runs/applyRunEnd.js";
+import { findTask } from "../runs/findTask.js";
+import { paceBestEffortRuns } from "../runs/paceBestEffortRuns.js";
+import { releaseLostRun } from "../runs/releaseLostRun.js";
+import { relocateRuns } from "../runs/relocateRuns.js";
+import { createRun } from "../runs/runs.js";
+import { confirmRun } from "../runs/startRun.js";
+import { stopRun } from "../runs/stopRun.js";
+import type { Scheduler } from "../Scheduler.js";
 import { recordClock } from "./workerClock.js";
 
 /**
--- a/packages/scheduler/src/engine/beginIncarnation.ts
+++ b/packages/scheduler/src/engine/fleet/beginIncarnation.ts
@@ -1,7 +1,7 @@
-import type { WorkerEntry } from "../state/WorkerEntry.js";
-import { createEndNumbers } from "../state/WorkerEntry.js";
-import type { Scheduler } from "./Scheduler.js";
-import { repeatStop } from "./stopRun.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { createEndNumbers } from "../../state/WorkerEntry.js";
+import { repeatStop } from "../runs/stopRun.js";
+import type { Scheduler } from "../Scheduler.js";
 import { getMaxMonotonicMs } from "./workerClock.js";
 
 /**
--- a/packages/scheduler/src/engine/decodeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/decodeRoster.ts
@@ -1,8 +1,8 @@
 import { RosterRecordSchema } from "@balsamward/schema/scheduling";
-import type { WorkerId } from "../ids.js";
-import type { StoreItem } from "../ports/FleetStore.js";
-import { decodeRecord } from "./decodeRecord.js";
-import type { Roster, Scheduler } from "./Scheduler.js";
+import type { WorkerId } from "../../ids.js";
+import type { StoreItem } from "../../ports/FleetStore.js";
+import type { Roster, Scheduler } from "../Scheduler.js";
+import { decodeRecord } from "../takeover/decodeRecord.js";
 
 /**
  * Decodes the stored roster.
--- a/packages/scheduler/src/engine/isOtherIncarnation.ts
+++ b/packages/scheduler/src/engine/fleet/isOtherIncarnation.ts
@@ -1,4 +1,4 @@
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
 
 /**
  * Returns whether a worker's start differs from that of the incarnation that last answered a hold.
--- a/packages/scheduler/src/engine/mayHaveUnknownRuns.ts
+++ b/packages/scheduler/src/engine/fleet/mayHaveUnknownRuns.ts
@@ -1,5 +1,5 @@
-import type { WorkerId } from "../ids.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { WorkerId } from "../../ids.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Returns whether a worker may have runs of earlier terms, or their ends, that this owner does not know.
--- a/packages/scheduler/src/engine/removeWorker.ts
+++ b/packages/scheduler/src/engine/fleet/removeWorker.ts
@@ -1,6 +1,6 @@
-import type { WorkerEntry } from "../state/WorkerEntry.js";
-import { releaseLostRun } from "./releaseLostRun.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { releaseLostRun } from "../runs/releaseLostRun.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Removes a worker from the fleet and releases its runs.
--- a/packages/scheduler/src/engine/runUpkeep.ts
+++ b/packages/scheduler/src/engine/fleet/runUpkeep.ts
@@ -1,11 +1,11 @@
-import { STORE_RETRY_MS } from "../constants.js";
-import type { Machine, UpkeepWave } from "../ports/MachinePort.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { STORE_RETRY_MS } from "../../constants.js";
+import type { Machine, UpkeepWave } from "../../ports/MachinePort.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { mayStopRun } from "../runs/mayStopRun.js";
+import { stopRun } from "../runs/stopRun.js";
+import type { Scheduler } from "../Scheduler.js";
 import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
-import { mayStopRun } from "./mayStopRun.js";
 import { removeWorker } from "./removeWorker.js";
-import type { Scheduler } from "./Scheduler.js";
-import { stopRun } from "./stopRun.js";
 
 /** Interval at which new waves are looked for while none is in progress, in milliseconds. */
 const WAVE_LIST_INTERVAL_MS = 1_000;
--- a/packages/scheduler/src/engine/storeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/storeRoster.ts
@@ -1,10 +1,10 @@
 import { RosterRecordSchema } from "@balsamward/schema/scheduling";
 import { create, toBinary } from "@bufbuild/protobuf";
-import type { StoreError, StoreItem } from "../ports/FleetStore.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
-import { storeKeys } from "../storeKeys.js";
+import type { StoreError, StoreItem } from "../../ports/FleetStore.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { storeKeys } from "../../storeKeys.js";
+import type { Roster, Scheduler } from "../Scheduler.js";
 import { decodeRoster } from "./decodeRoster.js";
-import type { Roster, Scheduler } from "./Scheduler.js";
 
 /**
  * Stores the roster of workers that may have runs or unstored ends, so that the next owner reconciles each of them.
--- a/packages/scheduler/src/engine/syncWorker.ts
+++ b/packages/scheduler/src/engine/fleet/syncWorker.ts
@@ -3,16 +3,16 @@
     HOLD_DURABILITY_PAUSE_MS,
     HOLD_RETRY_MS,
     MAX_HOLD_WAIT_MS,
-} from "../constants.js";
-import type { HoldOutcome } from "../ports/WorkerPort.js";
-import type { EndNumbers, WorkerEntry } from "../state/WorkerEntry.js";
+} from "../../constants.js";
+import type { HoldOutcome } from "../../ports/WorkerPort.js";
+import type { EndNumbers, WorkerEntry } from "../../state/WorkerEntry.js";
+import { releaseLostRun } from "../runs/releaseLostRun.js";
+import type { Scheduler } from "../Scheduler.js";
+import { loadUnknownJobs } from "../takeover/loadUnknownJobs.js";
 import { applyHoldAnswer } from "./applyHoldAnswer.js";
 import { beginIncarnation } from "./beginIncarnation.js";
 import { isOtherIncarnation } from "./isOtherIncarnation.js";
-import { loadUnknownJobs } from "./loadUnknownJobs.js";
-import { releaseLostRun } from "./releaseLostRun.js";
 import { removeWorker } from "./removeWorker.js";
-import type { Scheduler } from "./Scheduler.js";
 import { extendLease, hasLeaseEnded } from "./workerClock.js";
 
 /**
--- a/packages/scheduler/src/engine/workerClock.ts
+++ b/packages/scheduler/src/engine/fleet/workerClock.ts
@@ -3,9 +3,9 @@
     MAX_WORKER_LEASE_MS,
     OWNER_LEASE_TTL_MS,
     WORKER_CLOCK_DRIFT,
-} from "../constants.js";
-import type { ClockReading, WorkerEntry } from "../state/WorkerEntry.js";
-import type { Scheduler } from "./Scheduler.js";
+} from "../../constants.js";
+import type { ClockReading, WorkerEntry } from "../../state/WorkerEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Records the clock reading in a worker's answer.
--- a/packages/scheduler/src/engine/endJob.ts
+++ b/packages/scheduler/src/engine/jobs/endJob.ts
@@ -1,9 +1,9 @@
 import { JobState } from "@balsamward/schema/scheduling";
-import { isFinalState } from "../state/isFinalState.js";
-import type { JobEntry, Run } from "../state/JobEntry.js";
-import { listSteps } from "../state/listSteps.js";
-import type { Scheduler } from "./Scheduler.js";
-import { awaitGangEnd, stopRun } from "./stopRun.js";
+import { isFinalState } from "../../state/isFinalState.js";
+import type { JobEntry, Run } from "../../state/JobEntry.js";
+import { listSteps } from "../../state/listSteps.js";
+import { awaitGangEnd, stopRun } from "../runs/stopRun.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Marks a job's progress as changed, so that it is stored.
--- a/packages/scheduler/src/engine/flushProgress.ts
+++ b/packages/scheduler/src/engine/jobs/flushProgress.ts
@@ -1,13 +1,13 @@
 import { ProgressSchema } from "@balsamward/schema/scheduling";
 import { toBinary } from "@bufbuild/protobuf";
-import type { WakeSignal } from "../_lib/createWakeSignal.js";
-import { MAX_PASS_INTERVAL_MS, MAX_TRANSACTION_ENTRIES, STORE_RETRY_MS } from "../constants.js";
-import type { StoreError, StoreItem } from "../ports/FleetStore.js";
-import { composeProgress } from "../state/composeProgress.js";
-import type { JobEntry } from "../state/JobEntry.js";
-import type { EndNumbers } from "../state/WorkerEntry.js";
-import { storeKeys } from "../storeKeys.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { WakeSignal } from "../../_lib/createWakeSignal.js";
+import { MAX_PASS_INTERVAL_MS, MAX_TRANSACTION_ENTRIES, STORE_RETRY_MS } from "../../constants.js";
+import type { StoreError, StoreItem } from "../../ports/FleetStore.js";
+import { composeProgress } from "../../state/composeProgress.js";
+import type { JobEntry } from "../../state/JobEntry.js";
+import type { EndNumbers } from "../../state/WorkerEntry.js";
+import { storeKeys } from "../../storeKeys.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /** Maximum number of jobs in a transaction: each needs an expectation and a write, the owner's key an expectation. */
 const JOBS_PER_TRANSACTION = Math.floor((MAX_TRANSACTION_ENTRIES - 1) / 2);
--- a/packages/scheduler/src/engine/registerJob.ts
+++ b/packages/scheduler/src/engine/jobs/registerJob.ts
@@ -1,12 +1,12 @@
 import type { Job, Step } from "@balsamward/schema/scheduling";
 import { JobState } from "@balsamward/schema/scheduling";
-import type { JobId } from "../ids.js";
-import type { CreateJobEntryOptions } from "../state/createJobEntry.js";
-import { createJobEntry } from "../state/createJobEntry.js";
-import { isFinalState } from "../state/isFinalState.js";
-import type { JobEntry } from "../state/JobEntry.js";
+import type { JobId } from "../../ids.js";
+import type { CreateJobEntryOptions } from "../../state/createJobEntry.js";
+import { createJobEntry } from "../../state/createJobEntry.js";
+import { isFinalState } from "../../state/isFinalState.js";
+import type { JobEntry } from "../../state/JobEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 import { endJob } from "./endJob.js";
-import type { Scheduler } from "./Scheduler.js";
 
 /**
  * Registers a stored job with the scheduler; a job that is already registered stays unchanged.
--- a/packages/scheduler/src/engine/removeEndedJobs.ts
+++ b/packages/scheduler/src/engine/jobs/removeEndedJobs.ts
@@ -1,8 +1,8 @@
-import { MAX_TRANSACTION_ENTRIES } from "../constants.js";
-import { isFinalState } from "../state/isFinalState.js";
-import type { JobEntry } from "../state/JobEntry.js";
-import { storeKeys } from "../storeKeys.js";
-import type { Scheduler } from "./Scheduler.js";
+import { MAX_TRANSACTION_ENTRIES } from "../../constants.js";
+import { isFinalState } from "../../state/isFinalState.js";
+import type { JobEntry } from "../../state/JobEntry.js";
+import { storeKeys } from "../../storeKeys.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /** Interval at which jobs whose retention time has passed are looked for, in milliseconds. */
 const REMOVAL_INTERVAL_MS = 10_000;
--- a/packages/scheduler/src/engine/watchJobs.ts
+++ b/packages/scheduler/src/engine/jobs/watchJobs.ts
@@ -1,10 +1,10 @@
 import { JobSchema } from "@balsamward/schema/scheduling";
-import { MAX_WATCH_WAIT_MS, STORE_RETRY_MS } from "../constants.js";
-import { storeKeys } from "../storeKeys.js";
-import { decodeRecord } from "./decodeRecord.js";
+import { MAX_WATCH_WAIT_MS, STORE_RETRY_MS } from "../../constants.js";
+import { storeKeys } from "../../storeKeys.js";
+import type { Scheduler } from "../Scheduler.js";
+import { decodeRecord } from "../takeover/decodeRecord.js";
+import { parseCancellationKey } from "../takeover/restoreJob.js";
 import { cancelJob, registerJob } from "./registerJob.js";
-import { parseCancellationKey } from "./restoreJob.js";
-import type { Scheduler } from "./Scheduler.js";
 
 type StoredItem = { readonly key: string; readonly revision: number; readonly value: Uint8Array };
 
--- a/packages/scheduler/src/engine/PlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/PlacementPass.ts
@@ -1,7 +1,7 @@
-import type { UnplacedSteps } from "../placement/createUnplacedSteps.js";
-import type { WorkerGroups } from "../placement/createWorkerGroups.js";
-import type { JobEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { UnplacedSteps } from "../../placement/createUnplacedSteps.js";
+import type { WorkerGroups } from "../../placement/createWorkerGroups.js";
+import type { JobEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
 
 /** State of a placement pass. */
 export type PlacementPass = {
--- a/packages/scheduler/src/engine/addDueOccurrences.ts
+++ b/packages/scheduler/src/engine/passes/addDueOccurrences.ts
@@ -1,6 +1,6 @@
-import { getOrAddOccurrence } from "../state/createJobEntry.js";
-import type { JobEntry } from "../state/JobEntry.js";
-import type { Scheduler } from "./Scheduler.js";
+import { getOrAddOccurrence } from "../../state/createJobEntry.js";
+import type { JobEntry } from "../../state/JobEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Adds the occurrences of a scheduled job that are due.
--- a/packages/scheduler/src/engine/computeFitRatio.ts
+++ b/packages/scheduler/src/engine/passes/computeFitRatio.ts
@@ -1,5 +1,5 @@
 import type { Resources, Step } from "@balsamward/schema/scheduling";
-import { RESOURCE_KINDS } from "../state/ResourceAmounts.js";
+import { RESOURCE_KINDS } from "../../state/ResourceAmounts.js";
 
 /**
  * Computes how many times a whole step would fit into free resources if they were all on one worker.
--- a/packages/scheduler/src/engine/createRunTimePredictor.ts
+++ b/packages/scheduler/src/engine/passes/createRunTimePredictor.ts
@@ -1,4 +1,4 @@
-import type { QueueName } from "../ids.js";
+import type { QueueName } from "../../ids.js";
 
 /** Predictor of task run times that learns from completed runs of each queue. */
 export type RunTimePredictor = {
--- a/packages/scheduler/src/engine/estimateJobTimes.ts
+++ b/packages/scheduler/src/engine/passes/estimateJobTimes.ts
@@ -1,5 +1,5 @@
-import type { Queue } from "../FleetConfiguration.js";
-import type { JobEntry, StepEntry } from "../state/JobEntry.js";
+import type { Queue } from "../../FleetConfiguration.js";
+import type { JobEntry, StepEntry } from "../../state/JobEntry.js";
 import type { RunTimePredictor } from "./createRunTimePredictor.js";
 
 /** Multiple of its objective up to which a late job is still placed before the jobs that are too late. */
--- a/packages/scheduler/src/engine/findEntitledJobs.ts
+++ b/packages/scheduler/src/engine/passes/findEntitledJobs.ts
@@ -1,7 +1,7 @@
-import type { FleetConfiguration, Queue } from "../FleetConfiguration.js";
-import type { QueueName } from "../ids.js";
-import type { JobEntry } from "../state/JobEntry.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { FleetConfiguration, Queue } from "../../FleetConfiguration.js";
+import type { QueueName } from "../../ids.js";
+import type { JobEntry } from "../../state/JobEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Finds the urgent jobs that are covered by their customers' guarantees.
--- a/packages/scheduler/src/engine/findReadySteps.ts
+++ b/packages/scheduler/src/engine/passes/findReadySteps.ts
@@ -1,5 +1,5 @@
-import type { JobEntry, StepEntry } from "../state/JobEntry.js";
-import { isWaiting } from "../state/listWaitingTasks.js";
+import type { JobEntry, StepEntry } from "../../state/JobEntry.js";
+import { isWaiting } from "../../state/listWaitingTasks.js";
 
 /**
  * Finds the steps of a job that have waiting tasks and whose preceding steps are done, and records since when they have
--- a/packages/scheduler/src/engine/findSchedulableWorkers.ts
+++ b/packages/scheduler/src/engine/passes/findSchedulableWorkers.ts
@@ -1,5 +1,5 @@
-import type { WorkerEntry } from "../state/WorkerEntry.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Finds the workers on which runs may be started now: reachable, listed, neither draining, cordoned nor paused,
--- a/packages/scheduler/src/engine/findStragglers.ts
+++ b/packages/scheduler/src/engine/passes/findStragglers.ts
@@ -1,5 +1,5 @@
-import type { Run, StepEntry, TaskEntry } from "../state/JobEntry.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { Run, StepEntry, TaskEntry } from "../../state/JobEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /** Multiple of the expected run time after which a run counts as a straggler. */
 const STRAGGLER_FACTOR = 1.5;
--- a/packages/scheduler/src/engine/findWorkersToReserve.ts
+++ b/packages/scheduler/src/engine/passes/findWorkersToReserve.ts
@@ -1,9 +1,9 @@
-import { memoize } from "../_lib/memoize.js";
-import { planReclaim } from "../placement/planReclaim.js";
-import type { Run, StepEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { memoize } from "../../_lib/memoize.js";
+import { planReclaim } from "../../placement/planReclaim.js";
+import type { Run, StepEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 import type { RankedJob } from "./orderJobs.js";
-import type { Scheduler } from "./Scheduler.js";
 
 /** Longest time for which workers are kept free for a gang that is on time, in milliseconds. */
 const MAX_RESERVATION_MS = 3_000;
--- a/packages/scheduler/src/engine/isEligible.ts
+++ b/packages/scheduler/src/engine/passes/isEligible.ts
@@ -1,6 +1,6 @@
-import type { Queue } from "../FleetConfiguration.js";
-import type { StepEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { Queue } from "../../FleetConfiguration.js";
+import type { StepEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
 
 /**
  * Returns whether a worker belongs to the queue's service and has the label that a step requires.
--- a/packages/scheduler/src/engine/isStarved.ts
+++ b/packages/scheduler/src/engine/passes/isStarved.ts
@@ -1,5 +1,5 @@
-import type { JobEntry, StepEntry } from "../state/JobEntry.js";
-import { listSteps } from "../state/listSteps.js";
+import type { JobEntry, StepEntry } from "../../state/JobEntry.js";
+import { listSteps } from "../../state/listSteps.js";
 import { computeFitRatio } from "./computeFitRatio.js";
 import type { ServiceCapacity } from "./measureCapacity.js";
 
--- a/packages/scheduler/src/engine/isolateJob.ts
+++ b/packages/scheduler/src/engine/passes/isolateJob.ts
@@ -1,5 +1,5 @@
-import type { JobEntry } from "../state/JobEntry.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { JobEntry } from "../../state/JobEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Runs an action for one job. An unexpected error is logged and affects this job only: every owner would meet it again,
--- a/packages/scheduler/src/engine/measureCapacity.ts
+++ b/packages/scheduler/src/engine/passes/measureCapacity.ts
@@ -1,7 +1,7 @@
 import type { Resources } from "@balsamward/schema/scheduling";
-import { createEmptyResources } from "../state/createEmptyResources.js";
-import { RESOURCE_KINDS } from "../state/ResourceAmounts.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { createEmptyResources } from "../../state/createEmptyResources.js";
+import { RESOURCE_KINDS } from "../../state/ResourceAmounts.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
 
 /** Used and free resources of the workers of one service. */
 export type ServiceCapacity = {
--- a/packages/scheduler/src/engine/orderJobs.ts
+++ b/packages/scheduler/src/engine/passes/orderJobs.ts
@@ -1,14 +1,14 @@
-import type { Queue } from "../FleetConfiguration.js";
-import type { QueueName } from "../ids.js";
-import type { JobEntry, StepEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { Queue } from "../../FleetConfiguration.js";
+import type { QueueName } from "../../ids.js";
+import type { JobEntry, StepEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 import type { JobTimes } from "./estimateJobTimes.js";
 import { estimateJobTimes, LATE_FACTOR } from "./estimateJobTimes.js";
 import { findReadySteps } from "./findReadySteps.js";
 import { isolateJob } from "./isolateJob.js";
 import { isStarved } from "./isStarved.js";
 import { measureCapacity } from "./measureCapacity.js";
-import type { Scheduler } from "./Scheduler.js";
 
 /** Class of a job in a placement pass, by its guarantee, its wait and how well it can still meet its objective. */
 export type SchedulingClass =
--- a/packages/scheduler/src/engine/placeCopies.ts
+++ b/packages/scheduler/src/engine/passes/placeCopies.ts
@@ -1,12 +1,12 @@
-import type { Queue } from "../FleetConfiguration.js";
-import { placeTasks } from "../placement/placeTasks.js";
-import type { JobEntry } from "../state/JobEntry.js";
-import { listSteps } from "../state/listSteps.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { Queue } from "../../FleetConfiguration.js";
+import { placeTasks } from "../../placement/placeTasks.js";
+import type { JobEntry } from "../../state/JobEntry.js";
+import { listSteps } from "../../state/listSteps.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { startRuns } from "../runs/startRuns.js";
+import type { Scheduler } from "../Scheduler.js";
 import { findStragglers } from "./findStragglers.js";
 import { isEligible } from "./isEligible.js";
-import type { Scheduler } from "./Scheduler.js";
-import { startRuns } from "./startRuns.js";
 import { filterAllowedWorkers } from "./stepAdvice.js";
 
 /**
--- a/packages/scheduler/src/engine/placeStep.ts
+++ b/packages/scheduler/src/engine/passes/placeStep.ts
@@ -1,16 +1,16 @@
-import type { Assignment } from "../placement/countFittingTasks.js";
-import type { PlacementScope } from "../placement/createUnplacedSteps.js";
-import { getPlacementScope } from "../placement/getPlacementScope.js";
-import { placeGang } from "../placement/placeGang.js";
-import { placeTasks } from "../placement/placeTasks.js";
-import type { StepEntry, TaskEntry } from "../state/JobEntry.js";
-import { listWaitingTasks } from "../state/listWaitingTasks.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { Assignment } from "../../placement/countFittingTasks.js";
+import type { PlacementScope } from "../../placement/createUnplacedSteps.js";
+import { getPlacementScope } from "../../placement/getPlacementScope.js";
+import { placeGang } from "../../placement/placeGang.js";
+import { placeTasks } from "../../placement/placeTasks.js";
+import type { StepEntry, TaskEntry } from "../../state/JobEntry.js";
+import { listWaitingTasks } from "../../state/listWaitingTasks.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { startRuns } from "../runs/startRuns.js";
+import type { Scheduler } from "../Scheduler.js";
 import type { RankedJob } from "./orderJobs.js";
 import type { PlacementPass } from "./PlacementPass.js";
 import { mayReserveWorkers, reserveWorkers } from "./reserveWorkers.js";
-import type { Scheduler } from "./Scheduler.js";
-import { startRuns } from "./startRuns.js";
 import { filterAllowedWorkers, requestAdvice } from "./stepAdvice.js";
 
 /**
--- a/packages/scheduler/src/engine/preemptForStep.ts
+++ b/packages/scheduler/src/engine/passes/preemptForStep.ts
@@ -1,10 +1,10 @@
-import { planReclaim } from "../placement/planReclaim.js";
-import type { JobEntry, Run, StepEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { planReclaim } from "../../placement/planReclaim.js";
+import type { JobEntry, Run, StepEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { mayStopRun } from "../runs/mayStopRun.js";
+import { stopRun } from "../runs/stopRun.js";
+import type { Scheduler } from "../Scheduler.js";
 import { getCoreEquivalent } from "./estimateJobTimes.js";
-import { mayStopRun } from "./mayStopRun.js";
-import type { Scheduler } from "./Scheduler.js";
-import { stopRun } from "./stopRun.js";
 
 /** Where a step may be placed, and how many of its tasks wait. */
 export type PreemptionTarget = {
--- a/packages/scheduler/src/engine/reserveWorkers.ts
+++ b/packages/scheduler/src/engine/passes/reserveWorkers.ts
@@ -1,11 +1,11 @@
-import { planReclaim } from "../placement/planReclaim.js";
-import type { Reservation, StepEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { planReclaim } from "../../placement/planReclaim.js";
+import type { Reservation, StepEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 import { findWorkersToReserve } from "./findWorkersToReserve.js";
 import type { RankedJob } from "./orderJobs.js";
 import type { PlacementPass } from "./PlacementPass.js";
 import { preemptForStep } from "./preemptForStep.js";
-import type { Scheduler } from "./Scheduler.js";
 
 /** Number of gangs on time that hold a reservation at the same time. */
 const MAX_RESERVING_GANGS = 4;
--- a/packages/scheduler/src/engine/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/runPlacementPass.ts
@@ -1,17 +1,17 @@
-import { OWNER_LEASE_TTL_MS } from "../constants.js";
-import { createUnplacedSteps } from "../placement/createUnplacedSteps.js";
-import { createWorkerGroups } from "../placement/createWorkerGroups.js";
-import type { JobEntry } from "../state/JobEntry.js";
+import { OWNER_LEASE_TTL_MS } from "../../constants.js";
+import { createUnplacedSteps } from "../../placement/createUnplacedSteps.js";
+import { createWorkerGroups } from "../../placement/createWorkerGroups.js";
+import type { JobEntry } from "../../state/JobEntry.js";
+import { mayHaveUnknownRuns } from "../fleet/mayHaveUnknownRuns.js";
+import type { Scheduler } from "../Scheduler.js";
 import { addDueOccurrences } from "./addDueOccurrences.js";
 import { findEntitledJobs } from "./findEntitledJobs.js";
 import { findSchedulableWorkers } from "./findSchedulableWorkers.js";
 import { isolateJob } from "./isolateJob.js";
-import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
 import { orderJobs } from "./orderJobs.js";
 import { placeCopies } from "./placeCopies.js";
 import type { PlacementPass } from "./PlacementPass.js";
 import { placeStep } from "./placeStep.js";
-import type { Scheduler } from "./Scheduler.js";
 
 /**
  * Places the waiting tasks that fit, in the order of the jobs' ranks. A step that waits for capacity that is
--- a/packages/scheduler/src/engine/stepAdvice.ts
+++ b/packages/scheduler/src/engine/passes/stepAdvice.ts
@@ -1,7 +1,7 @@
-import type { AdvicePolicy } from "../FleetConfiguration.js";
-import type { StepAdvice, StepEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { AdvicePolicy } from "../../FleetConfiguration.js";
+import type { StepAdvice, StepEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /** Maximum number of workers that one call asks about. */
 const MAX_WORKERS_PER_CALL = 30;
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -7,16 +7,16 @@
     STORE_RETRY_MS,
 } from "../constants.js";
 import { createOrderQueue } from "../orders/createOrderQueue.js";
-import { createRunTimePredictor } from "./createRunTimePredictor.js";
-import { flushProgress } from "./flushProgress.js";
-import { loadState } from "./loadState.js";
-import { removeEndedJobs } from "./removeEndedJobs.js";
-import { runPlacementPass } from "./runPlacementPass.js";
-import { runUpkeep } from "./runUpkeep.js";
+import { runUpkeep } from "./fleet/runUpkeep.js";
+import { storeRoster } from "./fleet/storeRoster.js";
+import { watchFleet } from "./fleet/watchFleet.js";
+import { flushProgress } from "./jobs/flushProgress.js";
+import { removeEndedJobs } from "./jobs/removeEndedJobs.js";
+import { watchJobs } from "./jobs/watchJobs.js";
+import { createRunTimePredictor } from "./passes/createRunTimePredictor.js";
+import { runPlacementPass } from "./passes/runPlacementPass.js";
 import type { Ownership, Scheduler, SchedulerDependencies } from "./Scheduler.js";
-import { storeRoster } from "./storeRoster.js";
-import { watchFleet } from "./watchFleet.js";
-import { watchJobs } from "./watchJobs.js";
+import { loadState } from "./takeover/loadState.js";
 
 /** Maximum number of concurrent holds to workers that may not answer; a new owner opens a connection for each. */
 const MAX_CONCURRENT_PROBES = 64;
--- a/packages/scheduler/src/engine/applyRunEnd.ts
+++ b/packages/scheduler/src/engine/runs/applyRunEnd.ts
@@ -1,12 +1,12 @@
 import { JobState } from "@balsamward/schema/scheduling";
-import type { EndedRun } from "../ports/WorkerPort.js";
-import { isFinalState } from "../state/isFinalState.js";
-import type { Run, TaskEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
-import { endJob, endJobIfComplete, markProgressChanged } from "./endJob.js";
+import type { EndedRun } from "../../ports/WorkerPort.js";
+import { isFinalState } from "../../state/isFinalState.js";
+import type { Run, TaskEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { endJob, endJobIfComplete, markProgressChanged } from "../jobs/endJob.js";
+import type { Scheduler } from "../Scheduler.js";
 import { findTask } from "./findTask.js";
 import { releaseRun } from "./runs.js";
-import type { Scheduler } from "./Scheduler.js";
 import { pauseWorker } from "./startRun.js";
 import { endGang, stopRun } from "./stopRun.js";
 
--- a/packages/scheduler/src/engine/findTask.ts
+++ b/packages/scheduler/src/engine/runs/findTask.ts
@@ -1,7 +1,7 @@
-import type { TaskName } from "../ids.js";
-import { getOrAddOccurrence } from "../state/createJobEntry.js";
-import type { TaskEntry } from "../state/JobEntry.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { TaskName } from "../../ids.js";
+import { getOrAddOccurrence } from "../../state/createJobEntry.js";
+import type { TaskEntry } from "../../state/JobEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Finds a task by the name that a worker reports, and adds its occurrence if that is not known yet.
--- a/packages/scheduler/src/engine/mayStopRun.ts
+++ b/packages/scheduler/src/engine/runs/mayStopRun.ts
@@ -1,4 +1,4 @@
-import type { Run } from "../state/JobEntry.js";
+import type { Run } from "../../state/JobEntry.js";
 
 /**
  * Returns whether the scheduler may stop a run without exceeding the step's limit of unavailable tasks.
--- a/packages/scheduler/src/engine/paceBestEffortRuns.ts
+++ b/packages/scheduler/src/engine/runs/paceBestEffortRuns.ts
@@ -1,6 +1,6 @@
-import type { Run } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { Run } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /** Share of its target above which the tail latency of a serving task slows best-effort runs on its worker. */
 const HIGH_LATENCY_SHARE = 0.9;
--- a/packages/scheduler/src/engine/releaseLostRun.ts
+++ b/packages/scheduler/src/engine/runs/releaseLostRun.ts
@@ -1,6 +1,6 @@
-import type { Run } from "../state/JobEntry.js";
+import type { Run } from "../../state/JobEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 import { releaseRun } from "./runs.js";
-import type { Scheduler } from "./Scheduler.js";
 import { stopGang } from "./stopRun.js";
 
 /**
--- a/packages/scheduler/src/engine/relocateRuns.ts
+++ b/packages/scheduler/src/engine/runs/relocateRuns.ts
@@ -1,6 +1,6 @@
-import type { Run } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
-import type { Scheduler } from "./Scheduler.js";
+import type { Run } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 import { pauseWorker } from "./startRun.js";
 import { stopRun } from "./stopRun.js";
 
--- a/packages/scheduler/src/engine/runs.ts
+++ b/packages/scheduler/src/engine/runs/runs.ts
@@ -1,6 +1,6 @@
-import { applyTaskRequest } from "../placement/applyTaskRequest.js";
-import type { Run, TaskEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { applyTaskRequest } from "../../placement/applyTaskRequest.js";
+import type { Run, TaskEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
 
 /**
  * Creates a run and allocates its resources on the worker.
--- a/packages/scheduler/src/engine/startRun.ts
+++ b/packages/scheduler/src/engine/runs/startRun.ts
@@ -1,12 +1,12 @@
-import { MAX_START_SENDS, MAX_WORKER_PAUSE_MS, MIN_WORKER_PAUSE_MS } from "../constants.js";
-import type { OrderOutcome, Refusal } from "../ports/WorkerPort.js";
-import type { Run } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
-import { removeWorker } from "./removeWorker.js";
+import { MAX_START_SENDS, MAX_WORKER_PAUSE_MS, MIN_WORKER_PAUSE_MS } from "../../constants.js";
+import type { OrderOutcome, Refusal } from "../../ports/WorkerPort.js";
+import type { Run } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { removeWorker } from "../fleet/removeWorker.js";
+import { extendLease, recordClock } from "../fleet/workerClock.js";
+import type { Scheduler } from "../Scheduler.js";
 import { releaseRun } from "./runs.js";
-import type { Scheduler } from "./Scheduler.js";
 import { stopGang, stopRun } from "./stopRun.js";
-import { extendLease, recordClock } from "./workerClock.js";
 
 /**
  * Orders the start of a run and sends the order again while no answer arrives. If the outcome stays unclear,
--- a/packages/scheduler/src/engine/startRuns.ts
+++ b/packages/scheduler/src/engine/runs/startRuns.ts
@@ -1,10 +1,10 @@
 import { JobState } from "@balsamward/schema/scheduling";
-import type { Assignment } from "../placement/countFittingTasks.js";
-import type { StepEntry } from "../state/JobEntry.js";
+import type { Assignment } from "../../placement/countFittingTasks.js";
+import type { StepEntry } from "../../state/JobEntry.js";
+import { findTicket } from "../passes/stepAdvice.js";
+import type { Scheduler } from "../Scheduler.js";
 import { createRun } from "./runs.js";
-import type { Scheduler } from "./Scheduler.js";
 import { startRun } from "./startRun.js";
-import { findTicket } from "./stepAdvice.js";
 
 /** Run numbers that a term of ownership has for itself, so that those of a new owner are higher than earlier ones. */
 const RUN_NUMBERS_PER_TERM = 1_000;
--- a/packages/scheduler/src/engine/stopRun.ts
+++ b/packages/scheduler/src/engine/runs/stopRun.ts
@@ -1,9 +1,9 @@
-import { GANG_END_TIMEOUT_MS, STOP_RETRY_MS } from "../constants.js";
-import type { OrderOutcome, StopOrder } from "../ports/WorkerPort.js";
-import type { Run, StepEntry } from "../state/JobEntry.js";
-import type { WorkerEntry } from "../state/WorkerEntry.js";
+import { GANG_END_TIMEOUT_MS, STOP_RETRY_MS } from "../../constants.js";
+import type { OrderOutcome, StopOrder } from "../../ports/WorkerPort.js";
+import type { Run, StepEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { Scheduler } from "../Scheduler.js";
 import { releaseRun } from "./runs.js";
-import type { Scheduler } from "./Scheduler.js";
 
 /** Why a run is stopped. */
 export type StopReason =
--- a/packages/scheduler/src/engine/decodeRecord.ts
+++ b/packages/scheduler/src/engine/takeover/decodeRecord.ts
@@ -1,6 +1,6 @@
 import type { DescMessage, MessageShape } from "@bufbuild/protobuf";
 import { fromBinary } from "@bufbuild/protobuf";
-import type { Scheduler } from "./Scheduler.js";
+import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Decodes a stored record.
--- a/packages/scheduler/src/engine/loadState.ts
+++ b/packages/scheduler/src/engine/takeover/loadState.ts
@@ -1,17 +1,17 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
-import { createWakeSignal } from "../_lib/createWakeSignal.js";
-import { OWNER_LEASE_TTL_MS } from "../constants.js";
-import type { JobId } from "../ids.js";
-import type { StoreError, StoreItem } from "../ports/FleetStore.js";
-import { createWorkerEntry } from "../state/WorkerEntry.js";
-import { storeKeys } from "../storeKeys.js";
-import { decodeRoster } from "./decodeRoster.js";
-import { cancelJob } from "./registerJob.js";
+import { createWakeSignal } from "../../_lib/createWakeSignal.js";
+import { OWNER_LEASE_TTL_MS } from "../../constants.js";
+import type { JobId } from "../../ids.js";
+import type { StoreError, StoreItem } from "../../ports/FleetStore.js";
+import { createWorkerEntry } from "../../state/WorkerEntry.js";
+import { storeKeys } from "../../storeKeys.js";
+import { decodeRoster } from "../fleet/decodeRoster.js";
+import { addWorker, applyReports } from "../fleet/watchFleet.js";
+import { getMaxLeaseMs, getMaxMonotonicMs } from "../fleet/workerClock.js";
+import { cancelJob } from "../jobs/registerJob.js";
+import type { Scheduler } from "../Scheduler.js";
 import { parseCancellationKey, parseJobKey, restoreJob } from "./restoreJob.js";
-import type { Scheduler } from "./Scheduler.js";
-import { addWorker, applyReports } from "./watchFleet.js";
-import { getMaxLeaseMs, getMaxMonotonicMs } from "./workerClock.js";
 
 /**
  * Loads the state that earlier owners stored: jobs, progress, cancellations and the roster of workers.
--- a/packages/scheduler/src/engine/loadUnknownJobs.ts
+++ b/packages/scheduler/src/engine/takeover/loadUnknownJobs.ts
@@ -1,7 +1,7 @@
-import type { HoldAnswer } from "../ports/WorkerPort.js";
-import { storeKeys } from "../storeKeys.js";
+import type { HoldAnswer } from "../../ports/WorkerPort.js";
+import { storeKeys } from "../../storeKeys.js";
+import type { Scheduler } from "../Scheduler.js";
 import { restoreJob } from "./restoreJob.js";
-import type { Scheduler } from "./Scheduler.js";
 
 /**
  * Loads the jobs of a worker's answer that the owner does not know yet.
--- a/packages/scheduler/src/engine/restoreJob.ts
+++ b/packages/scheduler/src/engine/takeover/restoreJob.ts
@@ -1,10 +1,10 @@
 import { JobSchema, ProgressSchema } from "@balsamward/schema/scheduling";
-import type { JobId } from "../ids.js";
-import type { StoreItem } from "../ports/FleetStore.js";
-import { storeKeys } from "../storeKeys.js";
+import type { JobId } from "../../ids.js";
+import type { StoreItem } from "../../ports/FleetStore.js";
+import { storeKeys } from "../../storeKeys.js";
+import { registerJob } from "../jobs/registerJob.js";
+import type { Scheduler } from "../Scheduler.js";
 import { decodeRecord } from "./decodeRecord.js";
-import { registerJob } from "./registerJob.js";
-import type { Scheduler } from "./Scheduler.js";
 
 /**
  * Registers a job with its stored progress.
--- a/packages/scheduler/src/engine/takeoverSoak.steps.ts
+++ b/packages/scheduler/src/engine/takeover/takeoverSoak.steps.ts
@@ -1,8 +1,8 @@
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import type { SoakFaults, SoakOutcome } from "../../../../features/support/soakTakeovers.js";
-import { soakTakeovers } from "../../../../features/support/soakTakeovers.js";
-import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import type { SoakFaults, SoakOutcome } from "../../../../../features/support/soakTakeovers.js";
+import { soakTakeovers } from "../../../../../features/support/soakTakeovers.js";
+import type { TestWorld } from "../../../../../features/support/TestWorld.js";
 
 const SOAK_TIMEOUT_MS = 600_000;
 
