--- a/packages/scheduler/src/cluster/runPeers.steps.ts
+++ b/packages/scheduler/src/cluster/runPeers.steps.ts
@@ -1,64 +1,65 @@
+import { HeartbeatSchema } from "@balsamward/schema/scheduling";
+import { create } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { setTimeout as sleep } from "node:timers/promises";
 import { createTestCluster } from "../../../../features/support/createTestCluster.js";
-import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
+import { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
-import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
 import type { Cluster } from "./Cluster.js";
 import { updateOwner } from "./Cluster.js";
 import { runPeers } from "./runPeers.js";
-import { serveCluster } from "./serveCluster.js";
 
 const MS_PER_SECOND = 1_000;
-const POLL_INTERVAL_MS = 10;
-const FIRST_ANSWER_TIMEOUT_MS = 5_000;
+const CLOCK_STEP_MS = 50;
+const FIRST_ANSWER_TIMEOUT_MS = 120_000;
+const REACHABLE = "127.0.0.2:1";
 
-/** Waits until the daemon has heard from the peer again. */
-async function waitForContact(world: TestWorld, timeoutMs: number): Promise<void> {
-    const peer = world.note<Cluster>("cluster").peers.get(world.note("peerAddress"))!;
-    const before = peer.lastContactAt;
-    const deadline = performance.now() + timeoutMs;
-    while (peer.lastContactAt === before) {
-        if (performance.now() > deadline) {
-            throw new Error(`The peer is not heard from within ${timeoutMs} ms.`);
+/** A daemon, its clock, and the number of exchanges with the reachable peer so far. */
+type Exchanges = { readonly cluster: Cluster; readonly clock: FakeClock; count: number };
+
+/** Advances the clock until the daemon has exchanged heartbeats with the reachable peer again. */
+async function waitForExchange(world: TestWorld, before: number, timeoutMs: number): Promise<void> {
+    const exchanges = world.note<Exchanges>("exchanges");
+    const deadline = exchanges.clock.now + timeoutMs;
+    while (exchanges.count === before) {
+        if (exchanges.clock.now > deadline) {
+            throw new Error(`No heartbeats are exchanged with the peer within ${timeoutMs} ms.`);
         }
-        await sleep(POLL_INTERVAL_MS);
+        await exchanges.clock.advance(CLOCK_STEP_MS);
     }
 }
 
 Given(
     "a daemon with {int} peers, of which one is reachable and has answered",
     async function(this: TestWorld, count: number) {
-        const peer = createTestCluster("peer", await findFreeAddress());
-        const store = new FakeFleetStore(() => 0).createClient();
-        const listener = await serveCluster(
-            { cluster: peer, store, localOwner: () => undefined },
-            peer.address,
-        );
-        const cluster = createTestCluster("here", "127.0.0.1:1");
+        const clock = new FakeClock();
+        const cluster = createTestCluster("here", "127.0.0.1:1", () => clock.now);
+        const heartbeat = create(HeartbeatSchema, { sender: { node: "reachable", address: REACHABLE } });
+        const exchanges: Exchanges = { cluster, clock, count: 0 };
+        cluster.exchangeDatagrams = async address => {
+            exchanges.count += address === REACHABLE ? 1 : 0;
+            return address === REACHABLE ? { kind: "answered", heartbeat } : { kind: "unanswered" };
+        };
         const end = new AbortController();
-        runPeers(cluster, end.signal);
-        this.cleanups.push(async () => {
-            end.abort();
-            await listener.close();
-        });
-        this.notes.set("cluster", cluster);
-        this.notes.set("peerAddress", peer.address);
+        this.cleanups.push(() => end.abort());
+        runPeers(cluster, end.signal, { pause: clock.pause });
+        this.notes.set("exchanges", exchanges);
         for (let number = 1; number < count; number++) {
             cluster.addPeer(`127.0.0.1:${number + 1}`, `unreachable-${number}`);
         }
-        cluster.addPeer(peer.address, peer.node);
-        await waitForContact(this, FIRST_ANSWER_TIMEOUT_MS);
+        cluster.addPeer(REACHABLE, "reachable");
+        await waitForExchange(this, 0, FIRST_ANSWER_TIMEOUT_MS);
     },
 );
 
 When("the reachable peer becomes the owner", function(this: TestWorld) {
-    updateOwner(this.note("cluster"), { node: "peer", address: this.note("peerAddress"), revision: 1 });
+    const { cluster, count } = this.note<Exchanges>("exchanges");
+    this.notes.set("earlierExchanges", count);
+    updateOwner(cluster, { node: "reachable", address: REACHABLE, revision: 1 });
 });
 
 Then(
     "the daemon exchanges heartbeats with it within {int} second",
     async function(this: TestWorld, seconds: number) {
-        await waitForContact(this, seconds * MS_PER_SECOND);
+        await waitForExchange(this, this.note("earlierExchanges"), seconds * MS_PER_SECOND);
     },
 );
--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -3,6 +3,7 @@
 import { createWakeSignal } from "../_lib/createWakeSignal.js";
 import { sample } from "../_lib/sample.js";
 import { PEER_CALL_TIMEOUT_MS, REFUSED_CONNECTIONS_LIMIT } from "../constants.js";
+import type { Pause } from "../pause.js";
 import { pause } from "../pause.js";
 import type { Cluster, Peer } from "./Cluster.js";
 import { composeHeartbeat, receiveHeartbeat } from "./Cluster.js";
@@ -29,13 +30,20 @@
 /** Largest number of peers that a daemon keeps. */
 const MAX_PEERS = 512;
 
+/** Options of `runPeers`. */
+export type RunPeersOptions = {
+    /** Waits for a duration on the monotonic clock. */
+    readonly pause?: Pause;
+};
+
 /**
  * Sets `addPeer` of the cluster, which starts a task that exchanges heartbeats with each added peer.
  *
  * @param cluster - This daemon's view of the cluster.
  * @param signal - Ends the tasks of all peers.
+ * @param options - How the tasks wait; by default with timers of the process.
  */
-export function runPeers(cluster: Cluster, signal: AbortSignal): void {
+export function runPeers(cluster: Cluster, signal: AbortSignal, options: RunPeersOptions = {}): void {
     cluster.addPeer = (address, node) => {
         const known = cluster.peers.get(address);
         if (known !== undefined || address === cluster.address || address === "") {
@@ -44,7 +52,7 @@
         if (cluster.peers.size >= MAX_PEERS) {
             return undefined;
         }
-        const exchangeSignal = createWakeSignal(pause);
+        const exchangeSignal = createWakeSignal(options.pause ?? pause);
         const peer: Peer = {
             address,
             node,
