Take the answer to a heartbeat only from the peer that was asked

Cause: found in reading: exchanges were numbered from 1 in each process, so a daemon that has just started could take an answer to its predecessor, or one from another machine. The scenario fails without the check of the address.

--- a/packages/scheduler/src/cluster/createDatagramExchange.feature
+++ b/packages/scheduler/src/cluster/createDatagramExchange.feature
@@ -48,6 +48,12 @@
         Then the exchanges of the first are "datagram unanswered"
         And the first has not heard from the second
 
+    Scenario: An answer from another address is dropped
+        Given answers of the second come from another address
+        When the first exchanges heartbeats with the second
+        Then the exchanges of the first are "datagram unanswered"
+        And the first has not heard from the second
+
     Scenario: A malformed datagram is dropped
         When the first receives a malformed datagram
         And the first exchanges heartbeats with the second
--- a/packages/scheduler/src/cluster/createDatagramExchange.steps.ts
+++ b/packages/scheduler/src/cluster/createDatagramExchange.steps.ts
@@ -5,6 +5,7 @@
 import { createTestCluster } from "../../../../features/support/createTestCluster.js";
 import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import type { DatagramSocket } from "../openDatagramSocket.js";
 import { answerHeartbeat } from "./answerHeartbeat.js";
 import type { Cluster, Peer } from "./Cluster.js";
 import { updateOwner } from "./Cluster.js";
@@ -24,6 +25,8 @@
     readonly second: Cluster;
     isLossy: boolean;
     holdsAnswers: boolean;
+    /** Address from which the answers of the second daemon come. */
+    answerAddress: string;
     isRefused: boolean;
     readonly heldAnswers: (() => void)[];
     /** Outcomes of the first daemon's exchanges, in order. */
@@ -66,6 +69,7 @@
         second: createTestCluster("second", SECOND),
         isLossy: false,
         holdsAnswers: false,
+        answerAddress: SECOND,
         isRefused: false,
         heldAnswers: [],
         outcomes: [],
@@ -81,7 +85,7 @@
         }
     });
     const second: DatagramExchange = createDatagramExchange(link.second, bytes => {
-        const deliver = (): void => first.receive(bytes, SECOND);
+        const deliver = (): void => first.receive(bytes, link.answerAddress);
         if (link.holdsAnswers) {
             link.heldAnswers.push(deliver);
         }
@@ -102,6 +106,10 @@
     this.note<Link>("link").holdsAnswers = true;
 });
 
+Given("answers of the second come from another address", function(this: TestWorld) {
+    this.note<Link>("link").answerAddress = FIRST;
+});
+
 Given("calls to the second are refused", function(this: TestWorld) {
     this.note<Link>("link").isRefused = true;
 });
@@ -130,29 +138,29 @@
     });
 });
 
-/** Opens the socket of the first daemon and returns its port. */
-async function openFirstSocket(world: TestWorld): Promise<number> {
+/** Opens the socket of the first daemon. */
+async function openFirstSocket(world: TestWorld): Promise<{ port: number; socket: DatagramSocket }> {
     const port = Number((await findFreeAddress()).split(":")[1]);
     const socket = await openHeartbeatSocket(world.note<Link>("link").first, port);
-    world.cleanups.push(() => socket?.close());
-    return port;
+    return { port, socket: socket! };
 }
 
 Given("the two daemons have sockets", async function(this: TestWorld) {
+    const { port, socket } = await openFirstSocket(this);
     // The two have addresses of their own, so they use the same port.
-    const socket = await openHeartbeatSocket(this.note<Link>("link").second, await openFirstSocket(this));
-    this.cleanups.push(() => socket?.close());
+    const other = await openHeartbeatSocket(this.note<Link>("link").second, port);
+    this.cleanups.push(() => socket.close(), () => other!.close());
 });
 
 Given("the socket of the first is closed", async function(this: TestWorld) {
-    const port = Number((await findFreeAddress()).split(":")[1]);
-    const socket = await openHeartbeatSocket(this.note<Link>("link").first, port);
-    socket!.close();
+    const { socket } = await openFirstSocket(this);
+    socket.close();
 });
 
 Given("the port of the first is taken", async function(this: TestWorld) {
     const { first } = this.note<Link>("link");
-    const port = await openFirstSocket(this);
+    const { port, socket } = await openFirstSocket(this);
+    this.cleanups.push(() => socket.close());
     first.exchangeDatagrams = undefined;
     assert.equal(await openHeartbeatSocket(first, port), undefined);
 });
--- a/packages/scheduler/src/cluster/createDatagramExchange.ts
+++ b/packages/scheduler/src/cluster/createDatagramExchange.ts
@@ -28,8 +28,15 @@
     readonly receive: (bytes: Uint8Array, sender: string) => void;
 };
 
+/** An exchange that waits for its answer. */
+type PendingExchange = { readonly address: string; readonly settle: (outcome: DatagramOutcome) => void };
+
+/** Exchanges are numbered from a random number below this, so that a daemon takes no answer to its predecessor. */
+const MAX_FIRST_EXCHANGE = 2 ** 31;
+
 /**
- * Creates the exchange of heartbeats by datagrams. Malformed datagrams and late answers are dropped.
+ * Creates the exchange of heartbeats by datagrams. Malformed datagrams, late answers and answers from other addresses
+ * than the peer's are dropped.
  *
  * @param cluster - This daemon's view of the cluster.
  * @param send - Sends a datagram to an address.
@@ -39,8 +46,8 @@
     cluster: Cluster,
     send: (bytes: Uint8Array, address: string) => void,
 ): DatagramExchange {
-    const pending = new Map<number, (outcome: DatagramOutcome) => void>();
-    let lastExchange = 0;
+    const pending = new Map<number, PendingExchange>();
+    let lastExchange = Math.floor(Math.random() * MAX_FIRST_EXCHANGE);
     return {
         exchange: address =>
             new Promise(resolve => {
@@ -56,7 +63,7 @@
                     resolve(outcome);
                 };
                 const endDeadline = startDeadline(ANSWER_TIMEOUT_MS, () => settle({ kind: "unanswered" }));
-                pending.set(exchange, settle);
+                pending.set(exchange, { address, settle });
                 send(bytes, address);
             }),
         receive: (bytes, sender) => {
@@ -67,9 +74,12 @@
             }
             else if (datagram.isAnswer) {
                 const { heartbeat } = datagram;
-                pending.get(datagram.exchange)?.(
-                    heartbeat === undefined ? { kind: "too-large" } : { kind: "answered", heartbeat },
-                );
+                const exchange = pending.get(datagram.exchange);
+                if (exchange?.address === sender) {
+                    exchange.settle(
+                        heartbeat === undefined ? { kind: "too-large" } : { kind: "answered", heartbeat },
+                    );
+                }
             }
             else if (datagram.heartbeat !== undefined) {
                 send(composeAnswer(cluster, datagram.heartbeat, datagram.exchange), sender);
