Treat answers of workers and the store that cannot be read as no answers

Cause: looked for with the failures of similar systems (a malformed message) and in what a fleet of this size sends. An answer to a hold with status 200 and a body that could not be read counted as an empty list of runs: the runs on the worker were released, and their tasks would have run again elsewhere. A commit without a revision counted as done at revision 0, which would have been the fence of a term; a list without items, or with an empty page before the last, as complete.

--- a/packages/scheduler/src/ports/FleetStore.ts
+++ b/packages/scheduler/src/ports/FleetStore.ts
@@ -53,7 +53,7 @@
     | { readonly kind: "compacted"; readonly message: string }
     /** The lease has expired, or was ended. */
     | { readonly kind: "lease-ended"; readonly message: string }
-    /** The store rejects the call as malformed. */
+    /** The store rejects the call as malformed, or its answer cannot be read. */
     | { readonly kind: "invalid"; readonly message: string };
 
 /** Options of `FleetStore.list`. */
