--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -11,17 +11,8 @@
     WorkerId,
     WorkerReport,
 } from "@balsamward/scheduler";
-
-/** A fault injected into one order. */
-export type OrderFault =
-    /** The order is executed, and the caller gets an unclear result. */
-    | "lost-answer"
-    /** The caller gets an unclear result; the order is executed at `executeDelayedOrders`. */
-    | "late"
-    /** The order is not executed, and the caller gets an unclear result after its timeout. */
-    | "unanswered"
-    /** The order is not executed, and the caller gets status 503. */
-    | "refused";
+import { formatTaskName } from "./formatTaskName.js";
+import type { OrderFault } from "./OrderFault.js";
 
 /** Longest lease that a worker grants, in milliseconds; a longer one is shortened. */
 const MAX_LEASE_MS = 10_000;
@@ -300,13 +291,3 @@
         this.highestRejectedRuns.set(name, Math.max(this.highestRejectedRuns.get(name) ?? 0, run));
     }
 }
-
-/**
- * Formats the name of a task as text.
- *
- * @param name - The name.
- * @returns Job, occurrence, step and index, separated by dots.
- */
-export function formatTaskName({ job, occurrence, step, index }: TaskName): string {
-    return `${job}.${occurrence}.${step}.${index}`;
-}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,5 +1,7 @@
 export * from "./fleet/FakeFleetStore.js";
 export * from "./fleet/FakeWorker.js";
+export * from "./fleet/formatTaskName.js";
+export * from "./fleet/OrderFault.js";
 export * from "./startEndpoint.js";
 export * from "./startFleet.js";
 export * from "./startStore.js";
