--- a/packages/placement/src/planPlacement.steps.ts
+++ b/packages/placement/src/planPlacement.steps.ts
@@ -1,95 +1,38 @@
-import type { CustomerId, GuaranteeId, JobId, WorkerId } from "@balsamward/schema";
 import { Adjacency } from "@balsamward/schema";
 import { Given, Then, When } from "@cucumber/cucumber";
 import * as fc from "fast-check";
 import type { Result } from "neverthrow";
 import assert from "node:assert/strict";
-import type { TestWorld } from "../../../features/support/TestWorld.js";
-import type {
-    Candidate,
-    Cell,
-    CellWorker,
-    GangShape,
-    GuaranteeBinding,
-    GuaranteedGang,
-    Placement,
-    PlacementError,
-    PlacementPlan,
-} from "./index.js";
+import { applyCellOperation } from "../../../features/support/placement/applyCellOperation.js";
+import type { CellOperation } from "../../../features/support/placement/CellOperation.js";
+import { cellOperationArbitrary } from "../../../features/support/placement/CellOperation.js";
+import type { CellFindings } from "../../../features/support/placement/checkCellInvariants.js";
+import { checkCellInvariants } from "../../../features/support/placement/checkCellInvariants.js";
 import {
-    bindGuarantees,
-    createCell,
-    findShortfalls,
-    planPlacement,
-    recordAllocation,
-    releaseAllocation,
-    setWorkerHealth,
-} from "./index.js";
+    createCandidate,
+    createGuaranteedGang,
+    createTestCell,
+    createWorkers,
+} from "../../../features/support/placement/createTestCell.js";
+import type { TestWorld } from "../../../features/support/TestWorld.js";
+import type { Cell, GangShape, Placement, PlacementError, PlacementPlan } from "./index.js";
+import { bindGuarantees, createCell, planPlacement, recordAllocation } from "./index.js";
 
 const SEED = 20_261_204;
-const RACKS = 3;
-const WORKERS_PER_RACK = 4;
-
-type Operation =
-    | {
-        readonly kind: "submit";
-        readonly customer: string;
-        readonly shape: GangShape;
-        readonly urgency: number;
-    }
-    | { readonly kind: "end"; readonly choice: number }
-    | { readonly kind: "fail"; readonly worker: number }
-    | { readonly kind: "return"; readonly worker: number };
-
-/** Descriptions of the cell after operations that violated an invariant, grouped by invariant. */
-type Findings = {
-    readonly doubleHeld: string[];
-    readonly invalidSlots: string[];
-    readonly failedReclaims: string[];
-    readonly shortfalls: string[];
-};
-
-const shapeArbitrary = fc.record({
-    members: fc.integer({ min: 1, max: 6 }),
-    acceleratorsPerMember: fc.constantFrom(1, 2, 4, 8),
-    adjacency: fc.constantFrom(Adjacency.WORKER, Adjacency.RACK, Adjacency.DATA_CENTRE),
-});
-const customerArbitrary = fc.constantFrom("a", "b", "c");
-const operationArbitrary: fc.Arbitrary<Operation> = fc.oneof(
-    {
-        weight: 6,
-        arbitrary: fc.record({
-            kind: fc.constant("submit" as const),
-            customer: customerArbitrary,
-            shape: shapeArbitrary,
-            urgency: fc.integer({ min: 1, max: 4 }),
-        }),
-    },
-    { weight: 3, arbitrary: fc.record({ kind: fc.constant("end" as const), choice: fc.nat(50) }) },
-    {
-        weight: 1,
-        arbitrary: fc.record({
-            kind: fc.constant("fail" as const),
-            worker: fc.nat(RACKS * WORKERS_PER_RACK - 1),
-        }),
-    },
-    {
-        weight: 1,
-        arbitrary: fc.record({
-            kind: fc.constant("return" as const),
-            worker: fc.nat(RACKS * WORKERS_PER_RACK - 1),
-        }),
-    },
-);
 
 When(
     "{int} random sequences of submissions, job ends, worker failures and recoveries are run",
     function(this: TestWorld, runs: number) {
-        const findings: Findings = { doubleHeld: [], invalidSlots: [], failedReclaims: [], shortfalls: [] };
+        const findings: CellFindings = {
+            doubleHeld: [],
+            invalidSlots: [],
+            failedReclaims: [],
+            shortfalls: [],
+        };
         this.notes.set("findings", findings);
         fc.assert(
             fc.property(
-                fc.array(operationArbitrary, { minLength: 5, maxLength: 60 }),
+                fc.array(cellOperationArbitrary, { minLength: 5, maxLength: 60 }),
                 sequence => runSequence(sequence, findings),
             ),
             { seed: SEED, numRuns: runs },
@@ -98,25 +41,25 @@
 );
 
 Then("after every operation no accelerator is held by two jobs", function(this: TestWorld) {
-    assertNone(this.note<Findings>("findings").doubleHeld);
+    assertNone(this.note<CellFindings>("findings").doubleHeld);
 });
 
 Then(
     "after every operation the guarantee slots do not overlap, and each is healthy or reported as a shortfall",
     function(this: TestWorld) {
-        assertNone(this.note<Findings>("findings").invalidSlots);
+        assertNone(this.note<CellFindings>("findings").invalidSlots);
     },
 );
 
 Then(
     "after every operation each unused guarantee with a slot can be reclaimed from borrowing jobs only",
     function(this: TestWorld) {
-        assertNone(this.note<Findings>("findings").failedReclaims);
+        assertNone(this.note<CellFindings>("findings").failedReclaims);
     },
 );
 
 Then("while every worker is healthy no guarantee has a shortfall", function(this: TestWorld) {
-    assertNone(this.note<Findings>("findings").shortfalls);
+    assertNone(this.note<CellFindings>("findings").shortfalls);
 });
 
 Given(
@@ -198,141 +141,10 @@
     return plan.value.placement;
 }
 
-function runSequence(sequence: readonly Operation[], findings: Findings): void {
-    const cell = createCell(createWorkers(RACKS * WORKERS_PER_RACK, 8), {
-        guaranteedGangs: [
-            createGuaranteedGang("a", "wide", {
-                members: 4,
-                acceleratorsPerMember: 8,
-                adjacency: Adjacency.RACK,
-            }),
-            createGuaranteedGang("b", "pair", {
-                members: 2,
-                acceleratorsPerMember: 4,
-                adjacency: Adjacency.WORKER,
-            }),
-            createGuaranteedGang("c", "loose", {
-                members: 3,
-                acceleratorsPerMember: 4,
-                adjacency: Adjacency.DATA_CENTRE,
-            }),
-        ],
-    });
-    bindGuarantees(cell);
+function runSequence(sequence: readonly CellOperation[], findings: CellFindings): void {
+    const cell = createTestCell();
     sequence.forEach((operation, index) => {
-        applyOperation(cell, operation, index);
-        checkInvariants(cell, findings);
-    });
-}
-
-function applyOperation(cell: Cell, operation: Operation, index: number): void {
-    switch (operation.kind) {
-        case "submit": {
-            const candidate = createCandidate(
-                `job-${index}`,
-                operation.customer,
-                operation.shape,
-                operation.urgency,
-            );
-            planPlacement(cell, candidate).map(plan => {
-                plan.victims.forEach(victim => releaseAllocation(cell, victim));
-                recordAllocation(cell, { ...candidate, ...plan });
-            });
-            return;
-        }
-        case "end": {
-            const jobs = [...cell.allocations.keys()];
-            if (jobs.length > 0) {
-                releaseAllocation(cell, jobs[operation.choice % jobs.length]!);
-            }
-            return;
-        }
-        case "fail":
-        case "return": {
-            const { id } = cell.topology.workers[operation.worker]!;
-            setWorkerHealth(cell, id, operation.kind === "return").forEach(job =>
-                releaseAllocation(cell, job)
-            );
-            return;
-        }
-        default:
-            operation satisfies never;
-    }
-}
-
-function checkInvariants(cell: Cell, findings: Findings): void {
-    if (overlaps([...cell.allocations.values()].map(allocation => allocation.placement))) {
-        findings.doubleHeld.push(describe(cell));
-    }
-    if (hasInvalidSlot(cell)) {
-        findings.invalidSlots.push(describe(cell));
-    }
-    const unreclaimable = cell.bindings.filter(binding =>
-        isUnusedWithSlot(binding) && !isReclaimable(cell, binding)
-    );
-    findings.failedReclaims.push(...unreclaimable.map(() => describe(cell)));
-    if (cell.healthyAccelerators.every(mask => mask !== 0) && findShortfalls(cell).length > 0) {
-        findings.shortfalls.push(describe(cell));
-    }
-}
-
-/** Returns whether slots overlap, or a slot with an unhealthy worker is unused or not reported as a shortfall. */
-function hasInvalidSlot(cell: Cell): boolean {
-    const slots = cell.bindings.flatMap(binding => binding.slot === undefined ? [] : [binding.slot]);
-    const shortfalls = findShortfalls(cell);
-    const damaged = cell.bindings.filter(binding => isDamaged(cell, binding.slot ?? []));
-    return overlaps(slots)
-        || damaged.some(binding => binding.job === undefined || !shortfalls.includes(binding));
-}
-
-/** Returns whether no job uses a guarantee that has a slot. */
-function isUnusedWithSlot(binding: GuaranteeBinding): boolean {
-    return binding.job === undefined && binding.slot !== undefined;
-}
-
-/** Returns whether a guarantee can be used at once by preempting borrowing jobs only. */
-function isReclaimable(cell: Cell, { gang }: GuaranteeBinding): boolean {
-    const candidate = createCandidate("reclaim", gang.customer, gang.shape, 1);
-    const plan = planPlacement(cell, { ...candidate, preemptible: false });
-    return plan.isOk()
-        && plan.value.victims.every(victim => cell.allocations.get(victim)!.standing.kind === "borrowed");
-}
-
-function isDamaged(cell: Cell, slot: Placement): boolean {
-    return slot.some(placed =>
-        (placed.accelerators & ~cell.healthyAccelerators[cell.workerIndex.get(placed.worker)!]!) !== 0
-    );
-}
-
-function overlaps(placements: readonly Placement[]): boolean {
-    const taken = new Map<WorkerId, number>();
-    return placements.flat().some(placed => {
-        const mask = taken.get(placed.worker) ?? 0;
-        taken.set(placed.worker, mask | placed.accelerators);
-        return (mask & placed.accelerators) !== 0;
+        applyCellOperation(cell, operation, index);
+        checkCellInvariants(cell, findings);
     });
 }
-
-function describe(cell: Cell): string {
-    return JSON.stringify({
-        allocations: [...cell.allocations.values()],
-        bindings: cell.bindings,
-        healthyAccelerators: [...cell.healthyAccelerators],
-    });
-}
-
-function createWorkers(count: number, accelerators: number): readonly CellWorker[] {
-    return Array.from({ length: count }, (_, index) => ({
-        id: `w${index}` as WorkerId,
-        rack: Math.floor(index / WORKERS_PER_RACK),
-        accelerators,
-    }));
-}
-
-function createGuaranteedGang(customer: string, guarantee: string, shape: GangShape): GuaranteedGang {
-    return { customer: customer as CustomerId, guarantee: guarantee as GuaranteeId, index: 0, shape };
-}
-
-function createCandidate(job: string, customer: string, shape: GangShape, urgency: number): Candidate {
-    return { job: job as JobId, customer: customer as CustomerId, shape, urgency, preemptible: true };
-}
