Scenarios: a silent worker that stays listed delays the jobs of every later owner (failing)

A worker that answers nobody but stays listed is in the stored roster. Each new owner waits for the leases of its runs to end before it places any job of an earlier term, although the owner before has seen them end.

--- a/packages/scheduler/src/engine/takeover/takeover.feature
+++ b/packages/scheduler/src/engine/takeover/takeover.feature
@@ -183,3 +183,31 @@
         And a new owner takes over
         And task 0.0.1 of K ends as done
         Then 3 tasks of K run
+
+    Scenario: A listed worker that has long been silent delays every later owner
+        When ana submits the normal job K of "4 x 8"
+        And the worker of task 0.0.3 of K is disconnected
+        And 12 seconds pass while all runs make progress
+        And the owner dies
+        And a new owner takes over
+        And task 0.0.1 of K ends as done
+        Then 3 tasks of K run
+
+    Scenario: A listed worker that has never answered delays every later owner
+        When ana submits the normal job K of "5 x 8"
+        And 1 worker joins the fleet
+        And the owner cannot reach w4
+        And 12 seconds pass while all runs make progress
+        And the owner dies
+        And a new owner takes over that cannot reach w4
+        And task 0.0.1 of K ends as done
+        Then 4 tasks of K run
+
+    Scenario: A worker that answers again after a long silence gets tasks
+        When ana submits the normal job K of "4 x 8"
+        And the worker of task 0.0.3 of K is disconnected
+        And 12 seconds pass while all runs make progress
+        And the disconnected worker is reachable again
+        And 1 second passes
+        Then 4 tasks of K run
+        And no task has had two runs at the same time
