The roster leaves out a worker that is silent and can have no runs

Cause: every listed worker was in the stored roster, also one that has not answered for long or never did (cut off, or an entry of another writer). A new owner places no job of an earlier term before each worker of the roster has listed its runs or the longest lease has ended, about 9.4 s after it has loaded the state; each takeover repeated this. Ruled out: workers that are no longer listed; they leave the roster once their lease has ended, as before. Change: a worker whose last hold failed or that never answered leaves the roster 2 s after its last answer, once its lease has certainly ended, and it has no known or unknown runs and no unstored ends. It gets no starts until it is stored again, which the pass over the list does within 0.5 s of its answer. Not covered: a successor stores such a worker again for its first 2 s; if it dies within these, the next one waits once.

--- a/packages/scheduler/src/engine/fleet/storeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/storeRoster.ts
@@ -5,6 +5,14 @@
 import { storeKeys } from "../../storeKeys.js";
 import type { Roster, Scheduler } from "../Scheduler.js";
 import { decodeRoster } from "./decodeRoster.js";
+import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
+import { hasLeaseEnded } from "./workerClock.js";
+
+/**
+ * Time without an answer after which the roster leaves out a worker that can have no runs, in milliseconds. A worker
+ * that has just joined gets starts only once it is stored, so it is stored before its first answer.
+ */
+const ROSTER_SILENCE_LIMIT_MS = 2_000;
 
 /**
  * Stores the roster of workers that may have runs or unstored ends, so that the next owner reconciles each of them.
@@ -45,11 +53,23 @@
 
 /**
  * Returns whether the next owner must ask the worker. An unlisted worker gets no starts, so once it has listed all its
- * runs it is needed only for those that are known, and for ends that are not stored.
+ * runs it is needed only for those that are known, and for ends that are not stored. The same holds for a silent
+ * worker, which is stored again before it gets starts.
  */
 function mustBeAsked(scheduler: Scheduler, worker: WorkerEntry): boolean {
-    return worker.isListed || !worker.hasAnswered || scheduler.unreconciledWorkers.has(worker.id)
-        || worker.runs.size > 0 || worker.ends.lastApplied > worker.ends.lastDurable;
+    if (worker.runs.size > 0 || worker.ends.lastApplied > worker.ends.lastDurable) {
+        return true;
+    }
+    return !isSilent(scheduler, worker)
+        && (worker.isListed || !worker.hasAnswered || scheduler.unreconciledWorkers.has(worker.id));
+}
+
+/** Returns whether a worker has not answered for so long that nothing runs on it any more. */
+function isSilent(scheduler: Scheduler, worker: WorkerEntry): boolean {
+    const isAnswering = worker.hasAnswered && !worker.isUnresponsive;
+    const silenceMs = scheduler.clock() - Math.max(worker.addedAt, worker.lastAnswerAt);
+    return !isAnswering && silenceMs > ROSTER_SILENCE_LIMIT_MS && hasLeaseEnded(scheduler, worker)
+        && !mayHaveUnknownRuns(scheduler, worker.id);
 }
 
 function isSameRoster(left: Roster, right: Roster): boolean {
--- a/packages/scheduler/src/engine/fleet/watchFleet.ts
+++ b/packages/scheduler/src/engine/fleet/watchFleet.ts
@@ -68,7 +68,8 @@
         worker = undefined;
     }
     if (worker === undefined) {
-        worker = createWorkerEntry(report.id, report.address, createWakeSignal(scheduler.pause));
+        const wakeSignal = createWakeSignal(scheduler.pause);
+        worker = createWorkerEntry(report.id, report.address, wakeSignal, scheduler.clock());
         addWorker(scheduler, worker);
         scheduler.log.info("A worker is listed.", { worker: report.id, address: report.address });
     }
--- a/packages/scheduler/src/engine/takeover/loadState.ts
+++ b/packages/scheduler/src/engine/takeover/loadState.ts
@@ -70,7 +70,8 @@
     scheduler.roster = decodeRoster(scheduler, item);
     for (const [id, address] of scheduler.roster) {
         scheduler.unreconciledWorkers.add(id);
-        addWorker(scheduler, createWorkerEntry(id, address, createWakeSignal(scheduler.pause)));
+        const wakeSignal = createWakeSignal(scheduler.pause);
+        addWorker(scheduler, createWorkerEntry(id, address, wakeSignal, scheduler.clock()));
     }
     // No earlier owner extends a lease beyond this, even one that does not know of its successor; see `extendLease`.
     const leaseMs = getMaxMonotonicMs(getMaxLeaseMs(scheduler.bounds.maxHoldMs));
--- a/packages/scheduler/src/placement/createUnplacedSteps.steps.ts
+++ b/packages/scheduler/src/placement/createUnplacedSteps.steps.ts
@@ -39,10 +39,8 @@
 }).map(step => create(StepSchema, step));
 
 function createWorker(free: ResourceAmounts, number: number): WorkerEntry {
-    const worker = createWorkerEntry(`w${number}` as WorkerId, "", {
-        notify: () => {},
-        wait: async () => {},
-    });
+    const wakeSignal = { notify: () => {}, wait: async () => {} };
+    const worker = createWorkerEntry(`w${number}` as WorkerId, "", wakeSignal, 0);
     worker.service = "service";
     worker.rack = `r${Math.floor(number / WORKERS_PER_RACK)}`;
     for (const kind of RESOURCE_KINDS) {
--- a/packages/scheduler/src/state/WorkerEntry.ts
+++ b/packages/scheduler/src/state/WorkerEntry.ts
@@ -26,6 +26,8 @@
 export type WorkerEntry = {
     readonly id: WorkerId;
     readonly address: string;
+    /** Monotonic time at which the owner added the worker to the fleet, in milliseconds. */
+    readonly addedAt: number;
     /** Wall time at which the incarnation that last answered a hold started, in ms since 1970; 0 if unknown. */
     bornMs: number;
     service: string;
@@ -80,16 +82,19 @@
  * @param id - Id of the worker.
  * @param address - Address of the worker as `IP:port`.
  * @param wakeSignal - Wakes the task that calls the worker.
+ * @param now - Monotonic time in milliseconds.
  * @returns The entry, without capacity.
  */
 export function createWorkerEntry(
     id: WorkerId,
     address: string,
     wakeSignal: WakeSignal,
+    now: number,
 ): WorkerEntry {
     return {
         id,
         address,
+        addedAt: now,
         bornMs: 0,
         service: "",
         dataCentre: "",
