Scenario: tasks wait for a worker that has fallen silent before their starts were sent (failing)

At most two orders are in flight to one worker. The starts behind them are sent one after the other although the worker no longer answers, each becomes unclear, and its task then waits for the end of the worker's lease, which every one of these starts extends.

--- a/packages/scheduler/src/engine/runs/orders.feature
+++ b/packages/scheduler/src/engine/runs/orders.feature
@@ -57,3 +57,13 @@
         When ana submits the bulk job J of "1 x 2"
         And bob submits the normal job K of "1 x 2"
         Then 1 task of K runs
+
+    Scenario: Tasks wait for a worker that has fallen silent before their starts were sent
+        Given a fleet of 1 workers with an owner
+        When the answers to the next 1000 holds of w0 are lost
+        And the next orders to w0 hit the faults "unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered"
+        And ana submits the normal job J of "12 x 0"
+        And 1 worker joins the fleet
+        And 1 second passes
+        Then at least 10 tasks of J run
+        And no task has had two runs at the same time
