A start that has not been sent is withdrawn once its worker no longer answers

Cause: at most two orders are in flight to one worker; the starts behind them were sent also after a hold to the worker had failed. Each became unclear after two timeouts, counted as running until the worker's lease had ended, and extended that lease for the other runs on the worker. The runs of a gang waited with it. Ruled out: starts that have been sent; their outcome is unclear, so they keep waiting for a list or the lease's end. Change: before a run's first send, a run on a worker whose last hold failed is released and placed anew elsewhere; a log line shows since when it had been placed and the worker had been silent.

--- a/packages/scheduler/src/engine/runs/startRun.ts
+++ b/packages/scheduler/src/engine/runs/startRun.ts
@@ -50,7 +50,10 @@
     }
 }
 
-/** Sends an order to start a run; returns `undefined` if the run was stopped or released before its turn came. */
+/**
+ * Sends an order to start a run; returns `undefined` if the run was stopped or released before its turn came, or is
+ * released now because its worker no longer answers.
+ */
 async function sendStart(scheduler: Scheduler, run: Run, ticket: string): Promise<OrderOutcome | undefined> {
     const { worker, task } = run;
     let outcome: OrderOutcome | undefined;
@@ -58,6 +61,10 @@
         if (!mayStillStart(scheduler, run)) {
             return undefined;
         }
+        if (!run.isOrderSent && worker.isUnresponsive) {
+            withdrawRun(scheduler, run);
+            return undefined;
+        }
         run.isOrderSent = true;
         outcome = await scheduler.workers.start(worker, {
             task: task.name,
@@ -73,6 +80,21 @@
     return outcome;
 }
 
+/**
+ * Releases a run whose start has not been sent. Sent to a worker that does not answer, it would be unclear, and would
+ * extend the lease after which the worker's other runs have certainly ended.
+ */
+function withdrawRun(scheduler: Scheduler, run: Run): void {
+    scheduler.log.info("A start is withdrawn, since its worker does not answer.", {
+        ...run.task.name,
+        run: run.number,
+        worker: run.worker.id,
+        sincePlacedMs: Math.round(scheduler.clock() - run.orderedAt),
+        sinceAnsweredMs: Math.round(scheduler.clock() - run.worker.lastAnswerAt),
+    });
+    abandonRun(scheduler, run, false);
+}
+
 /** Returns whether a run is still to be started: not confirmed, stopped or released, in a term that goes on. */
 function mayStillStart({ ownership }: Scheduler, run: Run): boolean {
     return run.phase === "starting" && run.worker.runs.has(run) && !ownership.signal.aborted;
