Log what keeps a step waiting although there is room for it

Cause: a step that waited with ample room left no line that told why. Its workers may have been paused, reserved, cordoned, unanswered or missing from the stored roster, or the room was spread over racks.

--- a/packages/scheduler/src/engine/passes/PlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/PlacementPass.ts
@@ -2,11 +2,14 @@
 import type { WorkerGroups } from "../../placement/createWorkerGroups.js";
 import type { JobEntry } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { ServiceCapacity } from "./measureCapacity.js";
 
 /** State of a placement pass. */
 export type PlacementPass = {
     /** Jobs covered by their customers' guarantees. */
     readonly entitled: ReadonlySet<JobEntry>;
+    /** Capacity of the listed workers that do not drain, by service. */
+    readonly capacities: ReadonlyMap<string, ServiceCapacity>;
     /** Workers by service and label. */
     readonly groups: WorkerGroups;
     /** Steps that found no room, by worker group. */
--- a/packages/scheduler/src/engine/passes/findReadySteps.ts
+++ b/packages/scheduler/src/engine/passes/findReadySteps.ts
@@ -3,7 +3,7 @@
 
 /**
  * Finds the steps of a job that have waiting tasks and whose preceding steps are done, and records since when they have
- * been ready.
+ * been ready and have waited.
  *
  * @param entry - The job.
  * @param now - Monotonic time in milliseconds.
@@ -15,6 +15,7 @@
         for (const step of steps) {
             if (hasWaitingTasks(step) && step.spec.after.every(number => isDone(steps[number]))) {
                 step.readyAt ??= now;
+                step.waitingSince = isPartlyRunning(step) ? undefined : step.waitingSince ?? now;
                 ready.push(step);
             }
         }
@@ -26,6 +27,11 @@
     return step.doneCount < step.tasks.length && step.tasks.some(isWaiting);
 }
 
+/** Returns whether a step has runs beside its waiting tasks; each task of a lasting step waits by itself. */
+function isPartlyRunning({ spec, tasks }: StepEntry): boolean {
+    return !spec.lasting && tasks.some(task => task.runs.length > 0);
+}
+
 function isDone(step: StepEntry | undefined): boolean {
     return step !== undefined && step.doneCount === step.tasks.length;
 }
--- a/packages/scheduler/src/engine/passes/measureCapacity.ts
+++ b/packages/scheduler/src/engine/passes/measureCapacity.ts
@@ -9,12 +9,14 @@
     readonly usedShare: number;
     /** Resources that no run uses. */
     readonly free: Resources;
+    /** All resources. */
+    readonly total: Resources;
 };
 
 /**
  * Measures the capacity of each service.
  *
- * @param workers - Schedulable workers.
+ * @param workers - The workers.
  * @returns The capacity by service.
  */
 export function measureCapacity(workers: readonly WorkerEntry[]): ReadonlyMap<string, ServiceCapacity> {
@@ -31,15 +33,13 @@
 
 function sumCapacity(workers: readonly WorkerEntry[]): ServiceCapacity {
     const free = createEmptyResources();
-    const capacity = createEmptyResources();
+    const total = createEmptyResources();
     for (const worker of workers) {
         for (const kind of RESOURCE_KINDS) {
             free[kind] += Math.max(0, worker.free[kind]);
-            capacity[kind] += worker.capacity[kind];
+            total[kind] += worker.capacity[kind];
         }
     }
-    const shares = RESOURCE_KINDS.filter(kind => capacity[kind] > 0).map(kind =>
-        1 - free[kind] / capacity[kind]
-    );
-    return { usedShare: Math.max(0, ...shares), free };
+    const shares = RESOURCE_KINDS.filter(kind => total[kind] > 0).map(kind => 1 - free[kind] / total[kind]);
+    return { usedShare: Math.max(0, ...shares), free, total };
 }
--- a/packages/scheduler/src/engine/passes/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/runPlacementPass.ts
@@ -8,6 +8,9 @@
 import { findEntitledJobs } from "./findEntitledJobs.js";
 import { findSchedulableWorkers } from "./findSchedulableWorkers.js";
 import { isolateJob } from "./isolateJob.js";
+import { logLongWaits } from "./logLongWaits.js";
+import { measureCapacity } from "./measureCapacity.js";
+import type { RankedJob } from "./orderJobs.js";
 import { orderJobs } from "./orderJobs.js";
 import { placeCopies } from "./placeCopies.js";
 import type { PlacementPass } from "./PlacementPass.js";
@@ -35,6 +38,7 @@
     const entitled = findEntitledJobs(scheduler, configuration, queues);
     const pass: PlacementPass = {
         entitled,
+        capacities: measureCapacity(nonDrainingWorkers),
         groups: createWorkerGroups(workers, nonDrainingWorkers),
         unplacedSteps: createUnplacedSteps(),
         hasUnplacedSteps: false,
@@ -44,8 +48,19 @@
         freeStarts: scheduler.orders.countFreeStarts(),
         hasWaitingStarts: scheduler.orders.countWaitingStarts() > 0,
     };
+    const rankedJobs = orderJobs(scheduler, { queues, entitled, workers });
+    placeJobs(scheduler, pass, rankedJobs);
+    logLongWaits(scheduler, pass, rankedJobs);
+    if (!pass.hasUnplacedSteps && pass.freeStarts > 0) {
+        for (const entry of scheduler.activeJobs) {
+            placeCopies(scheduler, workers, entry, queues.get(entry.queue));
+        }
+    }
+}
+
+function placeJobs(scheduler: Scheduler, pass: PlacementPass, rankedJobs: readonly RankedJob[]): void {
     const canPlaceInheritedJobs = !hasUnknownRuns(scheduler);
-    for (const ranked of orderJobs(scheduler, { queues, entitled, workers })) {
+    for (const ranked of rankedJobs) {
         if (pass.freeStarts <= 0) {
             return;
         }
@@ -55,11 +70,6 @@
             });
         }
     }
-    if (!pass.hasUnplacedSteps) {
-        for (const entry of scheduler.activeJobs) {
-            placeCopies(scheduler, workers, entry, queues.get(entry.queue));
-        }
-    }
 }
 
 /** An owner that was suspended may have a successor; it places nothing before its lease is confirmed again. */
--- a/packages/scheduler/src/engine/runs/runs.ts
+++ b/packages/scheduler/src/engine/runs/runs.ts
@@ -37,6 +37,8 @@
     };
     task.runs.push(run);
     task.lastRun = Math.max(task.lastRun, number);
+    task.step.waitingSince = undefined;
+    task.step.isWaitLogged = false;
     worker.runs.add(run);
     applyTaskRequest(worker.free, task.step.spec, -1);
     return run;
--- a/packages/scheduler/src/placement/createWorkerGroups.ts
+++ b/packages/scheduler/src/placement/createWorkerGroups.ts
@@ -8,6 +8,8 @@
     readonly key: string;
     /** Workers on which runs may be started now. */
     readonly workers: readonly WorkerEntry[];
+    /** Returns the workers on which runs may be started now or later. */
+    readonly listNonDraining: () => readonly WorkerEntry[];
     /** Returns whether any rack of the group could hold a whole gang if nothing else ran there. */
     readonly fitsEmptyRack: (step: Step) => boolean;
 };
@@ -42,12 +44,16 @@
             }
             const isMember = (worker: WorkerEntry): boolean =>
                 worker.service === service && (label === "" || worker.labels.includes(label));
+            let nonDraining: readonly WorkerEntry[] | undefined;
+            const listNonDraining = (): readonly WorkerEntry[] =>
+                nonDraining ??= nonDrainingWorkers.filter(isMember);
             let racks: ReadonlyMap<string, readonly RackPart[]> | undefined;
             const group: WorkerGroup = {
                 key,
                 workers: workers.filter(isMember),
+                listNonDraining,
                 fitsEmptyRack: step => {
-                    racks ??= groupByRack(nonDrainingWorkers.filter(isMember));
+                    racks ??= groupByRack(listNonDraining());
                     return [...racks.values()].some(parts => countSlots(parts, step) >= step.taskCount);
                 },
             };
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -80,6 +80,13 @@
     advice: StepAdvice | undefined;
     /** Monotonic time from which the step was ready to start, in milliseconds; `undefined` before. */
     readyAt: number | undefined;
+    /**
+     * Monotonic time since which the ready step has had no run, or a lasting one a task without a run, in milliseconds;
+     * `undefined` if that is not so.
+     */
+    waitingSince: number | undefined;
+    /** Whether the log shows what the current wait is for. */
+    isWaitLogged: boolean;
     /** Workers that are being kept free for the step; `undefined` before the first plan and once it is placed. */
     reservation: Reservation | undefined;
 };
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -64,6 +64,7 @@
     }
     const steps = entry.job.steps.map((spec, number): StepEntry => {
         const tasks: TaskEntry[] = [];
+        const readyAt = isReadyOnAcceptance(entry, spec) ? entry.acceptedAt : undefined;
         const step: StepEntry = {
             job: entry,
             occurrence,
@@ -72,7 +73,9 @@
             tasks,
             doneCount: 0,
             advice: undefined,
-            readyAt: isReadyOnAcceptance(entry, spec) ? entry.acceptedAt : undefined,
+            readyAt,
+            waitingSince: readyAt,
+            isWaitLogged: false,
             reservation: undefined,
         };
         for (let index = 0; index < spec.taskCount; index++) {
