Start a step that waits despite ample room on paused workers

Cause: a worker that refused or failed a start gets none for up to 8 s, also when no other worker has room; the number of faults grows with each hopeless task and crash, and only a completed run resets it. Ruled out: no reset for a restarted worker is needed, since the wait is bounded now whatever the number of faults. Change: a step whose job has no run (or a lasting step with a task without one) and that has waited for 2 s with under half of what it needs in use and room twice over is placed on paused workers too, if the others have no room. For a step that is not a gang, the room is that of one task, since one running task ends the wait. A start resets the wait, so that such a step asks a refusing worker every 2 s at most.

--- a/packages/scheduler/src/engine/passes/PlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/PlacementPass.ts
@@ -12,6 +12,8 @@
     readonly capacities: ReadonlyMap<string, ServiceCapacity>;
     /** Workers by service and label. */
     readonly groups: WorkerGroups;
+    /** Workers that get no starts for a while because of faults, unless a step would wait for long. */
+    readonly pausedWorkers: ReadonlySet<WorkerEntry>;
     /** Steps that found no room, by worker group. */
     readonly unplacedSteps: UnplacedSteps;
     /** Whether a step was not placed completely. */
--- a/packages/scheduler/src/engine/passes/findSchedulableWorkers.ts
+++ b/packages/scheduler/src/engine/passes/findSchedulableWorkers.ts
@@ -2,21 +2,19 @@
 import type { Scheduler } from "../Scheduler.js";
 
 /**
- * Finds the workers on which runs may be started now: reachable, listed, neither draining, cordoned nor paused,
- * and in the stored roster with their address.
+ * Finds the workers on which runs may be started now: reachable, listed, neither draining nor cordoned, and
+ * in the stored roster with their address.
  *
  * @param scheduler - The scheduler.
- * @returns The workers, regardless of their free capacity.
+ * @returns The workers, regardless of their free capacity and of pauses after faults.
  */
 export function findSchedulableWorkers(scheduler: Scheduler): readonly WorkerEntry[] {
-    const now = scheduler.clock();
     return [...scheduler.fleet.values()].filter(worker =>
         worker.hasAnswered
         && !worker.isUnresponsive
         && worker.isListed
         && !worker.draining
         && !worker.isCordoned
-        && worker.pausedUntil <= now
         && scheduler.roster.get(worker.id) === worker.address
     );
 }
--- a/packages/scheduler/src/engine/passes/placeStep.ts
+++ b/packages/scheduler/src/engine/passes/placeStep.ts
@@ -1,21 +1,23 @@
+import { assignTasks } from "../../placement/assignTasks.js";
 import type { Assignment } from "../../placement/countFittingTasks.js";
-import type { PlacementScope } from "../../placement/createUnplacedSteps.js";
+import type { WorkerGroup } from "../../placement/createWorkerGroups.js";
 import { getPlacementScope } from "../../placement/getPlacementScope.js";
-import { placeGang } from "../../placement/placeGang.js";
-import { placeTasks } from "../../placement/placeTasks.js";
-import type { StepEntry, TaskEntry } from "../../state/JobEntry.js";
+import type { StepEntry } from "../../state/JobEntry.js";
 import { listWaitingTasks } from "../../state/listWaitingTasks.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
 import { startRuns } from "../runs/startRuns.js";
 import type { Scheduler } from "../Scheduler.js";
+import { assignWithoutPreferences } from "./assignWithoutPreferences.js";
 import type { RankedJob } from "./orderJobs.js";
 import type { PlacementPass } from "./PlacementPass.js";
 import { mayReserveWorkers, reserveWorkers } from "./reserveWorkers.js";
 import { filterAllowedWorkers, requestAdvice } from "./stepAdvice.js";
+import { waitsDespiteRoom } from "./waitsDespiteRoom.js";
 
 /**
  * Places as many waiting tasks of a step as fit. A guaranteed step that does not fit preempts other runs. A
- * starved step, and a gang that is on time, reserve workers that soon have enough free capacity.
+ * starved step, and a gang that is on time, reserve workers that soon have enough free capacity. A step that has
+ * waited for long despite ample room drops preferences: it uses paused workers if others have no room.
  *
  * @param scheduler - The scheduler.
  * @param pass - The pass, in which unplaced steps and reserved workers are recorded.
@@ -32,7 +34,10 @@
     const group = pass.groups.get(service, step.spec.requiredLabel);
     const scope = getPlacementScope(group, step.spec);
     const hasNoRoom = advice === undefined && pass.unplacedSteps.covers(group.key, step.spec, scope);
-    if (hasNoRoom && !mayReserveWorkers(pass, ranked, step)) {
+    const now = scheduler.clock();
+    const isLongWait = (): boolean =>
+        waitsDespiteRoom(step, { group, capacity: pass.capacities.get(service), now });
+    if (hasNoRoom && !mayReserveWorkers(pass, ranked, step) && !isLongWait()) {
         pass.hasUnplacedSteps = true;
         return;
     }
@@ -42,10 +47,20 @@
         pass.hasUnplacedSteps = true;
         return;
     }
-    const listWorkers = (): readonly WorkerEntry[] =>
-        filterAllowedWorkers(advice, step, group.workers, scheduler.clock())
-            .filter(worker => !pass.reservedWorkers.has(worker));
-    const fitting = hasNoRoom ? [] : assignTasks(step, waiting, listWorkers(), scope);
+    const listUsable = (workers: readonly WorkerEntry[]): readonly WorkerEntry[] =>
+        filterAllowedWorkers(advice, step, workers, now).filter(worker => !pass.reservedWorkers.has(worker));
+    const listWorkers = (): readonly WorkerEntry[] => listUsable(group.workers);
+    const preferred = hasNoRoom ? [] : assignTasks(step, waiting, listWorkers(), scope);
+    const needsMore = step.spec.lasting ? preferred.length < waiting.length : preferred.length === 0;
+    const dropsPreferences = needsMore && isLongWait();
+    const pausedWorkers = dropsPreferences ? listPausedWorkers(pass, group) : [];
+    const fitting = dropsPreferences
+        ? assignWithoutPreferences(step, waiting, {
+            preferred,
+            preferredWorkers: listWorkers(),
+            concessions: [{ addedWorkers: listUsable(pausedWorkers), scope }],
+        })
+        : preferred;
     const assignments = limitToFreeStarts(pass, step, fitting);
     startRuns(scheduler, step, assignments);
     pass.freeStarts -= assignments.length;
@@ -60,7 +75,7 @@
     }
     pass.hasUnplacedSteps = true;
     if (advice !== undefined) {
-        requestAdvice(scheduler, advice, step, group.workers);
+        requestAdvice(scheduler, advice, step, [...group.workers, ...pausedWorkers]);
     }
     else if (step.spec.maxPerWorker === 0) {
         pass.unplacedSteps.add(group.key, step.spec, scope);
@@ -71,20 +86,8 @@
     }
 }
 
-function assignTasks(
-    step: StepEntry,
-    waiting: readonly TaskEntry[],
-    workers: readonly WorkerEntry[],
-    scope: PlacementScope,
-): readonly Assignment[] {
-    switch (scope) {
-        case "task":
-            return placeTasks(step, waiting, workers);
-        case "rack":
-            return placeGang(step, workers, true) ?? [];
-        case "fleet":
-            return placeGang(step, workers, false) ?? [];
-    }
+function listPausedWorkers({ pausedWorkers }: PlacementPass, group: WorkerGroup): readonly WorkerEntry[] {
+    return group.listNonDraining().filter(worker => pausedWorkers.has(worker));
 }
 
 /**
--- a/packages/scheduler/src/engine/passes/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/runPlacementPass.ts
@@ -30,7 +30,9 @@
     for (const entry of scheduler.activeJobs) {
         isolateJob(scheduler, entry, () => addDueOccurrences(scheduler, entry));
     }
-    const workers = findSchedulableWorkers(scheduler);
+    const now = scheduler.clock();
+    const schedulable = findSchedulableWorkers(scheduler);
+    const workers = schedulable.filter(worker => worker.pausedUntil <= now);
     const nonDrainingWorkers = [...scheduler.fleet.values()].filter(worker =>
         worker.isListed && !worker.draining
     );
@@ -40,6 +42,7 @@
         entitled,
         capacities: measureCapacity(nonDrainingWorkers),
         groups: createWorkerGroups(workers, nonDrainingWorkers),
+        pausedWorkers: new Set(schedulable.filter(worker => worker.pausedUntil > now)),
         unplacedSteps: createUnplacedSteps(),
         hasUnplacedSteps: false,
         reservedWorkers: new Set(),
--- a/packages/scheduler/src/engine/passes/waits.feature
+++ b/packages/scheduler/src/engine/passes/waits.feature
@@ -78,9 +78,9 @@
 
     Scenario: A task of a lasting step starts on a paused worker while others of its step run
         Given a fleet of 2 workers with an owner
-        When the next orders to w1 hit the faults "refused refused refused refused refused refused"
+        When the next orders to w1 hit the faults "refused refused refused refused refused"
         And ana submits the normal job J of "2 x 1 lasting spread"
-        And 6 seconds pass while all runs make progress
+        And 7 seconds pass while all runs make progress
         Then 2 tasks of J run
 
     Scenario: Workers are not kept from a step for long by one that does not fit yet
--- a/packages/scheduler/src/engine/passes/waitsDespiteRoom.ts
+++ b/packages/scheduler/src/engine/passes/waitsDespiteRoom.ts
@@ -28,19 +28,24 @@
 
 /**
  * Returns whether a step has waited for long although under half of what it needs is in use in its service, and the
- * workers, each counted by itself, have room for it twice over.
+ * workers, each counted by itself, have room twice over for all members of the gang or for one other task.
  *
  * @param step - The step, which is ready.
  * @param surroundings - The step's workers, the capacity of its service and the time.
  * @returns True if the step waits so and its job has no run; a lasting step counts even if the job has runs.
  */
 export function waitsDespiteRoom(step: StepEntry, { group, capacity, now }: WaitSurroundings): boolean {
-    return now - (step.waitingSince ?? now) >= LONG_WAIT_MS
-        && capacity !== undefined
-        && computeUsedShare(capacity, step.spec) <= MAX_USED_SHARE
-        && computeFitRatio(capacity.free, step.spec) >= MIN_FIT_COUNT
+    if (
+        now - (step.waitingSince ?? now) < LONG_WAIT_MS
+        || capacity === undefined
+        || computeUsedShare(capacity, step.spec) > MAX_USED_SHARE
+    ) {
+        return false;
+    }
+    const needed = step.spec.gang ? step.spec : { ...step.spec, taskCount: 1 };
+    return computeFitRatio(capacity.free, needed) >= MIN_FIT_COUNT
         && (step.spec.lasting || hasNoRuns(step))
-        && hasRoomFor(group.listNonDraining(), step.spec, MIN_FIT_COUNT);
+        && hasRoomFor(group.listNonDraining(), needed, MIN_FIT_COUNT);
 }
 
 /** Returns the used share of the most used kind of resource that a step needs. */
