Let a step that waits despite ample room use workers kept free for others

Cause: a reservation of a starved step has no limit in time, and hides its workers from all steps ranked lower, also while their room stays unused. Ruled out: taking them for a step that is not a gang as soon as one of its tasks fits twice over. It broke 'A gang that is too late does not starve while the free capacity is fragmented', since the single tasks of a bulk job took each worker that became free; so the whole step has to fit twice over, and only a lasting step counts by the task. Change: after paused workers, such a step may use those kept free for others, except for a guaranteed job.

--- a/packages/scheduler/src/engine/passes/PlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/PlacementPass.ts
@@ -20,6 +20,8 @@
     hasUnplacedSteps: boolean;
     /** Workers that are kept free for a waiting step. */
     readonly reservedWorkers: Set<WorkerEntry>;
+    /** Those of them that are kept free for a guaranteed step. */
+    readonly guaranteedWorkers: Set<WorkerEntry>;
     /** Number of gangs on time that hold a reservation in the pass. */
     reservingGangs: number;
     /** Whether the pass has planned a reservation. A plan looks at every run, so further ones wait for later passes. */
--- a/packages/scheduler/src/engine/passes/placeStep.ts
+++ b/packages/scheduler/src/engine/passes/placeStep.ts
@@ -17,7 +17,8 @@
 /**
  * Places as many waiting tasks of a step as fit. A guaranteed step that does not fit preempts other runs. A
  * starved step, and a gang that is on time, reserve workers that soon have enough free capacity. A step that has
- * waited for long despite ample room drops preferences: it uses paused workers if others have no room.
+ * waited for long despite ample room drops preferences: it uses paused workers, and then
+ * those that are kept free for other steps without a guarantee.
  *
  * @param scheduler - The scheduler.
  * @param pass - The pass, in which unplaced steps and reserved workers are recorded.
@@ -49,6 +50,9 @@
     }
     const listUsable = (workers: readonly WorkerEntry[]): readonly WorkerEntry[] =>
         filterAllowedWorkers(advice, step, workers, now).filter(worker => !pass.reservedWorkers.has(worker));
+    const listReserved = (workers: readonly WorkerEntry[]): readonly WorkerEntry[] =>
+        filterAllowedWorkers(advice, step, workers, now)
+            .filter(worker => pass.reservedWorkers.has(worker) && !pass.guaranteedWorkers.has(worker));
     const listWorkers = (): readonly WorkerEntry[] => listUsable(group.workers);
     const preferred = hasNoRoom ? [] : assignTasks(step, waiting, listWorkers(), scope);
     const needsMore = step.spec.lasting ? preferred.length < waiting.length : preferred.length === 0;
@@ -58,7 +62,10 @@
         ? assignWithoutPreferences(step, waiting, {
             preferred,
             preferredWorkers: listWorkers(),
-            concessions: [{ addedWorkers: listUsable(pausedWorkers), scope }],
+            concessions: [
+                { addedWorkers: listUsable(pausedWorkers), scope },
+                { addedWorkers: listReserved([...group.workers, ...pausedWorkers]), scope },
+            ],
         })
         : preferred;
     const assignments = limitToFreeStarts(pass, step, fitting);
--- a/packages/scheduler/src/engine/passes/reserveWorkers.ts
+++ b/packages/scheduler/src/engine/passes/reserveWorkers.ts
@@ -39,6 +39,9 @@
     const reservation = chooseReservation(scheduler, pass, ranked, unplaced);
     if (reservation !== undefined) {
         reservation.workers.forEach(worker => pass.reservedWorkers.add(worker));
+        if (ranked.schedulingClass === "entitled") {
+            reservation.workers.forEach(worker => pass.guaranteedWorkers.add(worker));
+        }
         logReservation(scheduler, ranked, step, reservation);
     }
     step.reservation = reservation;
--- a/packages/scheduler/src/engine/passes/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/runPlacementPass.ts
@@ -46,6 +46,7 @@
         unplacedSteps: createUnplacedSteps(),
         hasUnplacedSteps: false,
         reservedWorkers: new Set(),
+        guaranteedWorkers: new Set(),
         reservingGangs: 0,
         hasPlanned: false,
         freeStarts: scheduler.orders.countFreeStarts(),
--- a/packages/scheduler/src/engine/passes/waitsDespiteRoom.ts
+++ b/packages/scheduler/src/engine/passes/waitsDespiteRoom.ts
@@ -28,7 +28,7 @@
 
 /**
  * Returns whether a step has waited for long although under half of what it needs is in use in its service, and the
- * workers, each counted by itself, have room twice over for all members of the gang or for one other task.
+ * workers, each counted by itself, have room twice over for the whole step, or for one task of a lasting one.
  *
  * @param step - The step, which is ready.
  * @param surroundings - The step's workers, the capacity of its service and the time.
@@ -42,7 +42,7 @@
     ) {
         return false;
     }
-    const needed = step.spec.gang ? step.spec : { ...step.spec, taskCount: 1 };
+    const needed = step.spec.lasting ? { ...step.spec, taskCount: 1 } : step.spec;
     return computeFitRatio(capacity.free, needed) >= MIN_FIT_COUNT
         && (step.spec.lasting || hasNoRuns(step))
         && hasRoomFor(group.listNonDraining(), needed, MIN_FIT_COUNT);
