Spread a gang over racks when it waits despite ample room

Cause: a gang whose members should be in one rack waited for a rack as long as any could hold it when empty, also while the free workers were in different racks; starved after 10 s, it waited for whole runs to end. Change: a gang that has waited for 2 s with under half of what it needs in use and room twice over is spread, once paused workers and those kept free for others do not suffice; one that is on time waits 2.5 s, since it runs slower across racks. The scenario of the logged wait uses a gang on time: a late one does not wait any more. It checks the same line, count and reason.

--- a/packages/scheduler/src/engine/passes/countExclusions.feature
+++ b/packages/scheduler/src/engine/passes/countExclusions.feature
@@ -13,6 +13,6 @@
         And task 0.0.4 of B ends as done
         And task 0.0.8 of B ends as done
         And task 0.0.12 of B ends as done
-        And ana submits the hasty job G of "2 x 8 gang one-rack"
+        And ana submits the normal job G of "2 x 8 gang one-rack"
         And 5 seconds pass while all runs make progress
         Then 1 wait of G is logged, with the workers "available 4"
--- a/packages/scheduler/src/engine/passes/placeStep.ts
+++ b/packages/scheduler/src/engine/passes/placeStep.ts
@@ -14,11 +14,14 @@
 import { filterAllowedWorkers, requestAdvice } from "./stepAdvice.js";
 import { waitsDespiteRoom } from "./waitsDespiteRoom.js";
 
+/** Longest wait of a gang on time for one rack despite ample room elsewhere, in milliseconds. */
+const MAX_ON_TIME_RACK_WAIT_MS = 2_500;
+
 /**
  * Places as many waiting tasks of a step as fit. A guaranteed step that does not fit preempts other runs. A
  * starved step, and a gang that is on time, reserve workers that soon have enough free capacity. A step that has
  * waited for long despite ample room drops preferences: it uses paused workers, and then
- * those that are kept free for other steps without a guarantee.
+ * those that are kept free for other steps without a guarantee, and a gang is spread over racks last.
  *
  * @param scheduler - The scheduler.
  * @param pass - The pass, in which unplaced steps and reserved workers are recorded.
@@ -65,6 +68,9 @@
             concessions: [
                 { addedWorkers: listUsable(pausedWorkers), scope },
                 { addedWorkers: listReserved([...group.workers, ...pausedWorkers]), scope },
+                ...(scope === "rack" && maySpread(ranked, step, now)
+                    ? [{ addedWorkers: [], scope: "fleet" } as const]
+                    : []),
             ],
         })
         : preferred;
@@ -93,6 +99,12 @@
     }
 }
 
+/** Returns whether a gang that waits despite ample room may be spread over racks, where it runs slower. */
+function maySpread({ entry, times }: RankedJob, step: StepEntry, now: number): boolean {
+    const isLate = now - entry.acceptedAt + times.remainingCriticalPathMs > times.objectiveMs;
+    return isLate || now - (step.waitingSince ?? now) >= MAX_ON_TIME_RACK_WAIT_MS;
+}
+
 function listPausedWorkers({ pausedWorkers }: PlacementPass, group: WorkerGroup): readonly WorkerEntry[] {
     return group.listNonDraining().filter(worker => pausedWorkers.has(worker));
 }
