--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -93,6 +93,7 @@
     /** Speed of the workers' clocks relative to the harness's clock. */
     workerClockRate = 1;
     private jobCount = 0;
+    private readonly submittedSteps = new Map<string, readonly MessageInitShape<typeof StepSchema>[]>();
 
     /** Adds workers to the fleet, each on its own machine, with four workers in a rack. */
     addWorkers(count: number): void {
@@ -122,7 +123,12 @@
     }
 
     private addWorker(report: WorkerReport): void {
-        this.workers.set(report.id, new FakeWorker(report, () => this.clock.now * this.workerClockRate));
+        const worker = new FakeWorker(report, () => this.clock.now * this.workerClockRate);
+        worker.getRequest = task => {
+            const { request, fillsIdle = false } = this.submittedSteps.get(task.job)?.[task.step] ?? {};
+            return { ...request, ...(fillsIdle ? { cpuMillis: 0 } : {}) };
+        };
+        this.workers.set(report.id, worker);
     }
 
     /** Replaces a worker by one with another id at the same address; the platform goes on listing both. */
@@ -142,6 +148,7 @@
     ): JobId {
         this.jobCount += 1;
         const id = this.jobCount.toString(16).padStart(16, "0");
+        this.submittedSteps.set(id, steps);
         this.store.put(
             storeKeys.job(id),
             toBinary(JobSchema, this.createJob(id, queue, customer, steps, options)),
@@ -292,6 +299,7 @@
             .filter(worker => !this.unlistedWorkers.has(worker.id))
             .map(worker => ({
                 ...worker.report,
+                capacity: worker.capacity,
                 bornMs: worker.registeredBornMs,
                 draining: worker.isDraining,
                 remainingMs: worker.remainingMs,
--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -32,6 +32,9 @@
     pace: number;
 };
 
+/** What a task needs; a kind of resource that is not given is not needed. */
+type TaskRequest = Partial<Pick<WorkerReport["capacity"], "cpuMillis" | "memoryMb" | "accelerators">>;
+
 /**
  * A fake worker in memory. It starts and stops runs under a lease, rejects orders of earlier owners, and
  * reports each ended run until the owner acknowledges it.
@@ -66,6 +69,12 @@
     bornMs: number;
     /** `bornMs` of the incarnation that last registered with the platform. */
     registeredBornMs: number;
+    /** Resources of the worker; it starts what it is ordered to start, whether or not there is room. */
+    capacity: WorkerReport["capacity"];
+    /** Returns what a task needs; nothing, unless a test tells it. */
+    getRequest: (task: TaskName) => TaskRequest = () => ({});
+    /** Names of the tasks whose start brought the worker over its capacity, in order. */
+    readonly startsOverCapacity: string[] = [];
     isDraining = false;
     /** Minimum time until a draining worker leaves, in milliseconds. */
     remainingMs = 0;
@@ -88,6 +97,7 @@
     constructor(readonly report: WorkerReport, private readonly monotonicClock: () => number) {
         this.bornMs = report.bornMs;
         this.registeredBornMs = report.bornMs;
+        this.capacity = report.capacity;
     }
 
     /** Returns the worker's id. */
@@ -256,9 +266,21 @@
             checkpoint: order.checkpoint,
             ticket: order.ticket,
         });
+        if (this.isOverCapacity()) {
+            this.startsOverCapacity.push(name);
+        }
         return { kind: "done", clockMs };
     }
 
+    /** Returns whether what runs, or is being stopped, needs more than the worker has. */
+    private isOverCapacity(): boolean {
+        const requests = [...this.running.values()].map(({ task }) => this.getRequest(task));
+        const kinds = ["cpuMillis", "memoryMb", "accelerators"] as const;
+        return kinds.some(kind =>
+            requests.reduce((sum, request) => sum + (request[kind] ?? 0), 0) > this.capacity[kind]
+        );
+    }
+
     private executeStop({ task, run, fence }: StopOrder): OrderOutcome {
         const clockMs = this.clock();
         const name = formatTaskName(task);
