--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -89,6 +89,8 @@
     readonly terms: Term[] = [];
     /** Tasks of which two runs were running at the same time. */
     readonly overlappingTasks = new Set<string>();
+    /** Tasks that crash their worker, by name, each with the time from its start to the crash, in milliseconds. */
+    readonly deadlyTasks = new Map<string, number>();
     configuration: FleetConfiguration = createTestConfiguration();
     /** Speed of the workers' clocks relative to the harness's clock. */
     workerClockRate = 1;
@@ -122,7 +124,9 @@
     }
 
     private addWorker(report: WorkerReport): void {
-        this.workers.set(report.id, new FakeWorker(report, () => this.clock.now * this.workerClockRate));
+        const worker = new FakeWorker(report, () => this.clock.now * this.workerClockRate);
+        worker.deadlyTasks = this.deadlyTasks;
+        this.workers.set(report.id, worker);
     }
 
     /** Replaces a worker by one with another id at the same address; the platform goes on listing both. */
@@ -233,7 +237,10 @@
     /** Advances the clock by `ms` milliseconds. */
     async advance(ms: number): Promise<void> {
         await this.clock.advance(ms, () => {
-            this.workers.forEach(worker => worker.endExpiredRuns());
+            this.workers.forEach(worker => {
+                worker.endExpiredRuns();
+                worker.advanceCrash();
+            });
             this.recordOverlappingTasks();
         });
     }
@@ -289,7 +296,7 @@
 
     private listWorkers(): readonly WorkerReport[] {
         const reports = [...this.workers.values()]
-            .filter(worker => !this.unlistedWorkers.has(worker.id))
+            .filter(worker => !this.unlistedWorkers.has(worker.id) && !worker.isDown)
             .map(worker => ({
                 ...worker.report,
                 bornMs: worker.registeredBornMs,
--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -30,6 +30,8 @@
     load: number;
     /** Ordered speed in percent of full speed. */
     pace: number;
+    /** Monotonic time of the start, in milliseconds. */
+    readonly startedAt: number;
 };
 
 /**
@@ -45,6 +47,12 @@
     stopDurationMs = 0;
     /** Whether the worker is unreachable: start, stop and hold calls do not arrive. */
     isDisconnected = false;
+    /** Tasks that crash a worker, by name, each with the time from its start to the crash, in milliseconds. */
+    deadlyTasks: ReadonlyMap<string, number> = new Map();
+    /** Time for which the worker is down after a crash, in milliseconds. */
+    downtimeMs = 3_000;
+    /** Number of crashes. */
+    crashCount = 0;
     /** Executed starts, in order. */
     readonly starts: {
         readonly task: TaskName;
@@ -78,6 +86,8 @@
     private readonly stopTimes = new Map<string, number>();
     /** Monotonic time at which the clock of the current incarnation reads 0, in milliseconds. */
     private clockStartedAt = 0;
+    /** Monotonic time at which the worker is back from a crash, in milliseconds; `undefined` while it is up. */
+    private backAt: number | undefined;
 
     /**
      * Creates a worker on which nothing runs.
@@ -95,6 +105,11 @@
         return this.report.id;
     }
 
+    /** Returns whether the worker has crashed and is not back. */
+    get isDown(): boolean {
+        return this.backAt !== undefined;
+    }
+
     /** Executes a start order, subject to the next fault. */
     start(order: StartOrder): OrderOutcome {
         return this.executeWithFault(() => this.executeStart(order));
@@ -116,7 +131,7 @@
 
     /** Extends the lease, drops acknowledged ends, and reports the running and the ended runs. */
     hold(order: HoldOrder): HoldOutcome {
-        if (this.isDisconnected) {
+        if (this.isDisconnected || this.isDown) {
             return { kind: "unclear", cause: "cut" };
         }
         if (order.fence < this.fence) {
@@ -160,6 +175,29 @@
         this.leaseUntilMs = 0;
     }
 
+    /** Crashes; the worker is back as a new incarnation after `downtimeMs`. */
+    crash(): void {
+        this.crashCount += 1;
+        this.running.clear();
+        this.backAt = this.monotonicClock() + this.downtimeMs;
+    }
+
+    /** Crashes if a deadly task has run for its time, and is back as a new incarnation if its downtime is over. */
+    advanceCrash(): void {
+        const now = this.monotonicClock();
+        if (this.backAt !== undefined && this.backAt <= now) {
+            this.backAt = undefined;
+            this.restart();
+            this.register();
+        }
+        const isDeadly = [...this.running].some(([task, { startedAt }]) =>
+            startedAt + (this.deadlyTasks.get(task) ?? Number.POSITIVE_INFINITY) <= now
+        );
+        if (isDeadly) {
+            this.crash();
+        }
+    }
+
     /** Registers the current incarnation with the platform. */
     register(): void {
         this.registeredBornMs = this.bornMs;
@@ -205,7 +243,7 @@
 
     private executeWithFault(execute: () => OrderOutcome): OrderOutcome {
         const fault = this.orderFaults.shift();
-        if (this.isDisconnected) {
+        if (this.isDisconnected || this.isDown) {
             return { kind: "unclear", cause: "cut" };
         }
         switch (fault) {
@@ -249,6 +287,7 @@
             percent: 0,
             load: 0,
             pace: 100,
+            startedAt: this.monotonicClock(),
         });
         this.starts.push({
             task: order.task,
@@ -256,6 +295,10 @@
             checkpoint: order.checkpoint,
             ticket: order.ticket,
         });
+        if (this.deadlyTasks.get(name) === 0) {
+            this.crash();
+            return { kind: "unclear", cause: "crashed" };
+        }
         return { kind: "done", clockMs };
     }
 
