Give up a job whose task crashes its workers

Cause: no crash was counted; a lost run was released and its task placed again. Change: a new incarnation proves the crash for the runs of the earlier one. The count is stored with the progress. A suspected task is placed apart from others; its job fails at the third crash if it was alone, at the fourth in any case.

--- a/packages/scheduler/src/Metrics.ts
+++ b/packages/scheduler/src/Metrics.ts
@@ -35,6 +35,13 @@
         starts: counter("starts", "Sent starts by outcome.", ["outcome"]),
         stops: counter("stops", "Stopped runs by reason.", ["reason"]),
         runEnds: counter("run_ends", "Ends that workers listed, by kind.", ["how"]),
+        workerCrashes: counter(
+            "worker_crashes",
+            "Crashes of workers under tasks, by whether a task was alone.",
+            [
+                "alone",
+            ],
+        ),
         orderFaults: counter("order_faults", "Orders without success by order and reason.", [
             "order",
             "reason",
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -11,6 +11,7 @@
 import type { WorkerPort, WorkerReport } from "../ports/WorkerPort.js";
 import type { JobEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { LostRuns } from "./crashes/LostRuns.js";
 import type { RunTimePredictor } from "./passes/createRunTimePredictor.js";
 
 /** Lists the workers that have registered, without malformed entries; `undefined` if the list cannot be read. */
@@ -86,6 +87,10 @@
     isLoaded: boolean;
     /** Monotonic time up to which the owner knows the stored jobs, in milliseconds. */
     jobsReadAt: number;
+    /** Runs that were released without a report of their worker, which may have crashed. */
+    lostRuns: readonly LostRuns[];
+    /** Monotonic times of the latest crashes of workers with runs, in milliseconds. */
+    crashTimes: readonly number[];
     readonly runTimePredictor: RunTimePredictor;
     /** Queue of the orders to start and stop runs. */
     readonly orders: OrderQueue;
--- /dev/null
+++ b/packages/scheduler/src/engine/crashes/LostRuns.ts
@@ -0,0 +1,63 @@
+import type { WorkerId } from "../../ids.js";
+import type { Run, StepEntry, TaskEntry } from "../../state/JobEntry.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+
+/** A run of an incarnation of a worker that may have crashed. */
+export type LostRun = {
+    readonly run: Run;
+    /** Whether a crash under the run counts: its start may have arrived, and it was not being stopped. */
+    readonly isCountable: boolean;
+    /** Whether the worker had confirmed the run. */
+    readonly isConfirmed: boolean;
+    /** Time for which the run was known to have lasted, in milliseconds. */
+    readonly ageMs: number;
+};
+
+/** The runs of an incarnation of a worker that may have crashed. */
+export type LostRuns = {
+    readonly worker: WorkerId;
+    readonly machine: string;
+    /** Wall time at which the incarnation started, in milliseconds since 1970; 0 if unknown. */
+    readonly bornMs: number;
+    /** Monotonic time at which the runs were captured, in milliseconds. */
+    readonly lostAt: number;
+    readonly runs: readonly LostRun[];
+};
+
+/**
+ * Captures the runs of a worker's incarnation.
+ *
+ * @param worker - The worker.
+ * @param now - Monotonic time in milliseconds.
+ * @returns The runs; none if the incarnation drained or its machine was next for upkeep, since it was about to leave.
+ */
+export function captureRuns(worker: WorkerEntry, now: number): LostRuns {
+    const isLeaving = worker.isCordoned || worker.drainingBornMs === worker.bornMs;
+    return {
+        worker: worker.id,
+        machine: worker.machine,
+        bornMs: worker.bornMs,
+        lostAt: now,
+        runs: isLeaving ? [] : [...worker.runs].filter(run => run.isOrderSent).map(captureRun),
+    };
+}
+
+function captureRun(run: Run): LostRun {
+    return {
+        run,
+        // A start without an answer is stopped; the crash may be why it has none.
+        isCountable: run.phase !== "stopping" || !run.isConfirmed,
+        isConfirmed: run.isConfirmed,
+        ageMs: Math.max(0, run.worker.lastAnswerAt - run.confirmedAt),
+    };
+}
+
+/**
+ * Returns what shares the outcome of a task: its gang, otherwise the task alone.
+ *
+ * @param task - The task.
+ * @returns The step of the gang, or the task.
+ */
+export function getOutcomeUnit(task: TaskEntry): StepEntry | TaskEntry {
+    return task.step.spec.gang ? task.step : task;
+}
--- /dev/null
+++ b/packages/scheduler/src/engine/crashes/countLostRuns.ts
@@ -0,0 +1,51 @@
+import type { TaskName } from "../../ids.js";
+import type { HoldAnswer } from "../../ports/WorkerPort.js";
+import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { Scheduler } from "../Scheduler.js";
+import { countCrash } from "./countCrash.js";
+import type { LostRun, LostRuns } from "./LostRuns.js";
+
+/**
+ * Counts the crashes that a worker's answer to a hold proves: of an earlier incarnation of the worker, or of an earlier
+ * worker on its machine. Silence or the end of a lease alone proves none.
+ *
+ * @param scheduler - The scheduler.
+ * @param worker - The worker, whose entry describes the incarnation that has answered.
+ */
+export function countLostRuns(scheduler: Scheduler, worker: WorkerEntry): void {
+    const belongs = (lost: LostRuns): boolean =>
+        lost.worker === worker.id || lost.machine !== "" && lost.machine === worker.machine;
+    const found = scheduler.lostRuns.filter(belongs);
+    if (found.length > 0) {
+        scheduler.lostRuns = scheduler.lostRuns.filter(lost => !belongs(lost));
+        found.filter(lost => hasBeenReplaced(lost, worker)).forEach(lost => countCrash(scheduler, lost));
+    }
+}
+
+/** Returns whether a worker is another life of its machine; one that was only cut off is still in the same. */
+function hasBeenReplaced(lost: LostRuns, worker: WorkerEntry): boolean {
+    return lost.worker !== worker.id
+        || lost.bornMs !== 0 && worker.bornMs !== 0 && lost.bornMs !== worker.bornMs;
+}
+
+/**
+ * Leaves out the runs that may belong to the new incarnation that has answered a hold.
+ *
+ * @param lost - The runs of the entry before the answer.
+ * @param answer - The answer of the new incarnation.
+ * @param sentAt - Monotonic time at which the hold was sent, in milliseconds.
+ * @returns The runs that certainly ended with the earlier incarnation.
+ */
+export function excludeNewRuns(lost: LostRuns, answer: HoldAnswer, sentAt: number): LostRuns {
+    const listed = new Set(
+        [...answer.running, ...answer.ended].map(({ task, run }) => formatRunKey(task, run)),
+    );
+    const isOlder = ({ run }: LostRun): boolean =>
+        run.orderedAt <= sentAt && run.confirmedAt <= sentAt
+        && !listed.has(formatRunKey(run.task.name, run.number));
+    return { ...lost, runs: lost.runs.filter(isOlder) };
+}
+
+function formatRunKey({ job, occurrence, step, index }: TaskName, run: number): string {
+    return [job, occurrence, step, index, run].join(".");
+}
--- a/packages/scheduler/src/engine/fleet/removeWorker.ts
+++ b/packages/scheduler/src/engine/fleet/removeWorker.ts
@@ -1,4 +1,5 @@
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { rememberLostRuns } from "../crashes/rememberLostRuns.js";
 import { releaseLostRun } from "../runs/releaseLostRun.js";
 import type { Scheduler } from "../Scheduler.js";
 
@@ -19,6 +20,7 @@
         runs: worker.runs.size,
         reason,
     });
+    rememberLostRuns(scheduler, worker);
     scheduler.fleet.delete(worker.id);
     scheduler.unreconciledWorkers.delete(worker.id);
     for (const run of [...worker.runs]) {
--- a/packages/scheduler/src/engine/fleet/syncWorker.ts
+++ b/packages/scheduler/src/engine/fleet/syncWorker.ts
@@ -4,8 +4,12 @@
     HOLD_RETRY_MS,
     MAX_HOLD_WAIT_MS,
 } from "../../constants.js";
-import type { HoldOutcome } from "../../ports/WorkerPort.js";
+import type { HoldAnswer, HoldOutcome } from "../../ports/WorkerPort.js";
 import type { EndNumbers, WorkerEntry } from "../../state/WorkerEntry.js";
+import { countCrash } from "../crashes/countCrash.js";
+import { countLostRuns, excludeNewRuns } from "../crashes/countLostRuns.js";
+import { captureRuns } from "../crashes/LostRuns.js";
+import { rememberLostRuns } from "../crashes/rememberLostRuns.js";
 import { releaseLostRun } from "../runs/releaseLostRun.js";
 import type { Scheduler } from "../Scheduler.js";
 import { loadUnknownJobs } from "../takeover/loadUnknownJobs.js";
@@ -113,10 +117,12 @@
 ): Promise<void> {
     switch (outcome.kind) {
         case "held":
+            countCrashOfWorker(scheduler, worker, outcome.answer, sent.sentAt);
             updateIncarnation(scheduler, worker, outcome.answer.bornMs);
             worker.isUnresponsive = false;
             sent.ends.lastAcknowledged = Math.max(sent.ends.lastAcknowledged, sent.acknowledgedEnd);
             applyHoldAnswer(scheduler, worker, outcome.answer, sent.sentAt);
+            countLostRuns(scheduler, worker);
             markAnswered(scheduler, worker, outcome.answer.listsAllEnds);
             return;
         case "fenced":
@@ -144,6 +150,18 @@
     }
 }
 
+/** Counts the crash of the incarnation that the entry describes if a new one has answered. */
+function countCrashOfWorker(
+    scheduler: Scheduler,
+    worker: WorkerEntry,
+    answer: HoldAnswer,
+    sentAt: number,
+): void {
+    if (isOtherIncarnation(worker, answer.bornMs)) {
+        countCrash(scheduler, excludeNewRuns(captureRuns(worker, scheduler.clock()), answer, sentAt));
+    }
+}
+
 function updateIncarnation(scheduler: Scheduler, worker: WorkerEntry, bornMs: number): void {
     if (isOtherIncarnation(worker, bornMs)) {
         beginIncarnation(scheduler, worker, bornMs);
@@ -175,6 +193,9 @@
     if (!hasLeaseEnded(scheduler, worker)) {
         return;
     }
+    if (worker.runs.size > 0) {
+        rememberLostRuns(scheduler, worker);
+    }
     for (const run of [...worker.runs]) {
         releaseLostRun(scheduler, run, "lease-ended");
     }
--- a/packages/scheduler/src/engine/fleet/watchFleet.ts
+++ b/packages/scheduler/src/engine/fleet/watchFleet.ts
@@ -80,6 +80,7 @@
         worker.hasAnswered = false;
         worker.wakeSignal.notify();
     }
+    worker.drainingBornMs = report.draining ? report.bornMs : worker.drainingBornMs;
     worker.service = report.service;
     worker.dataCentre = report.dataCentre;
     worker.labels = report.labels;
--- a/packages/scheduler/src/engine/passes/findSchedulableWorkers.ts
+++ b/packages/scheduler/src/engine/passes/findSchedulableWorkers.ts
@@ -1,9 +1,10 @@
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { isIsolated } from "../crashes/isIsolated.js";
 import type { Scheduler } from "../Scheduler.js";
 
 /**
  * Finds the workers on which runs may be started now: reachable, listed, neither draining, cordoned nor paused,
- * and in the stored roster with their address.
+ * not running a suspected task apart from others, and in the stored roster with their address.
  *
  * @param scheduler - The scheduler.
  * @returns The workers, regardless of their free capacity.
@@ -17,6 +18,7 @@
         && !worker.draining
         && !worker.isCordoned
         && worker.pausedUntil <= now
+        && !isIsolated(worker, now)
         && scheduler.roster.get(worker.id) === worker.address
     );
 }
--- a/packages/scheduler/src/engine/passes/placeStep.ts
+++ b/packages/scheduler/src/engine/passes/placeStep.ts
@@ -6,8 +6,10 @@
 import type { StepEntry, TaskEntry } from "../../state/JobEntry.js";
 import { listWaitingTasks } from "../../state/listWaitingTasks.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { isolateWorker, isSuspected, mayIsolate } from "../crashes/isIsolated.js";
 import { startRuns } from "../runs/startRuns.js";
 import type { Scheduler } from "../Scheduler.js";
+import { assignSuspectedGang, assignSuspects, waitsForEmptyWorker } from "./assignSuspects.js";
 import type { RankedJob } from "./orderJobs.js";
 import type { PlacementPass } from "./PlacementPass.js";
 import { mayReserveWorkers, reserveWorkers } from "./reserveWorkers.js";
@@ -45,9 +47,12 @@
     const listWorkers = (): readonly WorkerEntry[] =>
         filterAllowedWorkers(advice, step, group.workers, scheduler.clock())
             .filter(worker => !pass.reservedWorkers.has(worker));
-    const fitting = hasNoRoom ? [] : assignTasks(step, waiting, listWorkers(), scope);
+    const fitting = hasNoRoom ? [] : assignTasks(scheduler, step, waiting, { workers: listWorkers(), scope });
     const assignments = limitToFreeStarts(pass, step, fitting);
+    const suspected = assignments.filter(({ task }) => isSuspected(task));
+    suspected.forEach(({ task, worker }) => isolateWorker(worker, task, scheduler.clock()));
     startRuns(scheduler, step, assignments);
+    suspected.forEach(({ worker }) => pass.reservedWorkers.add(worker));
     pass.freeStarts -= assignments.length;
     pass.hasWaitingStarts ||= assignments.length > 0;
     if (assignments.length < fitting.length) {
@@ -62,7 +67,10 @@
     if (advice !== undefined) {
         requestAdvice(scheduler, advice, step, group.workers);
     }
-    else if (step.spec.maxPerWorker === 0) {
+    if (waiting.some(task => waitsForEmptyWorker(task, scheduler.clock()))) {
+        return;
+    }
+    if (advice === undefined && step.spec.maxPerWorker === 0 && !waiting.some(isSuspected)) {
         pass.unplacedSteps.add(group.key, step.spec, scope);
     }
     if (mayReserveWorkers(pass, ranked, step)) {
@@ -72,18 +80,30 @@
 }
 
 function assignTasks(
+    scheduler: Scheduler,
     step: StepEntry,
     waiting: readonly TaskEntry[],
-    workers: readonly WorkerEntry[],
-    scope: PlacementScope,
+    { workers, scope }: { readonly workers: readonly WorkerEntry[]; readonly scope: PlacementScope },
 ): readonly Assignment[] {
+    const now = scheduler.clock();
+    const suspects = waiting.filter(isSuspected)
+        .filter(task => mayIsolate(scheduler.fleet, now) || !waitsForEmptyWorker(task, now));
+    if (step.spec.gang && suspects.length === 0 && waiting.some(isSuspected)) {
+        return [];
+    }
     switch (scope) {
-        case "task":
-            return placeTasks(step, waiting, workers);
+        case "task": {
+            const apart = assignSuspects(step, suspects, workers, now);
+            const occupied = new Set(apart.map(({ worker }) => worker));
+            const others = waiting.filter(task => !isSuspected(task));
+            const remaining = apart.length === 0 ? workers : workers.filter(worker => !occupied.has(worker));
+            return [...apart, ...placeTasks(step, others, remaining)];
+        }
         case "rack":
-            return placeGang(step, workers, true) ?? [];
         case "fleet":
-            return placeGang(step, workers, false) ?? [];
+            return suspects.length > 0
+                ? assignSuspectedGang(step, workers, scope === "rack", now)
+                : placeGang(step, workers, scope === "rack") ?? [];
     }
 }
 
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -49,6 +49,8 @@
         isRosterUnclear: false,
         isLoaded: false,
         jobsReadAt: Number.NEGATIVE_INFINITY,
+        lostRuns: [],
+        crashTimes: [],
         runTimePredictor: createRunTimePredictor(),
         orders: createOrderQueue({ clock: dependencies.clock, onFree: () => scheduler.requestPass() }),
         probes: new PQueue({ concurrency: MAX_CONCURRENT_PROBES }),
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -43,6 +43,12 @@
     lastRun: number;
     /** Numbers of the runs that are counted as failures. Workers report ends in any order. */
     readonly countedRuns: Set<number>;
+    /** Numbers of the runs under which a worker has crashed; the members of a gang share them. */
+    readonly crashedRuns: Set<number>;
+    /** Longest time for which such a run had lasted, in ms; 0 if the task is not suspected as the cause. */
+    crashAgeMs: number;
+    /** Monotonic time at which the latest crash became known to this owner, in milliseconds. */
+    crashedAt: number;
     checkpoint: string;
     readonly runs: Run[];
     /** Workers on which the task failed or stalled. */
--- a/packages/scheduler/src/state/WorkerEntry.ts
+++ b/packages/scheduler/src/state/WorkerEntry.ts
@@ -40,6 +40,10 @@
     /** Wakes the task that calls the worker. */
     readonly wakeSignal: WakeSignal;
     draining: boolean;
+    /** Monotonic time until which nothing is placed beside the runs of the worker, in milliseconds. */
+    isolatedUntil: number;
+    /** Start of the incarnation that was last reported to drain, as `bornMs`; `NaN` if none was. */
+    drainingBornMs: number;
     /** Whether nothing is started on the worker because the upkeep of its machine is next. */
     isCordoned: boolean;
     /** Monotonic time before which a draining worker does not leave, in milliseconds. */
@@ -101,6 +105,8 @@
         runs: new Set(),
         wakeSignal,
         draining: false,
+        isolatedUntil: Number.NEGATIVE_INFINITY,
+        drainingBornMs: Number.NaN,
         isCordoned: false,
         earliestLeaveAt: Number.POSITIVE_INFINITY,
         bestEffortPacePercent: 100,
--- a/packages/scheduler/src/state/composeProgress.ts
+++ b/packages/scheduler/src/state/composeProgress.ts
@@ -29,6 +29,8 @@
                 lastRun: task.lastRun,
                 countedRun: Math.max(0, ...task.countedRuns),
                 countedRuns: [...task.countedRuns],
+                crashedRuns: [...task.crashedRuns],
+                crashAgeMs: task.crashAgeMs,
                 checkpoint: task.done ? "" : task.checkpoint,
             })
         );
@@ -37,5 +39,6 @@
 
 /** Returns whether a task has progress; a gang's member also has that of another member, before any run of its own. */
 function hasProgress(task: TaskEntry): boolean {
-    return task.lastRun > 0 || task.countedRuns.size > 0 || task.done || task.checkpoint !== "";
+    return task.lastRun > 0 || task.countedRuns.size > 0 || task.crashedRuns.size > 0
+        || task.done || task.checkpoint !== "";
 }
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -97,6 +97,9 @@
         failures: 0,
         lastRun: 0,
         countedRuns: new Set(),
+        crashedRuns: new Set(),
+        crashAgeMs: 0,
+        crashedAt: Number.NEGATIVE_INFINITY,
         checkpoint: "",
         runs: [],
         avoidedWorkers: new Set(),
@@ -118,6 +121,8 @@
             ? storedTask.countedRuns
             : [storedTask.countedRun];
         countedRuns.forEach(run => task.countedRuns.add(run));
+        storedTask.crashedRuns.forEach(run => task.crashedRuns.add(run));
+        task.crashAgeMs = storedTask.crashAgeMs;
         task.checkpoint = storedTask.checkpoint;
         step.doneCount += storedTask.done ? 1 : 0;
     }
