--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -89,6 +89,8 @@
     readonly terms: Term[] = [];
     /** Tasks of which two runs were running at the same time. */
     readonly overlappingTasks = new Set<string>();
+    /** Tasks that crash their worker, by name, each with the time from its start to the crash, in milliseconds. */
+    readonly deadlyTasks = new Map<string, number>();
     configuration: FleetConfiguration = createTestConfiguration();
     /** Speed of the workers' clocks relative to the harness's clock. */
     workerClockRate = 1;
@@ -128,6 +130,7 @@
             const { request, fillsIdle = false } = this.submittedSteps.get(task.job)?.[task.step] ?? {};
             return { ...request, ...(fillsIdle ? { cpuMillis: 0 } : {}) };
         };
+        worker.deadlyTasks = this.deadlyTasks;
         this.workers.set(report.id, worker);
     }
 
@@ -240,7 +243,10 @@
     /** Advances the clock by `ms` milliseconds. */
     async advance(ms: number): Promise<void> {
         await this.clock.advance(ms, () => {
-            this.workers.forEach(worker => worker.endExpiredRuns());
+            this.workers.forEach(worker => {
+                worker.endExpiredRuns();
+                worker.advanceCrash();
+            });
             this.recordOverlappingTasks();
         });
     }
@@ -296,7 +302,7 @@
 
     private listWorkers(): readonly WorkerReport[] {
         const reports = [...this.workers.values()]
-            .filter(worker => !this.unlistedWorkers.has(worker.id))
+            .filter(worker => !this.unlistedWorkers.has(worker.id) && !worker.isDown)
             .map(worker => ({
                 ...worker.report,
                 capacity: worker.capacity,
--- a/packages/scheduler/src/engine/passes/assignWithoutPreferences.ts
+++ b/packages/scheduler/src/engine/passes/assignWithoutPreferences.ts
@@ -38,7 +38,8 @@
     let workers = preferredWorkers;
     for (const { addedWorkers, scope } of concessions) {
         workers = [...workers, ...addedWorkers];
-        const remaining = waiting.slice(assignments.length);
+        const assigned = new Set(assignments.map(({ task }) => task));
+        const remaining = waiting.filter(task => !assigned.has(task));
         if (remaining.length > 0) {
             const candidates = step.spec.gang ? workers : addedWorkers;
             assignments = [...assignments, ...assignTasks(step, remaining, candidates, scope)];
--- a/packages/scheduler/src/engine/passes/countExclusions.steps.ts
+++ b/packages/scheduler/src/engine/passes/countExclusions.steps.ts
@@ -15,10 +15,8 @@
 const WAIT_MESSAGE = "A step waits although there is room for it.";
 
 function createWorker(state: string, number: number): WorkerEntry {
-    const worker = createWorkerEntry(`w${number}` as WorkerId, "address", {
-        notify: () => {},
-        wait: async () => {},
-    });
+    const wakeSignal = { notify: () => {}, wait: async () => {} };
+    const worker = createWorkerEntry(`w${number}` as WorkerId, "address", wakeSignal, 0);
     worker.free.cpuMillis = state === "full" ? 0 : 1_000;
     worker.isListed = state !== "unlisted";
     worker.draining = state === "draining";
--- a/packages/scheduler/src/engine/passes/findSchedulableWorkers.ts
+++ b/packages/scheduler/src/engine/passes/findSchedulableWorkers.ts
@@ -1,20 +1,23 @@
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { isIsolated } from "../crashes/isIsolated.js";
 import type { Scheduler } from "../Scheduler.js";
 
 /**
- * Finds the workers on which runs may be started now: reachable, listed, neither draining nor cordoned, and
- * in the stored roster with their address.
+ * Finds the workers on which runs may be started now: reachable, listed, neither draining nor cordoned, not running
+ * a suspected task apart from others, and in the stored roster with their address.
  *
  * @param scheduler - The scheduler.
  * @returns The workers, regardless of their free capacity and of pauses after faults.
  */
 export function findSchedulableWorkers(scheduler: Scheduler): readonly WorkerEntry[] {
+    const now = scheduler.clock();
     return [...scheduler.fleet.values()].filter(worker =>
         worker.hasAnswered
         && !worker.isUnresponsive
         && worker.isListed
         && !worker.draining
         && !worker.isCordoned
+        && !isIsolated(worker, now)
         && scheduler.roster.get(worker.id) === worker.address
     );
 }
