--- a/features/support/scheduler/createFakeWorkerPort.ts
+++ b/features/support/scheduler/createFakeWorkerPort.ts
@@ -7,6 +7,9 @@
 
 const ORDER_TIMEOUT_MS = 400;
 
+/** Time after which an order to a worker that is cut off ends without a connection, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 300;
+
 /** Longest time for which a hold waits, whether or not a run has ended, in milliseconds. */
 const MAX_HOLD_WAIT_MS = 100;
 
@@ -43,6 +46,9 @@
         target: WorkerTarget,
         action: (worker: FakeWorker) => OrderOutcome,
     ): Promise<OrderOutcome> => {
+        if (unreachableWorkers.has(target.id)) {
+            await baseClock.pause(CONNECT_TIMEOUT_MS);
+        }
         const worker = findWorker(target.id);
         const outcome: OrderOutcome = worker === undefined ? refuseFor(target) : action(worker);
         if (outcome.kind === "unclear" && outcome.cause === UNANSWERED) {
--- a/packages/scheduler/src/orders/orders.feature
+++ b/packages/scheduler/src/orders/orders.feature
@@ -44,3 +44,22 @@
         And ana submits the normal job J of "200 x 1"
         And 2 seconds pass while all runs make progress
         Then at least 192 tasks of J run
+
+    Scenario: Stops that many workers do not answer do not keep starts from the others
+        Given a fleet of 60 workers with an owner
+        When ana submits the normal job J of "40 x 8"
+        And the workers of J are no longer reached by the owner
+        And J is cancelled by its caller
+        And 1 second passes
+        And bob submits the normal job K of "20 x 8"
+        And 1 second passes
+        Then 20 tasks of K run
+
+    Scenario: Stops that are repeated do not keep starts from other workers although holds are answered
+        Given a fleet of 120 workers with an owner
+        When ana submits the normal job J of "100 x 8"
+        And the next 50 stops of J are not answered
+        And J is cancelled by its caller
+        And bob submits the normal job K of "20 x 8"
+        And 3 seconds pass
+        Then 20 tasks of K run
--- a/packages/scheduler/src/orders/orders.steps.ts
+++ b/packages/scheduler/src/orders/orders.steps.ts
@@ -1,4 +1,5 @@
-import { Given, Then } from "@cucumber/cucumber";
+import type { FakeWorker } from "@balsamward/stand-ins";
+import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { getHarness, getJobId } from "../../../../features/support/schedulerScenario.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
@@ -9,6 +10,13 @@
     return Array.from({ length: times }).reduce<number>(current => adaptWindow(current, timing), size);
 }
 
+function listWorkersOfJob(world: TestWorld, job: string): readonly FakeWorker[] {
+    const id = getJobId(world, job);
+    return [...getHarness(world).workers.values()].filter(worker =>
+        worker.starts.some(({ task }) => task.job === id)
+    );
+}
+
 Then("the windows after series of answers match their snapshot", function(this: TestWorld) {
     const inTime = { isAnswered: true, elapsedMs: 5 };
     const late = { isAnswered: true, elapsedMs: 300 };
@@ -27,6 +35,19 @@
     getHarness(this).processor.orderMs = orderMs;
 });
 
+When("the workers of {word} are no longer reached by the owner", function(this: TestWorld, job: string) {
+    const { unreachableWorkers } = getHarness(this).terms.at(-1)!;
+    listWorkersOfJob(this, job).forEach(worker => unreachableWorkers.add(worker.id));
+});
+
+When(
+    "the next {int} stops of {word} are not answered",
+    function(this: TestWorld, count: number, job: string) {
+        const faults = Array.from({ length: count }, () => "unanswered" as const);
+        listWorkersOfJob(this, job).forEach(worker => worker.orderFaults.push(...faults));
+    },
+);
+
 Then("no run has been stopped", async function(this: TestWorld) {
     const { values } = await getHarness(this).terms.at(-1)!.scheduler.metrics.stops.get();
     assert.deepEqual(values, []);
