Repeated stops no longer keep starts from other workers

Cause: stops went before starts, were repeated each 300 ms to workers that do not answer, and shared the window of orders in flight with all others. A few dozen silent workers took every turn. Besides, a connection that timed out counted as a late answer, so the window shrank to 2 orders instead of 16. Starts waited until the leases of the silent workers had ended, and no step was placed, since the starts that could be ordered were used up. Class: repeated work for peers that do not answer, ranked above and bounded together with the work for those that do. Change: repeated stops have a limit of their own (8 in flight) and are not sent while holds show that the worker answers nothing; an order without a connection counts as not answered.

--- a/packages/scheduler/src/engine/runs/startRun.ts
+++ b/packages/scheduler/src/engine/runs/startRun.ts
@@ -1,4 +1,5 @@
 import { MAX_START_SENDS, MAX_WORKER_PAUSE_MS, MIN_WORKER_PAUSE_MS } from "../../constants.js";
+import { isAnswer } from "../../ports/isAnswer.js";
 import type { OrderOutcome, Refusal } from "../../ports/WorkerPort.js";
 import type { Run } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
@@ -75,7 +76,7 @@
             checkpoint: task.checkpoint,
             ticket,
         });
-        return outcome.kind !== "unclear";
+        return isAnswer(outcome);
     });
     return outcome;
 }
--- a/packages/scheduler/src/engine/runs/stopRun.ts
+++ b/packages/scheduler/src/engine/runs/stopRun.ts
@@ -1,4 +1,6 @@
 import { GANG_END_TIMEOUT_MS, STOP_RETRY_MS } from "../../constants.js";
+import type { OrderKind } from "../../orders/createOrderQueue.js";
+import { isAnswer } from "../../ports/isAnswer.js";
 import type { OrderOutcome, StopOrder } from "../../ports/WorkerPort.js";
 import type { Run, StepEntry } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
@@ -18,7 +20,7 @@
     | "copy-done";
 
 /**
- * Stops a run, and repeats the order until the worker answers.
+ * Stops a run, and repeats the order until the worker answers; not while holds show that it answers nothing.
  *
  * A run whose start was never sent is released at once. Once the stop is answered, the worker refuses any later start
  * with this run number. The run is released when the worker reports its end, or when the answer to a later hold does
@@ -93,8 +95,15 @@
 async function sendStop(scheduler: Scheduler, run: Run): Promise<void> {
     const { worker } = run;
     const order = { task: run.task.name, run: run.number, fence: scheduler.ownership.revision };
+    let kind: OrderKind = "stop";
     while (worker.runs.has(run) && !scheduler.ownership.signal.aborted) {
-        const outcome = await sendOrder(scheduler, worker, order);
+        if (kind === "repeated-stop" && worker.isUnresponsive) {
+            // The next hold that is answered shows that the worker can be reached again.
+            await scheduler.pause(STOP_RETRY_MS, scheduler.ownership.signal);
+            continue;
+        }
+        const outcome = await sendOrder(scheduler, worker, kind, order);
+        kind = "repeated-stop";
         switch (outcome.kind) {
             case "done":
                 run.stopAnsweredAt = scheduler.clock();
@@ -125,12 +134,13 @@
 async function sendOrder(
     scheduler: Scheduler,
     worker: WorkerEntry,
+    kind: OrderKind,
     order: StopOrder,
 ): Promise<OrderOutcome> {
     let outcome: OrderOutcome = { kind: "unclear", cause: "not sent" };
-    await scheduler.orders.add("stop", worker, async () => {
+    await scheduler.orders.add(kind, worker, async () => {
         outcome = await scheduler.workers.stop(worker, order);
-        return outcome.kind !== "unclear";
+        return isAnswer(outcome);
     });
     return outcome;
 }
--- a/packages/scheduler/src/orders/createOrderQueue.ts
+++ b/packages/scheduler/src/orders/createOrderQueue.ts
@@ -2,14 +2,14 @@
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import { adaptWindow } from "./adaptWindow.js";
 
-/** Kind of an order, which decides what is sent first. */
-export type OrderKind = "stop" | "start";
+/** Kind of an order, which decides what is sent first. A repeated stop is one that was not answered before. */
+export type OrderKind = "stop" | "start" | "repeated-stop";
 
 /** Queue of the orders to workers. */
 export type OrderQueue = {
     /**
      * Sends an order to a worker once fewer orders are in flight, to it and in all, than are allowed; stops are sent
-     * before starts.
+     * before starts. Repeated stops have a limit of their own, so that they take no turn from other orders.
      *
      * The send returns whether it was answered, or `undefined` if it found that the order is no longer needed.
      */
@@ -38,10 +38,13 @@
 /** Number of orders in flight to one worker, so that a silent one takes little of the window. */
 const MAX_ORDERS_PER_WORKER = 2;
 
+/** Number of repeated stops in flight. */
+const MAX_REPEATED_STOPS = 8;
+
 /** Number of waiting starts for each order in flight; enough for the next one to be sent at once. */
 const WAITING_STARTS_PER_ORDER = 1;
 
-const PRIORITIES: Readonly<Record<OrderKind, number>> = { stop: 1, start: 0 };
+const PRIORITIES: Readonly<Record<OrderKind, number>> = { stop: 1, start: 0, "repeated-stop": 0 };
 
 /**
  * Creates a queue that limits how many orders are in flight by how fast they are answered.
@@ -58,6 +61,7 @@
  */
 export function createOrderQueue({ clock, onFree }: OrderQueueDependencies): OrderQueue {
     const queue = new PQueue({ concurrency: INITIAL_WINDOW });
+    const repeatedStops = new PQueue({ concurrency: MAX_REPEATED_STOPS });
     const workerQueues = new WeakMap<WorkerEntry, PQueue>();
     const getWorkerQueue = (worker: WorkerEntry): PQueue => {
         const workerQueue = workerQueues.get(worker) ?? new PQueue({ concurrency: MAX_ORDERS_PER_WORKER });
@@ -91,10 +95,11 @@
         add: async (kind, worker, send) => {
             waitingStarts += kind === "start" ? 1 : 0;
             const options = { priority: PRIORITIES[kind] };
-            await getWorkerQueue(worker).add(
-                () => queue.add(() => sendInTurn(kind, send), options),
-                options,
-            );
+            const sendOrder = (): Promise<unknown> =>
+                kind === "repeated-stop"
+                    ? repeatedStops.add(send)
+                    : queue.add(() => sendInTurn(kind, send), options);
+            await getWorkerQueue(worker).add(sendOrder, options);
             notifyIfFree();
         },
         countFreeStarts,
