--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -13,6 +13,7 @@
 import type { Listener, OwnerService } from "./cluster/serveCluster.js";
 import { serveCluster } from "./cluster/serveCluster.js";
 import { watchConfiguration } from "./cluster/watchConfiguration.js";
+import { createWorkerLister } from "./createWorkerLister.js";
 import { createOwnerService } from "./engine/createOwnerService.js";
 import { createScheduler, runScheduler } from "./engine/runScheduler.js";
 import type { Ownership, Scheduler, SchedulerBounds } from "./engine/Scheduler.js";
@@ -78,6 +79,7 @@
     const leaving = new AbortController();
     const cluster = createCluster({ ...options, address: options.peerAddress });
     const store = createRelayingStore(options.store, cluster);
+    const listWorkers = createWorkerLister(store, options);
     let scheduler: Scheduler | undefined;
     let ownerService: OwnerService | undefined;
     const localOwner = (): OwnerService | undefined =>
@@ -91,7 +93,7 @@
             advice: options.advice,
             machines: options.machines,
             waveRecordFormat: options.waveRecordFormat,
-            listWorkers: () => listWorkers(options, store),
+            listWorkers,
             configuration: cluster.configuration.current,
             log,
             metrics,
@@ -151,21 +153,3 @@
         },
     };
 }
-
-async function listWorkers(
-    options: NodeOptions,
-    store: FleetStore,
-): Promise<readonly WorkerReport[] | undefined> {
-    const listed = await store.list(options.workersPrefix);
-    if (listed.isErr()) {
-        options.log.warn("The workers cannot be listed.", { reason: listed.error.kind });
-        return undefined;
-    }
-    return listed.value.items.flatMap(({ key, value }) => {
-        const report = options.decodeWorkerReport(key, value);
-        if (report === undefined) {
-            options.log.debug("A store entry does not describe a worker.", { key });
-        }
-        return report === undefined ? [] : [report];
-    });
-}
