--- a/packages/scheduler/src/Metrics.ts
+++ b/packages/scheduler/src/Metrics.ts
@@ -56,6 +56,11 @@
             help: "Version of the configuration in force.",
             registers,
         }),
+        ignoredWorkerEntries: new Gauge({
+            name: "balsamward_ignored_worker_entries",
+            help: "Store entries in the latest list of workers that do not describe a worker.",
+            registers,
+        }),
         owner: new Gauge({ name: "balsamward_owner", help: "1 while the daemon schedules.", registers }),
     };
 }
