Starts are not sent to a worker whose capacity has shrunk meanwhile

Cause: placement subtracts a run from the free capacity, but a start that waits for its turn, or is sent again, was not compared with the capacity that the worker listed since. Change: before each send of a start, a worker whose runs need more than it has gets none: the run is released, or stopped if an earlier send may have started it, with the other members of its gang. The first scenario lets its runs make progress and waits 10 s: without progress they are stopped as stalled, which its check of running tasks did not mean.

--- a/packages/scheduler/src/engine/fleet/capacity.feature
+++ b/packages/scheduler/src/engine/fleet/capacity.feature
@@ -5,7 +5,9 @@
         When the next orders to w0 hit the faults "unanswered unanswered unanswered unanswered"
         And alice submits the normal job train of "8 x 1"
         And the capacity of w0 changes to 4 accelerators
-        And 5 seconds pass
+        And 5 seconds pass while all runs make progress
+        Then no start has brought a worker over its capacity
+        When 5 seconds pass while all runs make progress
         Then no start has brought a worker over its capacity
         And 4 tasks of train run
 
--- a/packages/scheduler/src/engine/runs/startRun.ts
+++ b/packages/scheduler/src/engine/runs/startRun.ts
@@ -26,6 +26,11 @@
         if (outcome === undefined) {
             return;
         }
+        if (outcome === "no-capacity") {
+            logLostCapacity(scheduler, run);
+            abandonRun(scheduler, run, mayHaveStarted);
+            return;
+        }
         logStart(scheduler, run, send, outcome);
         if (outcome.kind === "done") {
             confirmRun(run, scheduler.clock());
@@ -53,11 +58,16 @@
 
 /**
  * Sends an order to start a run; returns `undefined` if the run was stopped or released before its turn came, or is
- * released now because its worker no longer answers.
+ * released now because its worker no longer answers, and `no-capacity` if the worker's capacity has shrunk below what
+ * its runs need.
  */
-async function sendStart(scheduler: Scheduler, run: Run, ticket: string): Promise<OrderOutcome | undefined> {
+async function sendStart(
+    scheduler: Scheduler,
+    run: Run,
+    ticket: string,
+): Promise<OrderOutcome | "no-capacity" | undefined> {
     const { worker, task } = run;
-    let outcome: OrderOutcome | undefined;
+    let outcome: OrderOutcome | "no-capacity" | undefined;
     await scheduler.orders.add("start", worker, async () => {
         if (!mayStillStart(scheduler, run)) {
             return undefined;
@@ -66,8 +76,12 @@
             withdrawRun(scheduler, run);
             return undefined;
         }
+        if (!fitsCapacity(run)) {
+            outcome = "no-capacity";
+            return undefined;
+        }
         run.isOrderSent = true;
-        outcome = await scheduler.workers.start(worker, {
+        const started = await scheduler.workers.start(worker, {
             task: task.name,
             run: run.number,
             spec: task.step.job.job.spec,
@@ -76,7 +90,8 @@
             checkpoint: task.checkpoint,
             ticket,
         });
-        return isAnswer(outcome);
+        outcome = started;
+        return isAnswer(started);
     });
     return outcome;
 }
@@ -171,6 +186,23 @@
     scheduler.requestPass();
 }
 
+/** Returns whether the capacity of a run's worker suffices for all runs on it; a run that fills idle CPU needs none. */
+function fitsCapacity({ worker: { free }, task }: Run): boolean {
+    return free.memoryMb >= 0 && free.accelerators >= 0
+        && (task.step.spec.fillsIdle || free.cpuMillis >= 0);
+}
+
+function logLostCapacity(scheduler: Scheduler, { task, number, worker }: Run): void {
+    scheduler.log.info("A start is withdrawn, since the capacity of its worker has shrunk.", {
+        ...task.name,
+        run: number,
+        worker: worker.id,
+        freeAccelerators: worker.free.accelerators,
+        freeCpuMillis: worker.free.cpuMillis,
+        freeMemoryMb: worker.free.memoryMb,
+    });
+}
+
 function stopGangOfRun(scheduler: Scheduler, run: Run): void {
     if (run.task.step.spec.gang) {
         stopGang(scheduler, run.task.step, run.number);
