Scenario: a task has two runs after its worker answered while a roster without it was being stored (failing)

A silent worker leaves the roster. While that write is in flight, the owner still treats the worker as stored: if it answers then, it gets starts although the store no longer lists it. A new owner that cannot reach it does not wait for its lease and starts the task elsewhere. The step that makes all workers reachable also names the current owner.

--- a/packages/scheduler/src/engine/owners.steps.ts
+++ b/packages/scheduler/src/engine/owners.steps.ts
@@ -68,7 +68,7 @@
     getHarness(this).workers.forEach(worker => worker.fence = 0);
 });
 
-When("the new owner reaches all workers", async function(this: TestWorld) {
+When(/^the (?:new )?owner reaches all workers$/, async function(this: TestWorld) {
     getHarness(this).terms.at(-1)!.unreachableWorkers.clear();
     await getHarness(this).advance(500);
 });
--- a/packages/scheduler/src/engine/takeover/takeover.feature
+++ b/packages/scheduler/src/engine/takeover/takeover.feature
@@ -211,3 +211,19 @@
         And 1 second passes
         Then 4 tasks of K run
         And no task has had two runs at the same time
+
+    Scenario: A worker gets no tasks while a roster without it is being stored
+        When ana submits the normal job J of "4 x 8"
+        And 1 worker joins the fleet
+        And the owner cannot reach w4
+        And 1.5 seconds pass
+        And the next store writes hit the faults "silent"
+        And 2 seconds pass
+        And the owner reaches all workers
+        And ana submits the normal job K of "1 x 8"
+        And 0.5 seconds pass
+        And the owner dies
+        And a new owner takes over that cannot reach w4
+        And task 0.0.0 of J ends as done
+        And 1 second passes
+        Then no task has had two runs at the same time
