A worker gets no starts while a roster that leaves it out is being stored

Before, only unlisted workers left, and the list is not read during the write. Ruled out: a write whose outcome is unclear; it reduced the roster, but only once it had returned. Change: the roster is reduced to what both rosters hold before the write is sent, and put back if the store refuses it.

--- a/packages/scheduler/src/engine/fleet/storeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/storeRoster.ts
@@ -17,9 +17,10 @@
 /**
  * Stores the roster of workers that may have runs or unstored ends, so that the next owner reconciles each of them.
  *
- * While the outcome of a write is unclear, `scheduler.roster` holds only the workers that the store lists whether
- * or not the write takes effect. The next write succeeds only if the unclear one has not taken effect, and then
- * also prevents that it does so later; otherwise, it conflicts and returns what is stored.
+ * While a write is in progress or its outcome is unclear, `scheduler.roster` holds only the workers that the store
+ * lists whether or not the write takes effect, since a worker that it leaves out may answer meanwhile. The write after
+ * an unclear one succeeds only if that has not taken effect, and then also prevents that it does so later; otherwise,
+ * it conflicts and returns what is stored.
  *
  * @param scheduler - The scheduler.
  */
@@ -32,6 +33,8 @@
     const message = create(RosterRecordSchema, {
         workers: [...roster].map(([worker, address]) => ({ worker, address })),
     });
+    const storedRoster = scheduler.roster;
+    scheduler.roster = new Map([...storedRoster].filter(([id, address]) => roster.get(id) === address));
     const written = await scheduler.store.commit({
         expect: [
             { key: scheduler.ownership.key, revision: scheduler.ownership.revision },
@@ -48,7 +51,7 @@
         reason: written.error.kind,
         workers: roster.size,
     });
-    handleCommitError(scheduler, written.error, roster);
+    handleCommitError(scheduler, written.error, storedRoster);
 }
 
 /**
@@ -83,9 +86,10 @@
     scheduler.requestPass();
 }
 
-function handleCommitError(scheduler: Scheduler, error: StoreError, roster: Roster): void {
+function handleCommitError(scheduler: Scheduler, error: StoreError, storedRoster: Roster): void {
     switch (error.kind) {
         case "unavailable":
+            scheduler.roster = storedRoster;
             return;
         case "conflict":
             adoptStoredRoster(scheduler, error.items);
@@ -94,9 +98,6 @@
         case "compacted":
         case "lease-ended":
         case "invalid":
-            scheduler.roster = new Map(
-                [...scheduler.roster].filter(([id, address]) => roster.get(id) === address),
-            );
             scheduler.isRosterUnclear = true;
     }
 }
