Scenario: an idle worker that restarts gets no tasks until the next list of workers (failing)

An idle worker last answered long ago, so it leaves the roster in the pass over the list that shows its restart, and is stored again by the next one: two writes and at least 0.5 s for each restart.

--- a/packages/scheduler/src/engine/fleet/restarts.feature
+++ b/packages/scheduler/src/engine/fleet/restarts.feature
@@ -90,3 +90,11 @@
         And 1 second passes
         Then task 0.0.0 of K was started 1 time
         And the job K is completed
+
+    Scenario: An idle worker that restarts gets tasks as soon as it answers
+        Given a fleet of 2 workers with an owner
+        When 10 seconds pass
+        And the worker w0 restarts and registers
+        And ana submits the normal job G of "2 x 8 gang"
+        And 0.2 seconds pass
+        Then 2 tasks of G run
