The roster counts a worker's silence from when it falls silent, not from its last answer

Cause: an idle worker is asked every 100 s, so its last answer was long ago when a list showed its restart or one hold failed; it left the roster at once and was stored again by the next pass over the list. Change: a worker carries the time since which it has not answered, in place of the time at which it was added.

--- a/packages/scheduler/src/engine/fleet/storeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/storeRoster.ts
@@ -69,9 +69,9 @@
 
 /** Returns whether a worker has not answered for so long that nothing runs on it any more. */
 function isSilent(scheduler: Scheduler, worker: WorkerEntry): boolean {
-    const isAnswering = worker.hasAnswered && !worker.isUnresponsive;
-    const silenceMs = scheduler.clock() - Math.max(worker.addedAt, worker.lastAnswerAt);
-    return !isAnswering && silenceMs > ROSTER_SILENCE_LIMIT_MS && hasLeaseEnded(scheduler, worker)
+    const now = scheduler.clock();
+    const silenceMs = now - (worker.silentSince ?? now);
+    return silenceMs > ROSTER_SILENCE_LIMIT_MS && hasLeaseEnded(scheduler, worker)
         && !mayHaveUnknownRuns(scheduler, worker.id);
 }
 
--- a/packages/scheduler/src/engine/fleet/syncWorker.ts
+++ b/packages/scheduler/src/engine/fleet/syncWorker.ts
@@ -120,6 +120,7 @@
             countCrashOfWorker(scheduler, worker, outcome.answer, sent.sentAt);
             updateIncarnation(scheduler, worker, outcome.answer.bornMs);
             worker.isUnresponsive = false;
+            worker.silentSince = undefined;
             sent.ends.lastAcknowledged = Math.max(sent.ends.lastAcknowledged, sent.acknowledgedEnd);
             applyHoldAnswer(scheduler, worker, outcome.answer, sent.sentAt);
             countLostRuns(scheduler, worker);
@@ -145,6 +146,7 @@
                 reason: outcome.kind,
             });
             worker.isUnresponsive = true;
+            worker.silentSince ??= scheduler.clock();
             expireRuns(scheduler, worker);
             await scheduler.pause(HOLD_RETRY_MS, scheduler.ownership.signal);
     }
--- a/packages/scheduler/src/engine/fleet/watchFleet.ts
+++ b/packages/scheduler/src/engine/fleet/watchFleet.ts
@@ -79,6 +79,7 @@
     if (isOtherIncarnation(worker, report.bornMs)) {
         // The list may be older or newer than the last hold: the next one shows which incarnation is there.
         worker.hasAnswered = false;
+        worker.silentSince ??= scheduler.clock();
         worker.wakeSignal.notify();
     }
     worker.drainingBornMs = report.draining ? report.bornMs : worker.drainingBornMs;
--- a/packages/scheduler/src/state/WorkerEntry.ts
+++ b/packages/scheduler/src/state/WorkerEntry.ts
@@ -26,8 +26,11 @@
 export type WorkerEntry = {
     readonly id: WorkerId;
     readonly address: string;
-    /** Monotonic time at which the owner added the worker to the fleet, in milliseconds. */
-    readonly addedAt: number;
+    /**
+     * Monotonic time since which it has been unknown whether the worker answers, in milliseconds; `undefined` if it
+     * has answered the last hold and no restart is known.
+     */
+    silentSince: number | undefined;
     /** Wall time at which the incarnation that last answered a hold started, in ms since 1970; 0 if unknown. */
     bornMs: number;
     service: string;
@@ -98,7 +101,7 @@
     return {
         id,
         address,
-        addedAt: now,
+        silentSince: now,
         bornMs: 0,
         service: "",
         dataCentre: "",
