--- a/packages/scheduler/src/engine/fleet/capacity.feature
+++ b/packages/scheduler/src/engine/fleet/capacity.feature
@@ -20,7 +20,7 @@
         Then no start has brought a worker over its capacity
         And 0 tasks of train run
         When the capacity of w0 changes to 8 accelerators
-        And 12 seconds pass
+        And 12 seconds pass while all runs make progress
         Then no start has brought a worker over its capacity
         And 12 tasks of train run
 
