--- a/packages/scheduler/src/orders/orders.feature
+++ b/packages/scheduler/src/orders/orders.feature
@@ -63,3 +63,13 @@
         And bob submits the normal job K of "20 x 8"
         And 3 seconds pass
         Then 20 tasks of K run
+
+    Scenario: Starts that wait for a silent worker do not keep a large gang and other jobs waiting
+        Given a fleet of 24 workers with an owner
+        When the next 30 orders to w0 are not answered
+        And ana submits the normal job J of "12 x 0"
+        And ana submits the normal job G of "20 x 8 gang"
+        And bob submits the bulk job S of "1 x 2"
+        And 3 seconds pass
+        Then at least 19 tasks of G run
+        And 1 task of S runs
--- a/packages/scheduler/src/orders/orders.steps.ts
+++ b/packages/scheduler/src/orders/orders.steps.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { getHarness, getJobId } from "../../../../features/support/schedulerScenario.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import type { WorkerId } from "../ids.js";
 import type { OrderTiming } from "./adaptWindow.js";
 import { adaptWindow } from "./adaptWindow.js";
 
@@ -48,6 +49,14 @@
     },
 );
 
+When(
+    "the next {int} orders to {word} are not answered",
+    function(this: TestWorld, count: number, id: string) {
+        const faults = Array.from({ length: count }, () => "unanswered" as const);
+        getHarness(this).workers.get(id as WorkerId)!.orderFaults.push(...faults);
+    },
+);
+
 Then("no run has been stopped", async function(this: TestWorld) {
     const { values } = await getHarness(this).terms.at(-1)!.scheduler.metrics.stops.get();
     assert.deepEqual(values, []);
