Starts that wait for a silent worker no longer use up the starts of others

Cause: starts behind the limit of two orders in flight to one worker counted as waiting for all; a gang larger than the free starts waited for every one of them, and no step ranked lower was placed meanwhile. Change: starts that wait for a worker that has not answered an order for 200 ms are left out of the count.

--- a/packages/scheduler/src/orders/createOrderQueue.ts
+++ b/packages/scheduler/src/orders/createOrderQueue.ts
@@ -20,7 +20,7 @@
     ) => Promise<void>;
     /** Returns how many starts may be added now so that each is sent without a long wait. */
     readonly countFreeStarts: () => number;
-    /** Returns how many added starts have not been sent yet. */
+    /** Returns how many added starts have not been sent yet, without those that wait for a silent worker. */
     readonly countWaitingStarts: () => number;
 };
 
@@ -38,12 +38,27 @@
 /** Number of orders in flight to one worker, so that a silent one takes little of the window. */
 const MAX_ORDERS_PER_WORKER = 2;
 
+/**
+ * Time without an answer after which a worker counts as silent, in milliseconds. Starts that wait behind its orders do
+ * not delay others.
+ */
+const SILENCE_MS = 200;
+
 /** Number of repeated stops in flight. */
 const MAX_REPEATED_STOPS = 8;
 
 /** Number of waiting starts for each order in flight; enough for the next one to be sent at once. */
 const WAITING_STARTS_PER_ORDER = 1;
 
+/** Orders to one worker that have not ended. */
+type WorkerOrders = {
+    readonly queue: PQueue;
+    /** Number of starts that have not been sent. */
+    waitingStarts: number;
+    /** Monotonic times at which the orders in flight were sent, in milliseconds; the earliest first. */
+    readonly sendTimes: number[];
+};
+
 const PRIORITIES: Readonly<Record<OrderKind, number>> = { stop: 1, start: 0, "repeated-stop": 0 };
 
 /**
@@ -62,24 +77,35 @@
 export function createOrderQueue({ clock, onFree }: OrderQueueDependencies): OrderQueue {
     const queue = new PQueue({ concurrency: INITIAL_WINDOW });
     const repeatedStops = new PQueue({ concurrency: MAX_REPEATED_STOPS });
-    const workerQueues = new WeakMap<WorkerEntry, PQueue>();
-    const getWorkerQueue = (worker: WorkerEntry): PQueue => {
-        const workerQueue = workerQueues.get(worker) ?? new PQueue({ concurrency: MAX_ORDERS_PER_WORKER });
-        workerQueues.set(worker, workerQueue);
-        return workerQueue;
+    const ordersByWorker = new Map<WorkerEntry, WorkerOrders>();
+    const getWorkerOrders = (worker: WorkerEntry): WorkerOrders => {
+        const workerOrders = ordersByWorker.get(worker) ?? createWorkerOrders();
+        ordersByWorker.set(worker, workerOrders);
+        return workerOrders;
     };
     let windowSize = INITIAL_WINDOW;
-    let waitingStarts = 0;
     let isExhausted = false;
+    const countWaitingStarts = (): number => {
+        const now = clock();
+        return [...ordersByWorker.values()]
+            .filter(workerOrders => !isSilent(workerOrders, now))
+            .reduce((sum, { waitingStarts }) => sum + waitingStarts, 0);
+    };
     const countFreeStarts = (): number => {
-        const free = Math.max(0, queue.concurrency * WAITING_STARTS_PER_ORDER - waitingStarts);
+        const free = Math.max(0, queue.concurrency * WAITING_STARTS_PER_ORDER - countWaitingStarts());
         isExhausted ||= free === 0;
         return free;
     };
-    const sendInTurn = async (kind: OrderKind, send: () => Promise<boolean | undefined>): Promise<void> => {
-        waitingStarts -= kind === "start" ? 1 : 0;
+    const sendInTurn = async (
+        kind: OrderKind,
+        workerOrders: WorkerOrders,
+        send: () => Promise<boolean | undefined>,
+    ): Promise<void> => {
+        workerOrders.waitingStarts -= kind === "start" ? 1 : 0;
         const sentAt = clock();
+        workerOrders.sendTimes.push(sentAt);
         const isAnswered = await send();
+        workerOrders.sendTimes.splice(workerOrders.sendTimes.indexOf(sentAt), 1);
         if (isAnswered !== undefined) {
             windowSize = adaptWindow(windowSize, { isAnswered, elapsedMs: clock() - sentAt });
             queue.concurrency = Math.floor(windowSize);
@@ -93,16 +119,29 @@
     };
     return {
         add: async (kind, worker, send) => {
-            waitingStarts += kind === "start" ? 1 : 0;
+            const workerOrders = getWorkerOrders(worker);
+            workerOrders.waitingStarts += kind === "start" ? 1 : 0;
             const options = { priority: PRIORITIES[kind] };
             const sendOrder = (): Promise<unknown> =>
                 kind === "repeated-stop"
                     ? repeatedStops.add(send)
-                    : queue.add(() => sendInTurn(kind, send), options);
-            await getWorkerQueue(worker).add(sendOrder, options);
+                    : queue.add(() => sendInTurn(kind, workerOrders, send), options);
+            await workerOrders.queue.add(sendOrder, options);
+            if (workerOrders.queue.size + workerOrders.queue.pending === 0) {
+                ordersByWorker.delete(worker);
+            }
             notifyIfFree();
         },
         countFreeStarts,
-        countWaitingStarts: () => waitingStarts,
+        countWaitingStarts,
     };
 }
+
+function createWorkerOrders(): WorkerOrders {
+    return { queue: new PQueue({ concurrency: MAX_ORDERS_PER_WORKER }), waitingStarts: 0, sendTimes: [] };
+}
+
+/** Returns whether a worker has not answered an order for long. */
+function isSilent({ sendTimes }: WorkerOrders, now: number): boolean {
+    return sendTimes[0] !== undefined && now - sendTimes[0] > SILENCE_MS;
+}
