--- a/packages/scheduler/src/engine/passes/waitsDespiteRoom.ts
+++ b/packages/scheduler/src/engine/passes/waitsDespiteRoom.ts
@@ -27,8 +27,8 @@
 };
 
 /**
- * Returns whether a step has waited for long although under half of what it needs is in use in its service, and the
- * workers, each counted by itself, have room twice over for the whole step, or for one task of a lasting one.
+ * Returns whether a step has waited for long although its service has ample room: at most half of each kind of
+ * resource that the step needs is in use, and two copies of the step, or two tasks of a lasting one, fit on the workers.
  *
  * @param step - The step, which is ready.
  * @param surroundings - The step's workers, the capacity of its service and the time.
--- a/packages/scheduler/src/engine/runs/orders.feature
+++ b/packages/scheduler/src/engine/runs/orders.feature
@@ -58,7 +58,7 @@
         And bob submits the normal job K of "1 x 2"
         Then 1 task of K runs
 
-    Scenario: Tasks wait for a worker that has fallen silent before their starts were sent
+    Scenario: Tasks do not wait for a worker that has fallen silent before their starts were sent
         Given a fleet of 1 workers with an owner
         When the answers to the next 1000 holds of w0 are lost
         And the next orders to w0 hit the faults "unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered unanswered"
--- a/packages/scheduler/src/engine/takeover/takeover.feature
+++ b/packages/scheduler/src/engine/takeover/takeover.feature
@@ -184,7 +184,7 @@
         And task 0.0.1 of K ends as done
         Then 3 tasks of K run
 
-    Scenario: A listed worker that has long been silent delays every later owner
+    Scenario: A listed worker that has long been silent does not delay later owners
         When ana submits the normal job K of "4 x 8"
         And the worker of task 0.0.3 of K is disconnected
         And 12 seconds pass while all runs make progress
@@ -193,7 +193,7 @@
         And task 0.0.1 of K ends as done
         Then 3 tasks of K run
 
-    Scenario: A listed worker that has never answered delays every later owner
+    Scenario: A listed worker that has never answered does not delay later owners
         When ana submits the normal job K of "5 x 8"
         And 1 worker joins the fleet
         And the owner cannot reach w4
