--- a/packages/scheduler/src/engine/passes/waitsDespiteRoom.ts
+++ b/packages/scheduler/src/engine/passes/waitsDespiteRoom.ts
@@ -28,7 +28,8 @@
 
 /**
  * Returns whether a step has waited for long although its service has ample room: at most half of each kind of
- * resource that the step needs is in use, and two copies of the step, or two tasks of a lasting one, fit on the workers.
+ * resource that the step needs is in use, and two copies of the step, or two tasks of a lasting one, fit on the
+ * workers.
  *
  * @param step - The step, which is ready.
  * @param surroundings - The step's workers, the capacity of its service and the time.
