Stops to workers that do not answer take no turn from starts, also the first ones

Callers would see accepted jobs wait although most of the fleet is free, when a part of the workers falls silent while many of their runs have to be stopped (a cancelled job, a broken gang, preemption). The separate limit held for repeated stops only: the first stop of each run still took a turn before all starts, and each turn lasts until the timeout. Class: work for peers that do not answer is ranked above, and bounded together with, the work for those that do.

Cause shown: 520 stops of a cancelled job, 500 of them to 17 silent workers; the window shrinks to 16 orders, all taken by these stops: 0 of 20 starts to idle workers within a second. Change: the queue remembers which workers have not answered the last order. Stops to them have the limit that repeated stops had, and are not sent while holds are not answered either. With that, the kind 'repeated-stop' is not needed any more.

--- a/packages/scheduler/src/engine/runs/stopRun.ts
+++ b/packages/scheduler/src/engine/runs/stopRun.ts
@@ -1,5 +1,4 @@
 import { GANG_END_TIMEOUT_MS, STOP_RETRY_MS } from "../../constants.js";
-import type { OrderKind } from "../../orders/createOrderQueue.js";
 import { isAnswer } from "../../ports/isAnswer.js";
 import type { OrderOutcome, StopOrder } from "../../ports/WorkerPort.js";
 import type { Run, StepEntry } from "../../state/JobEntry.js";
@@ -95,16 +94,13 @@
 async function sendStop(scheduler: Scheduler, run: Run): Promise<void> {
     const { worker } = run;
     const order = { task: run.task.name, run: run.number, fence: scheduler.ownership.revision };
-    let kind: OrderKind = "stop";
     while (worker.runs.has(run) && !scheduler.ownership.signal.aborted) {
-        if (kind === "repeated-stop" && worker.isUnresponsive) {
-            // The next hold that is answered shows that the worker can be reached again.
-            await scheduler.pause(STOP_RETRY_MS, scheduler.ownership.signal);
-            continue;
-        }
-        const outcome = await sendOrder(scheduler, worker, kind, order);
-        kind = "repeated-stop";
-        switch (outcome.kind) {
+        const outcome = await sendOrder(scheduler, worker, order);
+        switch (outcome?.kind) {
+            case undefined:
+                // The next hold that is answered shows that the worker can be reached again.
+                await scheduler.pause(STOP_RETRY_MS, scheduler.ownership.signal);
+                break;
             case "done":
                 run.stopAnsweredAt = scheduler.clock();
                 return;
@@ -131,16 +127,17 @@
     }
 }
 
+/** Sends an order to stop a run; returns `undefined` if the worker answers nothing and the order is not sent. */
 async function sendOrder(
     scheduler: Scheduler,
     worker: WorkerEntry,
-    kind: OrderKind,
     order: StopOrder,
-): Promise<OrderOutcome> {
-    let outcome: OrderOutcome = { kind: "unclear", cause: "not sent" };
-    await scheduler.orders.add(kind, worker, async () => {
-        outcome = await scheduler.workers.stop(worker, order);
-        return isAnswer(outcome);
+): Promise<OrderOutcome | undefined> {
+    let outcome: OrderOutcome | undefined;
+    await scheduler.orders.add("stop", worker, async () => {
+        const stopped = await scheduler.workers.stop(worker, order);
+        outcome = stopped;
+        return isAnswer(stopped);
     });
     return outcome;
 }
--- a/packages/scheduler/src/orders/createOrderQueue.ts
+++ b/packages/scheduler/src/orders/createOrderQueue.ts
@@ -1,22 +1,27 @@
 import PQueue from "p-queue";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
+import type { OrderTiming } from "./adaptWindow.js";
 import { adaptWindow } from "./adaptWindow.js";
 
-/** Kind of an order, which decides what is sent first. A repeated stop is one that was not answered before. */
-export type OrderKind = "stop" | "start" | "repeated-stop";
+/** Kind of an order, which decides what is sent first. */
+export type OrderKind = "stop" | "start";
+
+/** Sends an order; see `OrderQueue.add`. */
+type Send = () => Promise<boolean | undefined>;
 
 /** Queue of the orders to workers. */
 export type OrderQueue = {
     /**
      * Sends an order to a worker once fewer orders are in flight, to it and in all, than are allowed; stops are sent
-     * before starts. Repeated stops have a limit of their own, so that they take no turn from other orders.
+     * before starts. Stops to workers that have not answered the last order have a limit of their own, so that they
+     * take no turn from other orders; they are not sent while holds are not answered either.
      *
      * The send returns whether it was answered, or `undefined` if it found that the order is no longer needed.
      */
     readonly add: (
         kind: OrderKind,
         worker: WorkerEntry,
-        send: () => Promise<boolean | undefined>,
+        send: Send,
     ) => Promise<void>;
     /** Returns how many starts may be added now so that each is sent without a long wait. */
     readonly countFreeStarts: () => number;
@@ -44,8 +49,8 @@
  */
 const SILENCE_MS = 200;
 
-/** Number of repeated stops in flight. */
-const MAX_REPEATED_STOPS = 8;
+/** Number of stops in flight to workers that have not answered the last order. */
+const MAX_UNANSWERED_STOPS = 8;
 
 /** Number of waiting starts for each order in flight; enough for the next one to be sent at once. */
 const WAITING_STARTS_PER_ORDER = 1;
@@ -59,7 +64,7 @@
     readonly sendTimes: number[];
 };
 
-const PRIORITIES: Readonly<Record<OrderKind, number>> = { stop: 1, start: 0, "repeated-stop": 0 };
+const PRIORITIES: Readonly<Record<OrderKind, number>> = { stop: 1, start: 0 };
 
 /**
  * Creates a queue that limits how many orders are in flight by how fast they are answered.
@@ -76,7 +81,8 @@
  */
 export function createOrderQueue({ clock, onFree }: OrderQueueDependencies): OrderQueue {
     const queue = new PQueue({ concurrency: INITIAL_WINDOW });
-    const repeatedStops = new PQueue({ concurrency: MAX_REPEATED_STOPS });
+    const unansweredStops = new PQueue({ concurrency: MAX_UNANSWERED_STOPS });
+    const unansweredWorkers = new WeakSet<WorkerEntry>();
     const ordersByWorker = new Map<WorkerEntry, WorkerOrders>();
     const getWorkerOrders = (worker: WorkerEntry): WorkerOrders => {
         const workerOrders = ordersByWorker.get(worker) ?? createWorkerOrders();
@@ -96,21 +102,36 @@
         isExhausted ||= free === 0;
         return free;
     };
-    const sendInTurn = async (
-        kind: OrderKind,
-        workerOrders: WorkerOrders,
-        send: () => Promise<boolean | undefined>,
-    ): Promise<void> => {
-        workerOrders.waitingStarts -= kind === "start" ? 1 : 0;
+    const sendAndRecord = async (worker: WorkerEntry, send: Send): Promise<OrderTiming | undefined> => {
+        const { sendTimes } = getWorkerOrders(worker);
         const sentAt = clock();
-        workerOrders.sendTimes.push(sentAt);
+        sendTimes.push(sentAt);
         const isAnswered = await send();
-        workerOrders.sendTimes.splice(workerOrders.sendTimes.indexOf(sentAt), 1);
-        if (isAnswered !== undefined) {
-            windowSize = adaptWindow(windowSize, { isAnswered, elapsedMs: clock() - sentAt });
+        sendTimes.splice(sendTimes.indexOf(sentAt), 1);
+        if (isAnswered === undefined) {
+            return undefined;
+        }
+        if (isAnswered) {
+            unansweredWorkers.delete(worker);
+        }
+        else {
+            unansweredWorkers.add(worker);
+        }
+        return { isAnswered, elapsedMs: clock() - sentAt };
+    };
+    const sendInTurn = async (kind: OrderKind, worker: WorkerEntry, send: Send): Promise<void> => {
+        getWorkerOrders(worker).waitingStarts -= kind === "start" ? 1 : 0;
+        const timing = await sendAndRecord(worker, send);
+        if (timing !== undefined) {
+            windowSize = adaptWindow(windowSize, timing);
             queue.concurrency = Math.floor(windowSize);
         }
     };
+    const sendUnansweredStop = async (worker: WorkerEntry, send: Send): Promise<void> => {
+        if (!worker.isUnresponsive || !unansweredWorkers.has(worker)) {
+            await sendAndRecord(worker, send);
+        }
+    };
     const notifyIfFree = (): void => {
         if (isExhausted && countFreeStarts() > 0) {
             isExhausted = false;
@@ -123,9 +144,9 @@
             workerOrders.waitingStarts += kind === "start" ? 1 : 0;
             const options = { priority: PRIORITIES[kind] };
             const sendOrder = (): Promise<unknown> =>
-                kind === "repeated-stop"
-                    ? repeatedStops.add(send)
-                    : queue.add(() => sendInTurn(kind, workerOrders, send), options);
+                kind === "stop" && unansweredWorkers.has(worker)
+                    ? unansweredStops.add(() => sendUnansweredStop(worker, send))
+                    : queue.add(() => sendInTurn(kind, worker, send), options);
             await workerOrders.queue.add(sendOrder, options);
             if (workerOrders.queue.size + workerOrders.queue.pending === 0) {
                 ordersByWorker.delete(worker);
