Split the fake worker: ended runs, faults of orders and the check of the capacity in files of their own

What an incarnation remembers of ended runs is the class 'EndedRunRecord', a fault of an order is applied by 'executeWithFault', and 'isOverCapacity' compares requests with a capacity. The types 'RunningTask' and 'ExecutedStart' have files of their own. Behaviour, public names and import paths are unchanged.

--- /dev/null
+++ b/packages/stand-ins/src/fleet/ExecutedStart.ts
@@ -0,0 +1,9 @@
+import type { TaskName } from "@balsamward/scheduler";
+
+/** A start that a fake worker has executed. */
+export type ExecutedStart = {
+    readonly task: TaskName;
+    readonly run: number;
+    readonly checkpoint: string;
+    readonly ticket: string;
+};
--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -1,5 +1,4 @@
 import type {
-    EndedRun,
     HoldOrder,
     HoldOutcome,
     OrderOutcome,
@@ -11,32 +10,20 @@
     WorkerId,
     WorkerReport,
 } from "@balsamward/scheduler";
+import { EndedRunRecord } from "./EndedRunRecord.js";
+import type { ExecutedStart } from "./ExecutedStart.js";
+import { executeWithFault } from "./executeWithFault.js";
 import { formatTaskName } from "./formatTaskName.js";
+import type { TaskRequest } from "./isOverCapacity.js";
+import { isOverCapacity } from "./isOverCapacity.js";
 import type { OrderFault } from "./OrderFault.js";
+import type { RunningTask } from "./RunningTask.js";
+
+export { UNANSWERED } from "./executeWithFault.js";
 
 /** Longest lease that a worker grants, in milliseconds; a longer one is shortened. */
 const MAX_LEASE_MS = 10_000;
 
-/** Cause of the unclear result of an order that is not answered before its timeout. */
-export const UNANSWERED = "unanswered";
-
-type RunningTask = {
-    readonly task: TaskName;
-    readonly run: number;
-    checkpoint: string;
-    /** Progress of the run in percent. */
-    percent: number;
-    /** Tail latency of a serving task, or the processor time in use. */
-    load: number;
-    /** Ordered speed in percent of full speed. */
-    pace: number;
-    /** Monotonic time of the start, in milliseconds. */
-    readonly startedAt: number;
-};
-
-/** What a task needs; a kind of resource that is not given is not needed. */
-type TaskRequest = Partial<Pick<WorkerReport["capacity"], "cpuMillis" | "memoryMb" | "accelerators">>;
-
 /**
  * A fake worker in memory. It starts and stops runs under a lease, rejects orders of earlier owners, and
  * reports each ended run until the owner acknowledges it.
@@ -57,12 +44,7 @@
     /** Number of crashes. */
     crashCount = 0;
     /** Executed starts, in order. */
-    readonly starts: {
-        readonly task: TaskName;
-        readonly run: number;
-        readonly checkpoint: string;
-        readonly ticket: string;
-    }[] = [];
+    readonly starts: ExecutedStart[] = [];
     /** Running tasks by name, see `formatTaskName`. */
     readonly running = new Map<string, RunningTask>();
     /** Number of ended runs that were dropped after the owner acknowledged them. */
@@ -86,10 +68,7 @@
     isDraining = false;
     /** Minimum time until a draining worker leaves, in milliseconds. */
     remainingMs = 0;
-    private endedRuns: EndedRun[] = [];
-    private lastEndNumber = 0;
-    /** Highest run number by task that must not start any more. */
-    private readonly highestRejectedRuns = new Map<string, number>();
+    private endedRuns = new EndedRunRecord();
     private readonly delayedOrders: (() => void)[] = [];
     /** Monotonic times at which the runs that are being stopped end, in milliseconds, by name of the task. */
     private readonly stopTimes = new Map<string, number>();
@@ -122,12 +101,12 @@
 
     /** Executes a start order, subject to the next fault. */
     start(order: StartOrder): OrderOutcome {
-        return this.executeWithFault(() => this.executeStart(order));
+        return this.executeOrder(() => this.executeStart(order));
     }
 
     /** Executes a stop order, subject to the next fault. */
     stop(order: StopOrder): OrderOutcome {
-        return this.executeWithFault(() => this.executeStop(order));
+        return this.executeOrder(() => this.executeStop(order));
     }
 
     /** Sets the speed of a running task; has no effect if the task does not run. */
@@ -151,9 +130,7 @@
         this.endExpiredRuns();
         this.endStoppedRuns();
         this.extendLease(order.leaseUntilMs);
-        const previousEndCount = this.endedRuns.length;
-        this.endedRuns = this.endedRuns.filter(end => end.number > order.lastDurableEnd);
-        this.forgottenEndCount += previousEndCount - this.endedRuns.length;
+        this.forgottenEndCount += this.endedRuns.acknowledge(order.lastDurableEnd);
         if (this.unansweredHoldCount > 0) {
             this.unansweredHoldCount -= 1;
             return { kind: "unclear", cause: "lost" };
@@ -165,8 +142,7 @@
                 clockMs: this.clock(),
                 bornMs: this.bornMs,
                 running,
-                ended: this.endedRuns.slice(0, this.maxListedEnds),
-                listsAllEnds: this.endedRuns.length <= this.maxListedEnds,
+                ...this.endedRuns.list(this.maxListedEnds),
             },
         };
     }
@@ -177,10 +153,8 @@
         this.clockStartedAt = this.monotonicClock();
         this.running.clear();
         this.stopTimes.clear();
-        this.highestRejectedRuns.clear();
         this.delayedOrders.splice(0);
-        this.endedRuns = [];
-        this.lastEndNumber = 0;
+        this.endedRuns = new EndedRunRecord();
         this.fence = 0;
         this.leaseUntilMs = 0;
     }
@@ -230,9 +204,7 @@
             );
         }
         this.running.delete(task);
-        this.rejectRunsUpTo(task, run.run);
-        this.lastEndNumber += 1;
-        this.endedRuns.push({ number: this.lastEndNumber, task: run.task, run: run.run, how, checkpoint });
+        this.endedRuns.add({ task: run.task, run: run.run, how, checkpoint });
     }
 
     /** Executes the orders delayed by the fault `late`. */
@@ -251,25 +223,11 @@
         return this.monotonicClock() - this.clockStartedAt;
     }
 
-    private executeWithFault(execute: () => OrderOutcome): OrderOutcome {
+    private executeOrder(execute: () => OrderOutcome): OrderOutcome {
         const fault = this.orderFaults.shift();
-        if (this.isDisconnected || this.isDown) {
-            return { kind: "unclear", cause: "cut" };
-        }
-        switch (fault) {
-            case "refused":
-                return { kind: "unhealthy", status: 503 };
-            case "unanswered":
-                return { kind: "unclear", cause: UNANSWERED };
-            case "late":
-                this.delayedOrders.push(execute);
-                return { kind: "unclear", cause: "late" };
-            case "lost-answer":
-                execute();
-                return { kind: "unclear", cause: "lost" };
-            case undefined:
-                return execute();
-        }
+        return this.isDisconnected || this.isDown
+            ? { kind: "unclear", cause: "cut" }
+            : executeWithFault(fault, execute, this.delayedOrders);
     }
 
     private executeStart(order: StartOrder): OrderOutcome {
@@ -287,25 +245,15 @@
         if (current?.run === order.run) {
             return { kind: "done", clockMs };
         }
-        if (current !== undefined || (this.highestRejectedRuns.get(name) ?? 0) >= order.run) {
+        if (current !== undefined || this.endedRuns.isRejected(name, order.run)) {
             return { kind: "old-run", clockMs };
         }
-        this.running.set(name, {
-            task: order.task,
-            run: order.run,
-            checkpoint: order.checkpoint,
-            percent: 0,
-            load: 0,
-            pace: 100,
-            startedAt: this.monotonicClock(),
-        });
-        this.starts.push({
-            task: order.task,
-            run: order.run,
-            checkpoint: order.checkpoint,
-            ticket: order.ticket,
-        });
-        if (this.isOverCapacity()) {
+        const { task, run, checkpoint, ticket } = order;
+        const startedAt = this.monotonicClock();
+        this.running.set(name, { task, run, checkpoint, percent: 0, load: 0, pace: 100, startedAt });
+        this.starts.push({ task, run, checkpoint, ticket });
+        const requests = [...this.running.values()].map(running => this.getRequest(running.task));
+        if (isOverCapacity(requests, this.capacity)) {
             this.startsOverCapacity.push(name);
         }
         if (this.deadlyTasks.get(name) === 0) {
@@ -315,15 +263,6 @@
         return { kind: "done", clockMs };
     }
 
-    /** Returns whether what runs, or is being stopped, needs more than the worker has. */
-    private isOverCapacity(): boolean {
-        const requests = [...this.running.values()].map(({ task }) => this.getRequest(task));
-        const kinds = ["cpuMillis", "memoryMb", "accelerators"] as const;
-        return kinds.some(kind =>
-            requests.reduce((sum, request) => sum + (request[kind] ?? 0), 0) > this.capacity[kind]
-        );
-    }
-
     private executeStop({ task, run, fence }: StopOrder): OrderOutcome {
         const clockMs = this.clock();
         const name = formatTaskName(task);
@@ -335,7 +274,7 @@
             this.stopTimes.set(name, this.monotonicClock() + this.stopDurationMs);
         }
         this.endStoppedRuns();
-        this.rejectRunsUpTo(name, run);
+        this.endedRuns.rejectRunsUpTo(name, run);
         return { kind: "done", clockMs };
     }
 
@@ -351,8 +290,4 @@
         const latestMs = this.clock() + MAX_LEASE_MS;
         this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.min(leaseUntilMs ?? 0, latestMs));
     }
-
-    private rejectRunsUpTo(name: string, run: number): void {
-        this.highestRejectedRuns.set(name, Math.max(this.highestRejectedRuns.get(name) ?? 0, run));
-    }
 }
