Split the scheduler's test harness: terms, the owner's lease in the store and the reports of workers

The types 'Term' and 'StoreLease' and the functions 'keepLeaseRenewed' and 'createWorkerReport' are in features/support/scheduler now; the harness goes on exporting 'Term'.

--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -15,45 +15,24 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { setMaxListeners } from "node:events";
 import winston from "winston";
-import { LEASE_RENEWAL_INTERVAL_MS } from "../../packages/scheduler/src/constants.js";
 import { createOwnerService } from "../../packages/scheduler/src/engine/createOwnerService.js";
 import { createScheduler, runScheduler } from "../../packages/scheduler/src/engine/runScheduler.js";
-import type { Ownership, Scheduler } from "../../packages/scheduler/src/engine/Scheduler.js";
+import type { Ownership } from "../../packages/scheduler/src/engine/Scheduler.js";
 import { storeKeys } from "../../packages/scheduler/src/storeKeys.js";
 import { createSuspendableStore } from "./createSuspendableStore.js";
 import { createTestConfiguration } from "./createTestConfiguration.js";
 import { FakeClock } from "./FakeClock.js";
 import { createFakeWorkerPort } from "./scheduler/createFakeWorkerPort.js";
+import { createWorkerReport } from "./scheduler/createWorkerReport.js";
 import { FakeMachines } from "./scheduler/FakeMachines.js";
+import { keepLeaseRenewed } from "./scheduler/keepLeaseRenewed.js";
 import { OwnerProcessor } from "./scheduler/OwnerProcessor.js";
+import type { Term } from "./scheduler/Term.js";
 import { SuspendableClock } from "./SuspendableClock.js";
 
-const WORKER_CPU_MILLIS = 32_000;
-const WORKER_MEMORY_MB = 131_072;
-const WORKER_ACCELERATORS = 8;
-const MAX_HOLD_MS = 10_000;
-const WORKERS_PER_RACK = 4;
-
-/** A term of ownership that a test begins, and ends by aborting `end`. */
-export type Term = {
-    readonly scheduler: Scheduler;
-    readonly end: AbortController;
-    resignations: string[];
-    /** Workers that the owner of this term cannot reach, although others can. */
-    readonly unreachableWorkers: Set<WorkerId>;
-    /** Clock of the owner's process. */
-    readonly clock: SuspendableClock;
-    /** The owner's lease in the store. */
-    readonly lease: TermLease;
-};
+export type { Term } from "./scheduler/Term.js";
 
-/** An owner's lease in the store: when its last answered renewal was sent, in milliseconds. */
-type TermLease = {
-    /** By the clock of the owner's process. */
-    heldAt: number;
-    /** By the clock that the test advances. */
-    renewedAt: number;
-};
+const MAX_HOLD_MS = 10_000;
 
 /** Options of `SchedulerTestHarness.submit`. */
 export type SubmitOptions = {
@@ -100,25 +79,7 @@
     /** Adds workers to the fleet, each on its own machine, with four workers in a rack. */
     addWorkers(count: number): void {
         for (let added = 0; added < count; added++) {
-            const number = this.workers.size;
-            const report: WorkerReport = {
-                id: `w${number}` as WorkerId,
-                address: `10.0.0.${number + 1}:80`,
-                service: "service",
-                dataCentre: "here",
-                draining: false,
-                remainingMs: 0,
-                bornMs: 1,
-                capacity: {
-                    $typeName: "balsamward.scheduling.v1.Resources",
-                    cpuMillis: WORKER_CPU_MILLIS,
-                    memoryMb: WORKER_MEMORY_MB,
-                    accelerators: WORKER_ACCELERATORS,
-                },
-                labels: ["a", `r${Math.floor(number / WORKERS_PER_RACK)}`],
-                rack: `r${Math.floor(number / WORKERS_PER_RACK)}`,
-                machine: `m${number}`,
-            };
+            const report = createWorkerReport(this.workers.size);
             this.machines.add(report.machine);
             this.addWorker(report);
         }
@@ -185,11 +146,17 @@
         const resignations: string[] = [];
         const unreachable = new Set(unreachableWorkers);
         const clock = new SuspendableClock(this.clock);
-        const lease = this.renewLease(clock, end.signal);
+        const number = this.terms.length;
+        const lease = keepLeaseRenewed({
+            clock,
+            baseClock: this.clock,
+            isLatestTerm: () => this.terms.length <= number + 1,
+            signal: end.signal,
+        });
         const ownership: Ownership = {
             key: storeKeys.owner,
-            revision: this.store.put(storeKeys.owner, new Uint8Array([this.terms.length])),
-            term: this.terms.length,
+            revision: this.store.put(storeKeys.owner, new Uint8Array([number])),
+            term: number,
             signal: end.signal,
             heldAt: () => lease.heldAt,
             resign: reason => {
@@ -313,23 +280,6 @@
         return [...this.departedReports, ...reports];
     }
 
-    /** Renews the lease of the owner's term until another term begins, also while the store is down for everyone. */
-    private renewLease(clock: SuspendableClock, signal: AbortSignal): TermLease {
-        const termNumber = this.terms.length;
-        const lease = { heldAt: clock.now, renewedAt: this.clock.now };
-        const renew = async (): Promise<void> => {
-            while (!signal.aborted) {
-                await clock.pause(LEASE_RENEWAL_INTERVAL_MS, signal);
-                if (!signal.aborted && this.terms.length <= termNumber + 1) {
-                    lease.heldAt = clock.now;
-                    lease.renewedAt = this.clock.now;
-                }
-            }
-        };
-        void renew();
-        return lease;
-    }
-
     private recordOverlappingTasks(): void {
         const tasks = [...this.workers.values()].flatMap(worker => [...worker.running.keys()]);
         tasks.filter((task, index) => tasks.indexOf(task) !== index).forEach(task =>
