A crash under a gang counts although its other members have ended

Callers would see a gang whose member crashes each of its workers start again and again.

Cause: when a worker crashes, the other workers end their members as 'broken', and the owner then awaits the end of the member on the crashed worker. A run whose end is awaited did not count, so no crash under such a gang was ever counted.

Change: a run counts until its worker has answered a stop. Until then, the crash may have come before the stop, and may be its reason. This holds for every reason of a stop.

--- a/packages/scheduler/src/engine/crashes/LostRuns.ts
+++ b/packages/scheduler/src/engine/crashes/LostRuns.ts
@@ -5,7 +5,7 @@
 /** A run of an incarnation of a worker that may have crashed. */
 export type LostRun = {
     readonly run: Run;
-    /** Whether a crash under the run counts: its start may have arrived, and it was not being stopped. */
+    /** Whether a crash under the run counts: its start may have arrived, and its worker had not answered a stop. */
     readonly isCountable: boolean;
     /** Whether the worker had confirmed the run. */
     readonly isConfirmed: boolean;
@@ -45,8 +45,8 @@
 function captureRun(run: Run): LostRun {
     return {
         run,
-        // A start without an answer is stopped; the crash may be why it has none.
-        isCountable: run.phase !== "stopping" || !run.isConfirmed,
+        // Without an answer to the start or the stop, the crash may have come before the stop, and be its reason.
+        isCountable: run.stopAnsweredAt === undefined || !run.isConfirmed,
         isConfirmed: run.isConfirmed,
         ageMs: Math.max(0, run.worker.lastAnswerAt - run.confirmedAt),
     };
--- /dev/null
+++ b/packages/scheduler/src/engine/crashes/crashPaths.feature
@@ -0,0 +1,10 @@
+Feature: Ways in which a worker crashes under a task
+
+    Scenario: A gang that breaks on its other workers when a member crashes its worker is started again and again
+        Given a fleet of 10 workers with an owner
+        And a gang ends as broken on its other workers when a worker crashes under a member
+        And task 0.0.1 of the job number 1 crashes its worker after 500 ms
+        When bob submits the normal job J of "3 x 8 gang"
+        And 90 recorded seconds pass
+        Then no task of J has more than 4 recorded starts
+        And the job J is failed
