A pass follows as soon as the starts that a step waits for are free

Callers saw tasks start in bursts, 250 ms apart, although workers were free, and a large gang wait for several of these.

Cause: the order queue asked for a pass only if a pass had begun without free starts. One that used up the last ones, or held a gang back because fewer were free than it has members, was followed only by the periodic pass. A pass now says how many starts it waits for, and the queue asks for the next one when so many are free or none waits.

--- a/packages/measure/src/fleet/placeInArrivalOrder.ts
+++ b/packages/measure/src/fleet/placeInArrivalOrder.ts
@@ -29,6 +29,7 @@
                 freeStarts -= startable.length;
             }
             if (freeStarts <= 0) {
+                scheduler.orders.awaitFreeStarts(1);
                 return;
             }
         }
--- a/packages/scheduler/src/engine/passes/PlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/PlacementPass.ts
@@ -28,6 +28,8 @@
     hasPlanned: boolean;
     /** Number of starts that can still be ordered without a long wait. */
     freeStarts: number;
+    /** Number of free starts that the first step needs for which too few were left; 0 if there is none. */
+    awaitedStarts: number;
     /** Whether a start that was ordered before waits to be sent. */
     hasWaitingStarts: boolean;
 };
--- a/packages/scheduler/src/engine/passes/placeStep.ts
+++ b/packages/scheduler/src/engine/passes/placeStep.ts
@@ -56,6 +56,7 @@
     startAssignments(scheduler, pass, step, assignments);
     if (assignments.length < fitting.length) {
         pass.freeStarts = 0;
+        pass.awaitedStarts = step.spec.gang ? fitting.length : 1;
     }
     else if (assignments.length === waiting.length) {
         step.reservation = undefined;
--- a/packages/scheduler/src/engine/passes/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/runPlacementPass.ts
@@ -50,10 +50,12 @@
         reservingGangs: 0,
         hasPlanned: false,
         freeStarts: scheduler.orders.countFreeStarts(),
+        awaitedStarts: 0,
         hasWaitingStarts: scheduler.orders.countWaitingStarts() > 0,
     };
     const rankedJobs = orderJobs(scheduler, { queues, entitled, workers });
     placeJobs(scheduler, pass, rankedJobs);
+    scheduler.orders.awaitFreeStarts(pass.awaitedStarts);
     logLongWaits(scheduler, pass, rankedJobs);
     if (!pass.hasUnplacedSteps && pass.freeStarts > 0) {
         for (const entry of scheduler.activeJobs) {
@@ -66,6 +68,7 @@
     const canPlaceInheritedJobs = !hasUnknownRuns(scheduler);
     for (const ranked of rankedJobs) {
         if (pass.freeStarts <= 0) {
+            pass.awaitedStarts ||= 1;
             return;
         }
         if (canPlaceInheritedJobs || isOfThisTerm(scheduler, ranked.entry)) {
--- a/packages/scheduler/src/orders/createOrderQueue.ts
+++ b/packages/scheduler/src/orders/createOrderQueue.ts
@@ -22,13 +22,15 @@
     readonly countFreeStarts: () => number;
     /** Returns how many added starts have not been sent yet, without those that wait for a silent worker. */
     readonly countWaitingStarts: () => number;
+    /** Requests one call of `onFree` once so many starts may be added, or none waits; 0 withdraws the request. */
+    readonly awaitFreeStarts: (count: number) => void;
 };
 
 /** Dependencies of `createOrderQueue`. */
 export type OrderQueueDependencies = {
     /** Returns the monotonic time in milliseconds. */
     readonly clock: () => number;
-    /** Called when starts may be added again after `countFreeStarts` returned 0. */
+    /** Called once as many starts may be added as `awaitFreeStarts` asked for. */
     readonly onFree: () => void;
 };
 
@@ -84,17 +86,20 @@
         return workerOrders;
     };
     let windowSize = INITIAL_WINDOW;
-    let isExhausted = false;
+    let awaitedStarts = 0;
     const countWaitingStarts = (): number => {
         const now = clock();
         return [...ordersByWorker.values()]
             .filter(workerOrders => !isSilent(workerOrders, now))
             .reduce((sum, { waitingStarts }) => sum + waitingStarts, 0);
     };
-    const countFreeStarts = (): number => {
-        const free = Math.max(0, queue.concurrency * WAITING_STARTS_PER_ORDER - countWaitingStarts());
-        isExhausted ||= free === 0;
-        return free;
+    const countFreeStarts = (): number =>
+        Math.max(0, queue.concurrency * WAITING_STARTS_PER_ORDER - countWaitingStarts());
+    const notifyIfFree = (): void => {
+        if (awaitedStarts > 0 && (countFreeStarts() >= awaitedStarts || countWaitingStarts() === 0)) {
+            awaitedStarts = 0;
+            onFree();
+        }
     };
     const sendInTurn = async (
         kind: OrderKind,
@@ -104,6 +109,7 @@
         workerOrders.waitingStarts -= kind === "start" ? 1 : 0;
         const sentAt = clock();
         workerOrders.sendTimes.push(sentAt);
+        notifyIfFree();
         const isAnswered = await send();
         workerOrders.sendTimes.splice(workerOrders.sendTimes.indexOf(sentAt), 1);
         if (isAnswered !== undefined) {
@@ -111,12 +117,6 @@
             queue.concurrency = Math.floor(windowSize);
         }
     };
-    const notifyIfFree = (): void => {
-        if (isExhausted && countFreeStarts() > 0) {
-            isExhausted = false;
-            onFree();
-        }
-    };
     return {
         add: async (kind, worker, send) => {
             const workerOrders = getWorkerOrders(worker);
@@ -134,6 +134,9 @@
         },
         countFreeStarts,
         countWaitingStarts,
+        awaitFreeStarts: count => {
+            awaitedStarts = count;
+        },
     };
 }
 
