A worker gets starts again when the upkeep of its machine is refused

Callers would see a worker without tasks for the rest of a term: a worker is cordoned before the upkeep of its machine is ordered, and the cordon ended only with the worker. A machine that the platform refuses, as not of the wave, was not asked for again, and its worker stayed cordoned. The refusal now ends the cordon.

The scenario failed before: 1 of 2 tasks ran 1 s after the job was accepted, the other waited for the cordoned worker.

--- a/features/support/scheduler/FakeMachines.ts
+++ b/features/support/scheduler/FakeMachines.ts
@@ -19,6 +19,8 @@
     maxDown = 0;
     /** Machines that went down while tasks ran on them. */
     readonly takenDownWhileBusy: string[] = [];
+    /** Machines whose upkeep the platform refuses, as of machines that are not of the wave. */
+    readonly refusedMachines = new Set<string>();
     private readonly states = new Map<string, MachineState>();
     /** Machines that have had their upkeep; a further order for one has no effect and succeeds. */
     private readonly maintained = new Set<string>();
@@ -42,6 +44,9 @@
 
     /** Takes a machine down for upkeep; it comes up again with a new worker. */
     beginUpkeep(machine: string): UpkeepOutcome {
+        if (this.refusedMachines.has(machine)) {
+            return { kind: "not-in-wave" };
+        }
         if (this.maintained.has(machine)) {
             return { kind: "begun" };
         }
--- a/packages/scheduler/src/engine/fleet/runUpkeep.ts
+++ b/packages/scheduler/src/engine/fleet/runUpkeep.ts
@@ -157,6 +157,10 @@
             return;
         case "not-in-wave":
             entry.upkeepOrderedAt.set(machine, Number.NEGATIVE_INFINITY);
+            if (worker !== undefined) {
+                worker.isCordoned = false;
+                scheduler.requestPass();
+            }
             return;
         case "fenced":
             scheduler.ownership.resign("The platform knows a newer owner.");
--- a/packages/scheduler/src/engine/passes/wakeUps.feature
+++ b/packages/scheduler/src/engine/passes/wakeUps.feature
@@ -57,6 +57,16 @@
         And 1 second passes
         Then 2 tasks of J run
 
+    Scenario: The platform refuses the upkeep of a machine, so that the cordon of its worker ends
+        Given a fleet of 2 workers with an owner
+        When the platform refuses the upkeep of m0
+        And the operator orders the upkeep of all machines, 1 at a time
+        And 10 seconds pass
+        Then the wave of upkeep is completed
+        When ana submits the normal job J of "2 x 8"
+        And 1 second passes
+        Then 2 tasks of J run
+
     Scenario: A roster is stored whose outcome was unclear
         Given a fleet of 1 workers with an owner
         When ana submits the normal job J of "2 x 8"
--- a/packages/scheduler/src/engine/passes/wakeUps.steps.ts
+++ b/packages/scheduler/src/engine/passes/wakeUps.steps.ts
@@ -8,6 +8,10 @@
     getHarness(this).workers.get(id as WorkerId)!.isDraining = false;
 });
 
+When("the platform refuses the upkeep of {word}", function(this: TestWorld, machine: string) {
+    getHarness(this).machines.refusedMachines.add(machine);
+});
+
 When("the configuration has no queue {word}", function(this: TestWorld, name: string) {
     const harness = getHarness(this);
     const { configuration } = harness;
