No stops are sent to a worker while holds show that it answers nothing

Callers would see tasks wait although workers are free, as long as many runs on silent workers are to be stopped.

Cause: only repeated stops were held back for silent workers. The first stop of each run went before all starts, in the window of 16 to 64 orders, and took 0.3 to 0.4 s of a turn: hundreds of runs on tens of silent workers kept starts waiting for seconds. A stop is now held back too when its turn comes and the last hold has failed. Its run counts as running until the stop is answered or the lease has ended, as before.

--- a/packages/scheduler/src/engine/runs/stopRun.ts
+++ b/packages/scheduler/src/engine/runs/stopRun.ts
@@ -20,7 +20,7 @@
     | "copy-done";
 
 /**
- * Stops a run, and repeats the order until the worker answers; not while holds show that it answers nothing.
+ * Stops a run, and repeats the order until the worker answers; sends none while holds show that it answers nothing.
  *
  * A run whose start was never sent is released at once. Once the stop is answered, the worker refuses any later start
  * with this run number. The run is released when the worker reports its end, or when the answer to a later hold does
@@ -97,12 +97,12 @@
     const order = { task: run.task.name, run: run.number, fence: scheduler.ownership.revision };
     let kind: OrderKind = "stop";
     while (worker.runs.has(run) && !scheduler.ownership.signal.aborted) {
-        if (kind === "repeated-stop" && worker.isUnresponsive) {
+        const outcome = await sendOrder(scheduler, worker, kind, order);
+        if (outcome === undefined) {
             // The next hold that is answered shows that the worker can be reached again.
             await scheduler.pause(STOP_RETRY_MS, scheduler.ownership.signal);
             continue;
         }
-        const outcome = await sendOrder(scheduler, worker, kind, order);
         kind = "repeated-stop";
         switch (outcome.kind) {
             case "done":
@@ -131,16 +131,24 @@
     }
 }
 
+/** Sends an order to stop a run; returns `undefined` if holds show, when its turn comes, that the worker is silent. */
 async function sendOrder(
     scheduler: Scheduler,
     worker: WorkerEntry,
     kind: OrderKind,
     order: StopOrder,
-): Promise<OrderOutcome> {
-    let outcome: OrderOutcome = { kind: "unclear", cause: "not sent" };
+): Promise<OrderOutcome | undefined> {
+    let outcome: OrderOutcome | undefined;
+    if (worker.isUnresponsive) {
+        return undefined;
+    }
     await scheduler.orders.add(kind, worker, async () => {
-        outcome = await scheduler.workers.stop(worker, order);
-        return isAnswer(outcome);
+        if (worker.isUnresponsive) {
+            return undefined;
+        }
+        const stopped = await scheduler.workers.stop(worker, order);
+        outcome = stopped;
+        return isAnswer(stopped);
     });
     return outcome;
 }
--- a/packages/scheduler/src/orders/orders.feature
+++ b/packages/scheduler/src/orders/orders.feature
@@ -73,3 +73,14 @@
         And 3 seconds pass
         Then at least 19 tasks of G run
         And 1 task of S runs
+
+    Scenario: Stops of many runs on each of many silent workers do not keep starts from the others
+        Given a fleet of 60 workers with an owner
+        When ana submits the normal job J of "320 x 1"
+        And 2 seconds pass while all runs make progress
+        Then 320 tasks of J run
+        When the workers of J are no longer reached by the owner
+        And J is cancelled by its caller
+        And bob submits the normal job K of "20 x 8"
+        And 1 second passes
+        Then 20 tasks of K run
