--- a/packages/scheduler/src/engine/runs/stopRun.ts
+++ b/packages/scheduler/src/engine/runs/stopRun.ts
@@ -19,7 +19,7 @@
     | "copy-done";
 
 /**
- * Stops a run, and repeats the order until the worker answers; not while holds show that it answers nothing.
+ * Stops a run, and repeats the order until the worker answers; sends none while holds show that it answers nothing.
  *
  * A run whose start was never sent is released at once. Once the stop is answered, the worker refuses any later start
  * with this run number. The run is released when the worker reports its end, or when the answer to a later hold does
@@ -127,14 +127,20 @@
     }
 }
 
-/** Sends an order to stop a run; returns `undefined` if the worker answers nothing and the order is not sent. */
+/** Sends an order to stop a run; returns `undefined` if holds show, when its turn comes, that the worker is silent. */
 async function sendOrder(
     scheduler: Scheduler,
     worker: WorkerEntry,
     order: StopOrder,
 ): Promise<OrderOutcome | undefined> {
     let outcome: OrderOutcome | undefined;
+    if (worker.isUnresponsive) {
+        return undefined;
+    }
     await scheduler.orders.add("stop", worker, async () => {
+        if (worker.isUnresponsive) {
+            return undefined;
+        }
         const stopped = await scheduler.workers.stop(worker, order);
         outcome = stopped;
         return isAnswer(stopped);
--- a/packages/scheduler/src/orders/createOrderQueue.ts
+++ b/packages/scheduler/src/orders/createOrderQueue.ts
@@ -14,7 +14,7 @@
     /**
      * Sends an order to a worker once fewer orders are in flight, to it and in all, than are allowed; stops are sent
      * before starts. Stops to workers that have not answered the last order have a limit of their own, so that they
-     * take no turn from other orders; they are not sent while holds are not answered either.
+     * take no turn from other orders.
      *
      * The send returns whether it was answered, or `undefined` if it found that the order is no longer needed.
      */
@@ -27,13 +27,15 @@
     readonly countFreeStarts: () => number;
     /** Returns how many added starts have not been sent yet, without those that wait for a silent worker. */
     readonly countWaitingStarts: () => number;
+    /** Requests one call of `onFree` once so many starts may be added, or none waits; 0 withdraws the request. */
+    readonly awaitFreeStarts: (count: number) => void;
 };
 
 /** Dependencies of `createOrderQueue`. */
 export type OrderQueueDependencies = {
     /** Returns the monotonic time in milliseconds. */
     readonly clock: () => number;
-    /** Called when starts may be added again after `countFreeStarts` returned 0. */
+    /** Called once as many starts may be added as `awaitFreeStarts` asked for. */
     readonly onFree: () => void;
 };
 
@@ -90,22 +92,26 @@
         return workerOrders;
     };
     let windowSize = INITIAL_WINDOW;
-    let isExhausted = false;
+    let awaitedStarts = 0;
     const countWaitingStarts = (): number => {
         const now = clock();
         return [...ordersByWorker.values()]
             .filter(workerOrders => !isSilent(workerOrders, now))
             .reduce((sum, { waitingStarts }) => sum + waitingStarts, 0);
     };
-    const countFreeStarts = (): number => {
-        const free = Math.max(0, queue.concurrency * WAITING_STARTS_PER_ORDER - countWaitingStarts());
-        isExhausted ||= free === 0;
-        return free;
+    const countFreeStarts = (): number =>
+        Math.max(0, queue.concurrency * WAITING_STARTS_PER_ORDER - countWaitingStarts());
+    const notifyIfFree = (): void => {
+        if (awaitedStarts > 0 && (countFreeStarts() >= awaitedStarts || countWaitingStarts() === 0)) {
+            awaitedStarts = 0;
+            onFree();
+        }
     };
     const sendAndRecord = async (worker: WorkerEntry, send: Send): Promise<OrderTiming | undefined> => {
         const { sendTimes } = getWorkerOrders(worker);
         const sentAt = clock();
         sendTimes.push(sentAt);
+        notifyIfFree();
         const isAnswered = await send();
         sendTimes.splice(sendTimes.indexOf(sentAt), 1);
         if (isAnswered === undefined) {
@@ -127,17 +133,6 @@
             queue.concurrency = Math.floor(windowSize);
         }
     };
-    const sendUnansweredStop = async (worker: WorkerEntry, send: Send): Promise<void> => {
-        if (!worker.isUnresponsive || !unansweredWorkers.has(worker)) {
-            await sendAndRecord(worker, send);
-        }
-    };
-    const notifyIfFree = (): void => {
-        if (isExhausted && countFreeStarts() > 0) {
-            isExhausted = false;
-            onFree();
-        }
-    };
     return {
         add: async (kind, worker, send) => {
             const workerOrders = getWorkerOrders(worker);
@@ -145,7 +140,7 @@
             const options = { priority: PRIORITIES[kind] };
             const sendOrder = (): Promise<unknown> =>
                 kind === "stop" && unansweredWorkers.has(worker)
-                    ? unansweredStops.add(() => sendUnansweredStop(worker, send))
+                    ? unansweredStops.add(() => sendAndRecord(worker, send))
                     : queue.add(() => sendInTurn(kind, worker, send), options);
             await workerOrders.queue.add(sendOrder, options);
             if (workerOrders.queue.size + workerOrders.queue.pending === 0) {
@@ -155,6 +150,9 @@
         },
         countFreeStarts,
         countWaitingStarts,
+        awaitFreeStarts: count => {
+            awaitedStarts = count;
+        },
     };
 }
 
