Crashes of workers whose machines get new workers count before the task starts again

Callers would see a task that crashes its workers start for as long as there are workers, where crashed workers come back under new ids.

Cause: the runs of the crashed worker are released when its lease has ended, which is after the new worker on its machine has answered. The crash was counted at the next answer of the new worker, and an idle worker sends none for 100 s.

Change: when the runs of a worker are released without its report, the crash is counted at once if a later worker on its machine has answered.

--- a/packages/scheduler/src/engine/crashes/countLostRuns.ts
+++ b/packages/scheduler/src/engine/crashes/countLostRuns.ts
@@ -22,6 +22,23 @@
     }
 }
 
+/**
+ * Counts the crash of a worker whose runs have just been released if a later worker on its machine has answered before,
+ * since that one may send no further answer for long.
+ *
+ * @param scheduler - The scheduler.
+ * @param worker - The worker, whose runs are remembered.
+ */
+export function countLostRunsOfPredecessor(scheduler: Scheduler, worker: WorkerEntry): void {
+    const successor = [...scheduler.fleet.values()].find(other =>
+        other.id !== worker.id && other.hasAnswered && worker.machine !== ""
+        && other.machine === worker.machine
+    );
+    if (successor !== undefined) {
+        countLostRuns(scheduler, successor);
+    }
+}
+
 /** Returns whether a worker is another life of its machine; one that was only cut off is still in the same. */
 function hasBeenReplaced(lost: LostRuns, worker: WorkerEntry): boolean {
     return lost.worker !== worker.id
--- a/packages/scheduler/src/engine/crashes/crashPaths.feature
+++ b/packages/scheduler/src/engine/crashes/crashPaths.feature
@@ -8,3 +8,12 @@
         And 90 recorded seconds pass
         Then no task of J has more than 4 recorded starts
         And the job J is failed
+
+    Scenario: A task that crashes workers whose machines get new workers is started again and again
+        Given a fleet of 10 workers with an owner
+        And crashed workers come back under new ids
+        And task 0.0.0 of the job number 1 crashes its worker after 300 ms
+        When bob submits the normal job J of "1 x 2"
+        And 90 recorded seconds pass
+        Then no task of J has more than 4 recorded starts
+        And the job J is failed
--- a/packages/scheduler/src/engine/fleet/removeWorker.ts
+++ b/packages/scheduler/src/engine/fleet/removeWorker.ts
@@ -1,4 +1,5 @@
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { countLostRunsOfPredecessor } from "../crashes/countLostRuns.js";
 import { rememberLostRuns } from "../crashes/rememberLostRuns.js";
 import { releaseLostRun } from "../runs/releaseLostRun.js";
 import type { Scheduler } from "../Scheduler.js";
@@ -26,6 +27,7 @@
     for (const run of [...worker.runs]) {
         releaseLostRun(scheduler, run, reason);
     }
+    countLostRunsOfPredecessor(scheduler, worker);
     if (![...scheduler.fleet.values()].some(other => other.address === worker.address)) {
         scheduler.workers.closeConnections(worker.address);
     }
--- a/packages/scheduler/src/engine/fleet/syncWorker.ts
+++ b/packages/scheduler/src/engine/fleet/syncWorker.ts
@@ -7,7 +7,7 @@
 import type { HoldAnswer, HoldOutcome } from "../../ports/WorkerPort.js";
 import type { EndNumbers, WorkerEntry } from "../../state/WorkerEntry.js";
 import { countCrash } from "../crashes/countCrash.js";
-import { countLostRuns, excludeNewRuns } from "../crashes/countLostRuns.js";
+import { countLostRuns, countLostRunsOfPredecessor, excludeNewRuns } from "../crashes/countLostRuns.js";
 import { captureRuns } from "../crashes/LostRuns.js";
 import { rememberLostRuns } from "../crashes/rememberLostRuns.js";
 import { releaseLostRun } from "../runs/releaseLostRun.js";
@@ -192,13 +192,12 @@
 
 /** Releases the runs of an unresponsive worker whose lease has ended, since the worker ends them with the lease. */
 function expireRuns(scheduler: Scheduler, worker: WorkerEntry): void {
-    if (!hasLeaseEnded(scheduler, worker)) {
+    if (worker.runs.size === 0 || !hasLeaseEnded(scheduler, worker)) {
         return;
     }
-    if (worker.runs.size > 0) {
-        rememberLostRuns(scheduler, worker);
-    }
+    rememberLostRuns(scheduler, worker);
     for (const run of [...worker.runs]) {
         releaseLostRun(scheduler, run, "lease-ended");
     }
+    countLostRunsOfPredecessor(scheduler, worker);
 }
