A worker that another one has replaced at its address is not asked again while it is still listed

Cause: the platform lists a worker for some seconds after it has ended. A call to it reaches the next worker at its address and is refused, the entry is removed, and the next list, half a second later, adds it again: 442 times within 4 s after the restart of 74 workers, each with a call, a line in the log and a write of the roster. Change: such a worker is left out for 10 s unless its address changes.

--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -85,7 +85,8 @@
         }
     }
 
-    private addWorker(report: WorkerReport): void {
+    /** Adds a worker to the fleet that describes itself by a report. */
+    addWorker(report: WorkerReport): void {
         const worker = new FakeWorker(report, () => this.clock.now * this.workerClockRate);
         worker.getRequest = task => {
             const { request, fillsIdle = false } = this.submittedSteps.get(task.job)?.[task.step] ?? {};
@@ -100,7 +101,7 @@
         const { report } = this.workers.get(id)!;
         this.workers.delete(id);
         this.departedReports.push(report);
-        this.addWorker({ ...report, id: nextId });
+        this.addWorker({ ...report, id: nextId, bornMs: report.bornMs + 1 });
     }
 
     /** Stores a job, as a daemon does that accepts it, and returns its id. */
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -66,6 +66,14 @@
 /** Workers with their addresses as `IP:port`. */
 export type Roster = ReadonlyMap<WorkerId, string>;
 
+/** What is known of a worker that another one has replaced. */
+export type Replacement = {
+    /** Address at which the other worker has answered. */
+    readonly address: string;
+    /** Monotonic time of that answer, in milliseconds. */
+    readonly replacedAt: number;
+};
+
 /** The scheduler and its state during one term of ownership. */
 export type Scheduler = SchedulerDependencies & {
     readonly ownership: Ownership;
@@ -75,6 +83,8 @@
     readonly fleet: Map<WorkerId, WorkerEntry>;
     /** Workers of earlier terms that have not yet listed all their runs to this owner. */
     readonly unreconciledWorkers: Set<WorkerId>;
+    /** Workers that have been replaced by others at their addresses and may still be listed. */
+    readonly replacedWorkers: Map<WorkerId, Replacement>;
     /** Monotonic time in milliseconds by which every unknown run has ended. */
     unknownRunsEndAt: number;
     /** Addresses of the workers that the stored roster certainly lists; it lists those that may have runs. */
--- a/packages/scheduler/src/engine/fleet/restarts.feature
+++ b/packages/scheduler/src/engine/fleet/restarts.feature
@@ -79,6 +79,21 @@
         And 2 seconds pass
         Then the connections to w2 stay open
 
+    Scenario: A worker that has left and is still listed is asked again and again
+        Given a fleet of 2 workers with an owner
+        When the worker w0 is replaced by w2 at its address, and both are listed
+        And ana submits the normal job J of "2 x 8"
+        And 1 second passes
+        Then w0 is not added to the fleet again within 5 seconds
+
+    Scenario: A worker that another one has replaced at its address gets no tasks at its new address
+        Given a fleet of 2 workers with an owner
+        When the worker w0 is replaced by w2 at its address, and both are listed
+        And the worker w0 starts again at another address
+        And ana submits the normal job J of "3 x 8"
+        And 1 second passes
+        Then 3 tasks of J run
+
     Scenario: A task of a restarted worker runs again because a hold repeats an acknowledgement
         Given a fleet of 1 workers with an owner
         When ana submits the normal job J of "1 x 2"
--- a/packages/scheduler/src/engine/fleet/syncWorker.ts
+++ b/packages/scheduler/src/engine/fleet/syncWorker.ts
@@ -16,7 +16,7 @@
 import { applyHoldAnswer } from "./applyHoldAnswer.js";
 import { beginIncarnation } from "./beginIncarnation.js";
 import { isOtherIncarnation } from "./isOtherIncarnation.js";
-import { removeWorker } from "./removeWorker.js";
+import { removeReplacedWorker } from "./removeReplacedWorker.js";
 import { extendLease, hasLeaseEnded } from "./workerClock.js";
 
 /**
@@ -130,7 +130,7 @@
             scheduler.ownership.resign("A worker knows a newer owner.");
             return;
         case "other-life":
-            removeWorker(scheduler, worker, "other-life");
+            removeReplacedWorker(scheduler, worker);
             return;
         case "unhealthy":
         case "old-run":
--- a/packages/scheduler/src/engine/fleet/watchFleet.ts
+++ b/packages/scheduler/src/engine/fleet/watchFleet.ts
@@ -6,6 +6,7 @@
 import { createWorkerEntry } from "../../state/WorkerEntry.js";
 import type { Scheduler } from "../Scheduler.js";
 import { isOtherIncarnation } from "./isOtherIncarnation.js";
+import { isReplaced } from "./isReplaced.js";
 import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
 import { removeWorker } from "./removeWorker.js";
 import { storeRoster } from "./storeRoster.js";
@@ -38,8 +39,12 @@
 export function applyReports(scheduler: Scheduler, reports: readonly WorkerReport[]): void {
     const listed = new Set(reports.map(report => report.id));
     for (const report of reports) {
-        applyReport(scheduler, report);
+        if (!isReplaced(scheduler, report)) {
+            applyReport(scheduler, report);
+        }
     }
+    [...scheduler.replacedWorkers.keys()].filter(id => !listed.has(id))
+        .forEach(id => scheduler.replacedWorkers.delete(id));
     for (const worker of [...scheduler.fleet.values()]) {
         worker.isListed = listed.has(worker.id);
         if (!worker.isListed && isRemovable(scheduler, worker)) {
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -49,6 +49,7 @@
         isRosterUnclear: false,
         isLoaded: false,
         jobsReadAt: Number.NEGATIVE_INFINITY,
+        replacedWorkers: new Map(),
         lostRuns: [],
         crashTimes: [],
         runTimePredictor: createRunTimePredictor(),
--- a/packages/scheduler/src/engine/runs/startRun.ts
+++ b/packages/scheduler/src/engine/runs/startRun.ts
@@ -3,7 +3,7 @@
 import type { OrderOutcome, Refusal } from "../../ports/WorkerPort.js";
 import type { Run } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
-import { removeWorker } from "../fleet/removeWorker.js";
+import { removeReplacedWorker } from "../fleet/removeReplacedWorker.js";
 import { extendLease, recordClock } from "../fleet/workerClock.js";
 import type { Scheduler } from "../Scheduler.js";
 import { releaseRun } from "./runs.js";
@@ -169,7 +169,7 @@
             recordClock(run.worker, refusal.clockMs, scheduler.clock());
             return;
         case "other-life":
-            removeWorker(scheduler, run.worker, "other-life");
+            removeReplacedWorker(scheduler, run.worker);
             return;
         case "fenced":
     }
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -134,6 +134,30 @@
     },
 );
 
+When("the worker {word} starts again at another address", function(this: TestWorld, id: string) {
+    const harness = getHarness(this);
+    const [report] = harness.departedReports.splice(
+        harness.departedReports.findIndex(departed => departed.id === id),
+        1,
+    );
+    harness.addWorker({ ...report!, address: "10.0.9.1:80", machine: "m9" });
+});
+
+Then(
+    "{word} is not added to the fleet again within {int} seconds",
+    async function(this: TestWorld, id: string, seconds: number) {
+        const { fleet } = getHarness(this).terms.at(-1)!.scheduler;
+        const addWorker = fleet.set.bind(fleet);
+        const added: string[] = [];
+        fleet.set = (key, worker) => {
+            added.push(key);
+            return addWorker(key, worker);
+        };
+        await getHarness(this).advance(seconds * 1_000);
+        assert.equal(added.filter(key => key === id).length, 0);
+    },
+);
+
 Then("the connections to {word} stay open", function(this: TestWorld, id: string) {
     const { address } = getHarness(this).workers.get(id as WorkerId)!.report;
     assert.ok(!getHarness(this).closedAddresses.includes(address));
