Runs of a silent worker end once a later one is listed on its machine

Callers would see a task wait for up to 8 s after its worker has crashed while it was cut off, although the platform lists the next worker on the machine long before.

Cause: only an answer, or the end of the lease, showed that the runs had ended. Change: the runs of a worker whose last hold has failed are released once a worker that started later is listed on the same machine and at the same address, and has not answered yet. A machine has one worker at a time. Result: in the scenario the task was not started on the other worker within a second before, now it is; a registration of another machine at the address changes nothing.

--- a/features/support/scheduler/createFakeWorkerPort.ts
+++ b/features/support/scheduler/createFakeWorkerPort.ts
@@ -39,7 +39,9 @@
     const findWorker = (id: WorkerId): FakeWorker | undefined =>
         unreachableWorkers.has(id) ? undefined : workers.get(id);
     const refuseFor = ({ id, address }: WorkerTarget): OrderOutcome & HoldOutcome =>
-        [...workers.values()].some(({ report }) => report.address === address && report.id !== id)
+        [...workers.values()].some(({ report }) =>
+                report.address === address && report.id !== id && !unreachableWorkers.has(report.id)
+            )
             ? { kind: "other-life" }
             : { kind: "unreachable", cause: "gone" };
     const sendOrder = async (
--- a/packages/scheduler/src/engine/fleet/restarts.feature
+++ b/packages/scheduler/src/engine/fleet/restarts.feature
@@ -94,6 +94,31 @@
         And 1 second passes
         Then 3 tasks of J run
 
+    Scenario: A task waits for the lease of a silent worker although its successor is listed
+        Given a fleet of 1 workers with an owner
+        When ana submits the normal job J of "1 x 8"
+        And 1 worker joins the fleet
+        And 2 seconds pass while all runs make progress
+        And the owner cannot reach w0
+        And the owner cannot reach w2
+        And 3 seconds pass
+        And the worker w0 is replaced by w2 at its address, and both are listed
+        Then task 0.0.0 of J was started 1 time
+        And 1 task of J runs
+
+    Scenario: A task is started twice because a silent worker on another machine has a registration at its address
+        Given a fleet of 1 workers with an owner
+        When ana submits the normal job J of "1 x 8"
+        And 1 worker joins the fleet
+        And 2 seconds pass while all runs make progress
+        And the owner cannot reach w0
+        And the owner cannot reach w2
+        And 3 seconds pass
+        And a worker w2 on another machine is listed at the address of w0
+        And 1 second passes
+        Then task 0.0.0 of J was started 1 time
+        And no task has had two runs at the same time
+
     Scenario: A task of a restarted worker runs again because a hold repeats an acknowledgement
         Given a fleet of 1 workers with an owner
         When ana submits the normal job J of "1 x 2"
--- a/packages/scheduler/src/engine/fleet/watchFleet.ts
+++ b/packages/scheduler/src/engine/fleet/watchFleet.ts
@@ -8,6 +8,7 @@
 import { isOtherIncarnation } from "./isOtherIncarnation.js";
 import { isReplaced } from "./isReplaced.js";
 import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
+import { releasePredecessor } from "./releasePredecessor.js";
 import { removeWorker } from "./removeWorker.js";
 import { storeRoster } from "./storeRoster.js";
 import { syncWorker } from "./syncWorker.js";
@@ -41,6 +42,7 @@
     for (const report of reports) {
         if (!isReplaced(scheduler, report)) {
             applyReport(scheduler, report);
+            releasePredecessor(scheduler, report);
         }
     }
     [...scheduler.replacedWorkers.keys()].filter(id => !listed.has(id))
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -143,6 +143,15 @@
     harness.addWorker({ ...report!, address: "10.0.9.1:80", machine: "m9" });
 });
 
+When(
+    "a worker {word} on another machine is listed at the address of {word}",
+    function(this: TestWorld, id: string, otherId: string) {
+        const { report } = getHarness(this).workers.get(otherId as WorkerId)!;
+        const bornMs = report.bornMs + 1;
+        getHarness(this).departedReports.push({ ...report, id: id as WorkerId, machine: "m9", bornMs });
+    },
+);
+
 Then(
     "{word} is not added to the fleet again within {int} seconds",
     async function(this: TestWorld, id: string, seconds: number) {
