Each starved gang gets its turn to plan a reservation

Callers would see a gang wait although room for it becomes free again and again, while another gang waits too.

Cause: one reservation is planned per pass, and a step plans anew 100 ms after its last plan. With passes over 100 ms apart, the first gang planned in every pass and the second one never did, so that tasks ranked after it took its room. A step whose plan is deferred is now the first to plan in the next pass; of several, the one with the oldest plan.

The scenario failed before: 3 tasks of a job of lower priority had taken the rack of the second gang.

--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -9,7 +9,7 @@
 import type { FleetStore } from "../ports/FleetStore.js";
 import type { MachinePort, WaveRecordFormat } from "../ports/MachinePort.js";
 import type { WorkerPort, WorkerReport } from "../ports/WorkerPort.js";
-import type { JobEntry } from "../state/JobEntry.js";
+import type { JobEntry, StepEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import type { LostRuns } from "./crashes/LostRuns.js";
 import type { RunTimePredictor } from "./passes/createRunTimePredictor.js";
@@ -91,6 +91,8 @@
     lostRuns: readonly LostRuns[];
     /** Monotonic times of the latest crashes of workers with runs, in milliseconds. */
     crashTimes: readonly number[];
+    /** Step whose reservation is planned in the next pass, before any other; `undefined` if none waits for that. */
+    nextPlan: StepEntry | undefined;
     readonly runTimePredictor: RunTimePredictor;
     /** Queue of the orders to start and stop runs. */
     readonly orders: OrderQueue;
--- a/packages/scheduler/src/engine/passes/PlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/PlacementPass.ts
@@ -1,6 +1,6 @@
 import type { UnplacedSteps } from "../../placement/createUnplacedSteps.js";
 import type { WorkerGroups } from "../../placement/createWorkerGroups.js";
-import type { JobEntry } from "../../state/JobEntry.js";
+import type { JobEntry, StepEntry } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
 import type { ServiceCapacity } from "./measureCapacity.js";
 
@@ -26,6 +26,8 @@
     reservingGangs: number;
     /** Whether the pass has planned a reservation. A plan looks at every run, so further ones wait for later passes. */
     hasPlanned: boolean;
+    /** Of the steps whose plans wait for a later pass, the one with the oldest reservation. */
+    deferredPlan: StepEntry | undefined;
     /** Number of starts that can still be ordered without a long wait. */
     freeStarts: number;
     /** Number of free starts that the first step needs for which too few were left; 0 if there is none. */
--- a/packages/scheduler/src/engine/passes/findWorkersToReserve.feature
+++ b/packages/scheduler/src/engine/passes/findWorkersToReserve.feature
@@ -72,3 +72,19 @@
         Then 0 tasks of S run
         When task 0.0.3 of B ends as done
         Then 4 tasks of G run
+
+    Scenario: Workers are kept free for two starved gangs while passes are rare
+        Given a fleet of 20 workers with an owner
+        When bob submits the bulk job B of "20 x 1 spread"
+        And ana submits the hasty job G of "4 x 8 gang one-rack"
+        And ana submits the hasty job H of "4 x 8 gang one-rack"
+        And bob submits the bulk job S of "8 x 8"
+        And 12 seconds pass while all runs make progress
+        And 0.1 seconds pass
+        And the tasks 0.0.0, 0.0.1, 0.0.2, 0.0.4, 0.0.5, 0.0.6 of B end as done, done, done, done, done, done
+        And 0.2 seconds pass
+        Then 0 tasks of S run
+        When task 0.0.3 of B ends as done
+        And task 0.0.7 of B ends as done
+        Then 4 tasks of G run
+        And 4 tasks of H run
--- a/packages/scheduler/src/engine/passes/reserveWorkers.ts
+++ b/packages/scheduler/src/engine/passes/reserveWorkers.ts
@@ -91,8 +91,11 @@
         }
         case "starved":
         case "on-time": {
-            const ageMs = plannedAt - (step.reservation?.plannedAt ?? Number.NEGATIVE_INFINITY);
-            if (pass.hasPlanned || ageMs < REPLANNING_INTERVAL_MS) {
+            if (plannedAt - getPlanTime(step) < REPLANNING_INTERVAL_MS) {
+                return step.reservation;
+            }
+            if (pass.hasPlanned || (scheduler.nextPlan ?? step) !== step) {
+                deferPlan(pass, step);
                 return step.reservation;
             }
             pass.hasPlanned = true;
@@ -104,6 +107,18 @@
     }
 }
 
+/** Returns the monotonic time of a step's plan in milliseconds; negative infinity if there is none. */
+function getPlanTime({ reservation }: StepEntry): number {
+    return reservation?.plannedAt ?? Number.NEGATIVE_INFINITY;
+}
+
+/** Lets the step with the oldest plan be the next one, so that each gets its turn however few passes there are. */
+function deferPlan(pass: PlacementPass, step: StepEntry): void {
+    if (pass.deferredPlan === undefined || getPlanTime(step) < getPlanTime(pass.deferredPlan)) {
+        pass.deferredPlan = step;
+    }
+}
+
 /** Returns whether the workers kept for a step have room for it once the runs that are being stopped have ended. */
 function willFitWithoutPreemption(
     step: StepEntry,
--- a/packages/scheduler/src/engine/passes/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/runPlacementPass.ts
@@ -49,6 +49,7 @@
         guaranteedWorkers: new Set(),
         reservingGangs: 0,
         hasPlanned: false,
+        deferredPlan: undefined,
         freeStarts: scheduler.orders.countFreeStarts(),
         awaitedStarts: 0,
         hasWaitingStarts: scheduler.orders.countWaitingStarts() > 0,
@@ -56,6 +57,7 @@
     const rankedJobs = orderJobs(scheduler, { queues, entitled, workers });
     placeJobs(scheduler, pass, rankedJobs);
     scheduler.orders.awaitFreeStarts(pass.awaitedStarts);
+    scheduler.nextPlan = pass.deferredPlan;
     logLongWaits(scheduler, pass, rankedJobs);
     if (!pass.hasUnplacedSteps && pass.freeStarts > 0) {
         for (const entry of scheduler.activeJobs) {
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -51,6 +51,7 @@
         jobsReadAt: Number.NEGATIVE_INFINITY,
         lostRuns: [],
         crashTimes: [],
+        nextPlan: undefined,
         runTimePredictor: createRunTimePredictor(),
         orders: createOrderQueue({ clock: dependencies.clock, onFree: () => scheduler.requestPass() }),
         probes: new PQueue({ concurrency: MAX_CONCURRENT_PROBES }),
