A start is not sent again to a worker while holds show that it answers nothing

Callers would see the other tasks of a silent worker wait longer than their lease before they are started again.

Cause: each sent start extends the lease of all runs on its worker. A start without an answer was sent a second time, when its turn came, although the last hold had failed. Holds that fail do not do so: those after the first one ask for no lease. The start is now given up at that point: its outcome is unclear and its run is stopped, as after the second send.

--- a/packages/scheduler/src/engine/runs/orders.feature
+++ b/packages/scheduler/src/engine/runs/orders.feature
@@ -67,3 +67,12 @@
         And 1 second passes
         Then at least 10 tasks of J run
         And no task has had two runs at the same time
+
+    Scenario: A start that is not answered does not extend the lease of a worker that has fallen silent
+        Given a fleet of 1 workers with an owner
+        When ana submits the normal job J of "1 x 1"
+        And the answers to the next 1000 holds of w0 are lost
+        And the next orders to w0 hit the faults "unanswered unanswered unanswered unanswered"
+        And ana submits the normal job K of "2 x 1"
+        And 0.2 seconds pass
+        Then the lease of w0 is not extended while 3 seconds pass
--- a/packages/scheduler/src/engine/runs/startRun.ts
+++ b/packages/scheduler/src/engine/runs/startRun.ts
@@ -10,9 +10,9 @@
 import { stopGang, stopRun } from "./stopRun.js";
 
 /**
- * Orders the start of a run and sends the order again while no answer arrives. If the outcome stays unclear,
- * the run is stopped, so that the worker refuses a late start; until the worker reports otherwise, the run
- * counts as running.
+ * Orders the start of a run and sends the order again while no answer arrives, unless holds fail too. If the outcome
+ * stays unclear, the run is stopped, so that the worker refuses a late start; until the worker reports otherwise, the
+ * run counts as running.
  *
  * @param scheduler - The scheduler.
  * @param run - The run, whose start has not been ordered.
@@ -26,6 +26,9 @@
         if (outcome === undefined) {
             return;
         }
+        if (outcome === "silent") {
+            break;
+        }
         if (outcome === "no-capacity") {
             logLostCapacity(scheduler, run);
             abandonRun(scheduler, run, mayHaveStarted);
@@ -56,24 +59,35 @@
     }
 }
 
+/**
+ * Why an order is not sent: its worker, which may have got an earlier one, no longer answers, or the worker's capacity
+ * has shrunk below what its runs need.
+ */
+type UnsentReason = "silent" | "no-capacity";
+
 /**
  * Sends an order to start a run; returns `undefined` if the run was stopped or released before its turn came, or is
- * released now because its worker no longer answers, and `no-capacity` if the worker's capacity has shrunk below what
- * its runs need.
+ * released now because its worker no longer answers and has got no order.
  */
 async function sendStart(
     scheduler: Scheduler,
     run: Run,
     ticket: string,
-): Promise<OrderOutcome | "no-capacity" | undefined> {
+): Promise<OrderOutcome | UnsentReason | undefined> {
     const { worker, task } = run;
-    let outcome: OrderOutcome | "no-capacity" | undefined;
+    let outcome: OrderOutcome | UnsentReason | undefined;
     await scheduler.orders.add("start", worker, async () => {
         if (!mayStillStart(scheduler, run)) {
             return undefined;
         }
-        if (!run.isOrderSent && worker.isUnresponsive) {
-            withdrawRun(scheduler, run);
+        if (worker.isUnresponsive) {
+            // The order would extend the lease after which the worker's other runs have certainly ended.
+            if (run.isOrderSent) {
+                outcome = "silent";
+            }
+            else {
+                withdrawRun(scheduler, run);
+            }
             return undefined;
         }
         if (!fitsCapacity(run)) {
@@ -96,10 +110,7 @@
     return outcome;
 }
 
-/**
- * Releases a run whose start has not been sent. Sent to a worker that does not answer, it would be unclear, and would
- * extend the lease after which the worker's other runs have certainly ended.
- */
+/** Releases a run whose start has not been sent, since its worker does not answer. */
 function withdrawRun(scheduler: Scheduler, run: Run): void {
     scheduler.log.info("A start is withdrawn, since its worker does not answer.", {
         ...run.task.name,
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -119,6 +119,17 @@
     assert.equal(this.note<StartOrder[]>("startOrders").length, count);
 });
 
+Then(
+    "the lease of {word} is not extended while {float} seconds pass",
+    async function(this: TestWorld, id: string, seconds: number) {
+        const harness = getHarness(this);
+        const worker = harness.terms.at(-1)!.scheduler.fleet.get(id as WorkerId)!;
+        const { leaseEndsAt } = worker;
+        await harness.advance(seconds * MS_PER_SECOND);
+        assert.equal(worker.leaseEndsAt, leaseEndsAt);
+    },
+);
+
 When("the worker {word} restarts and registers", async function(this: TestWorld, id: string) {
     const worker = getHarness(this).workers.get(id as WorkerId)!;
     worker.restart();
