A worker that joins is asked before those that stay silent

Callers would see tasks wait although a worker has joined or restarted, while hundreds of workers are silent.

Cause: holds to workers that may not answer share 64 turns, in the order in which they are asked for. Silent workers, asked again and again, take each turn until a connection attempt times out, so that the first hold to a worker waits for a whole round of them. First holds now go before repeated ones.

The scenario (400 silent workers) failed before: the task did not run 1 s after the worker joined.

--- a/features/support/scheduler/createFakeWorkerPort.ts
+++ b/features/support/scheduler/createFakeWorkerPort.ts
@@ -7,7 +7,7 @@
 
 const ORDER_TIMEOUT_MS = 400;
 
-/** Time after which an order to a worker that is cut off ends without a connection, in milliseconds. */
+/** Time after which a call to a worker that is cut off ends without a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 300;
 
 /** Longest time for which a hold waits, whether or not a run has ended, in milliseconds. */
@@ -63,6 +63,9 @@
         stop: (target, stop) => sendOrder(target, worker => worker.stop(stop)),
         pace: (target, pace) => sendOrder(target, worker => worker.pace(pace)),
         hold: async (target, hold, signal): Promise<HoldOutcome> => {
+            if (unreachableWorkers.has(target.id)) {
+                await baseClock.pause(CONNECT_TIMEOUT_MS, signal);
+            }
             const worker = findWorker(target.id);
             if (worker === undefined) {
                 return refuseFor(target);
--- a/packages/scheduler/src/engine/fleet/syncWorker.ts
+++ b/packages/scheduler/src/engine/fleet/syncWorker.ts
@@ -25,6 +25,9 @@
  */
 const MAX_IDLE_WAIT_MS = 5_000;
 
+/** Priority of the holds to workers that have not failed to answer; those to silent workers have 0. */
+const FIRST_PROBE_PRIORITY = 1;
+
 /**
  * Keeps a worker in sync while it is in the fleet: renews its lease, applies the run ends that it reports, and
  * acknowledges those that are stored. Sends no holds to a worker that is responsive, has no runs and has no ends
@@ -80,7 +83,8 @@
             : 0,
     };
     const sendCall = (): Promise<HoldOutcome> => scheduler.workers.hold(worker, order, signal);
-    const outcome = isKnown ? await sendCall() : await scheduler.probes.add(sendCall);
+    const priority = worker.isUnresponsive ? 0 : FIRST_PROBE_PRIORITY;
+    const outcome = isKnown ? await sendCall() : await scheduler.probes.add(sendCall, { priority });
     if (outcome.kind === "held" && !await loadUnknownJobs(scheduler, outcome.answer)) {
         await scheduler.pause(HOLD_RETRY_MS, signal);
         return;
--- a/packages/scheduler/src/engine/owners.steps.ts
+++ b/packages/scheduler/src/engine/owners.steps.ts
@@ -64,6 +64,11 @@
     getHarness(this).terms.at(-1)!.unreachableWorkers.add(id as WorkerId);
 });
 
+When("the owner cannot reach any worker", function(this: TestWorld) {
+    const { terms, workers } = getHarness(this);
+    workers.forEach(({ id }) => terms.at(-1)!.unreachableWorkers.add(id));
+});
+
 When("the workers forget their fences, as after a restart", function(this: TestWorld) {
     getHarness(this).workers.forEach(worker => worker.fence = 0);
 });
--- a/packages/scheduler/src/engine/passes/wakeUps.feature
+++ b/packages/scheduler/src/engine/passes/wakeUps.feature
@@ -9,6 +9,17 @@
         And 1 second passes
         Then 1 task of K runs
 
+    Scenario: A worker joins a fleet of which many workers are silent
+        Given a fleet of 400 workers with an owner
+        When bob submits the normal job B of "400 x 8"
+        And 2 seconds pass while all runs make progress
+        And the owner cannot reach any worker
+        And ana submits the normal job J of "1 x 8"
+        And 12 seconds pass
+        And 1 worker joins the fleet
+        And 1 second passes
+        Then 1 task of J runs
+
     Scenario: A worker answers again after a short silence
         Given a fleet of 2 workers with an owner
         When the owner cannot reach w1
