--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -52,6 +52,7 @@
         replacedWorkers: new Map(),
         lostRuns: [],
         crashTimes: [],
+        nextPlan: undefined,
         runTimePredictor: createRunTimePredictor(),
         orders: createOrderQueue({ clock: dependencies.clock, onFree: () => scheduler.requestPass() }),
         probes: new PQueue({ concurrency: MAX_CONCURRENT_PROBES }),
