Wait for the next list, not longer and longer, after a worker has refused a start for lack of room

A worker that guards its capacity refuses starts while the list shows more than it has. Callers would see their task wait although the room was back.

Cause: such a refusal counted as a fault of the worker. The pause doubled with each one, up to 8 s, and outlasted the lack of room; the faults also lengthened the pause after a later, real fault.

Change: after a refusal for lack of room nothing is started on the worker for the interval between two lists (500 ms), and the refusal does not count as a fault. That is at most two refused starts a second on a worker while the list is wrong.

Two scenarios failed before: 4 s after the first refusal, or 6 s after it with the list corrected in between, the room came back and the task did not run one second later. Both pass now. The fake worker can guard its capacity and be listed with another one.

--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -272,7 +272,7 @@
             .filter(worker => !this.unlistedWorkers.has(worker.id) && !worker.isDown)
             .map(worker => ({
                 ...worker.report,
-                capacity: worker.capacity,
+                capacity: worker.listedCapacity ?? worker.capacity,
                 bornMs: worker.registeredBornMs,
                 draining: worker.isDraining,
                 remainingMs: worker.remainingMs,
--- a/packages/scheduler/src/engine/fleet/capacity.feature
+++ b/packages/scheduler/src/engine/fleet/capacity.feature
@@ -87,3 +87,27 @@
         Then 0 tasks of large run
         And 4 tasks of small run
         And no start has brought a worker over its capacity
+
+    Scenario: A worker that refused a start for lack of room gets one within a second of having room again
+        Given a fleet of 1 workers with an owner
+        When w0 guards its capacity
+        And w0 has 4 accelerators but is listed with 8
+        And alice submits the normal job train of "1 x 8"
+        And 4 seconds pass
+        Then 0 tasks of train run
+        When the capacity of w0 changes to 8 accelerators
+        And 1 second passes
+        Then 1 task of train runs
+
+    Scenario: A worker that was listed too late with less room gets a start within a second of having it again
+        Given a fleet of 1 workers with an owner
+        When w0 guards its capacity
+        And w0 has 4 accelerators but is listed with 8
+        And alice submits the normal job train of "1 x 8"
+        And 4 seconds pass
+        And the capacity of w0 changes to 4 accelerators
+        And 2 seconds pass
+        Then 0 tasks of train run
+        When the capacity of w0 changes to 8 accelerators
+        And 1 second passes
+        Then 1 task of train runs
--- a/packages/scheduler/src/engine/fleet/capacity.steps.ts
+++ b/packages/scheduler/src/engine/fleet/capacity.steps.ts
@@ -9,6 +9,29 @@
     function(this: TestWorld, id: string, accelerators: number) {
         const worker = getHarness(this).workers.get(id as WorkerId)!;
         worker.capacity = { ...worker.capacity, accelerators };
+        worker.listedCapacity = undefined;
+    },
+);
+
+When(
+    "the capacity of all workers changes to {int} accelerators",
+    function(this: TestWorld, accelerators: number) {
+        for (const worker of getHarness(this).workers.values()) {
+            worker.capacity = { ...worker.capacity, accelerators };
+        }
+    },
+);
+
+When("{word} guards its capacity", function(this: TestWorld, id: string) {
+    getHarness(this).workers.get(id as WorkerId)!.guardsCapacity = true;
+});
+
+When(
+    "{word} has {int} accelerators but is listed with {int}",
+    function(this: TestWorld, id: string, accelerators: number, listed: number) {
+        const worker = getHarness(this).workers.get(id as WorkerId)!;
+        worker.listedCapacity = { ...worker.capacity, accelerators: listed };
+        worker.capacity = { ...worker.capacity, accelerators };
     },
 );
 
--- a/packages/scheduler/src/engine/runs/startRun.ts
+++ b/packages/scheduler/src/engine/runs/startRun.ts
@@ -1,4 +1,9 @@
-import { MAX_START_SENDS, MAX_WORKER_PAUSE_MS, MIN_WORKER_PAUSE_MS } from "../../constants.js";
+import {
+    MAX_START_SENDS,
+    MAX_WORKER_PAUSE_MS,
+    MIN_WORKER_PAUSE_MS,
+    WORKER_LIST_INTERVAL_MS,
+} from "../../constants.js";
 import { isAnswer } from "../../ports/isAnswer.js";
 import type { OrderOutcome, Refusal } from "../../ports/WorkerPort.js";
 import type { Run } from "../../state/JobEntry.js";
@@ -152,15 +157,22 @@
     });
 }
 
+/** Starts nothing on a worker that has less room than it is listed with before the next list may show what it has. */
+function awaitNextList(scheduler: Scheduler, worker: WorkerEntry): void {
+    worker.pausedUntil = Math.max(worker.pausedUntil, scheduler.clock() + WORKER_LIST_INTERVAL_MS);
+}
+
 /** Reacts to a refused start; only refusals that indicate a fault of the worker pause it. */
 function handleRefusal(scheduler: Scheduler, run: Run, refusal: Refusal): void {
     switch (refusal.kind) {
         case "unhealthy":
         case "unreachable":
-        case "no-room":
         case "invalid":
             pauseWorker(scheduler, run.worker);
             return;
+        case "no-room":
+            awaitNextList(scheduler, run.worker);
+            return;
         case "bad-ticket":
             run.task.step.advice?.tickets.delete(run.worker.id);
             return;
--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -19,8 +19,6 @@
 import type { OrderFault } from "./OrderFault.js";
 import type { RunningTask } from "./RunningTask.js";
 
-export { UNANSWERED } from "./executeWithFault.js";
-
 /** Longest lease that a worker grants, in milliseconds; a longer one is shortened. */
 const MAX_LEASE_MS = 10_000;
 
@@ -59,8 +57,12 @@
     bornMs: number;
     /** `bornMs` of the incarnation that last registered with the platform. */
     registeredBornMs: number;
-    /** Resources of the worker; it starts what it is ordered to start, whether or not there is room. */
+    /** Resources of the worker. */
     capacity: WorkerReport["capacity"];
+    /** Resources that the platform lists for the worker; its own, unless a test tells others. */
+    listedCapacity: WorkerReport["capacity"] | undefined;
+    /** Whether the worker refuses a start that would bring it over its capacity, instead of executing it. */
+    guardsCapacity = false;
     /** Returns what a task needs; nothing, unless a test tells it. */
     getRequest: (task: TaskName) => TaskRequest = () => ({});
     /** Names of the tasks whose start brought the worker over its capacity, in order. */
@@ -135,13 +137,12 @@
             this.unansweredHoldCount -= 1;
             return { kind: "unclear", cause: "lost" };
         }
-        const running = [...this.running.values()].map(run => ({ ...run }));
         return {
             kind: "held",
             answer: {
                 clockMs: this.clock(),
                 bornMs: this.bornMs,
-                running,
+                running: [...this.running.values()].map(run => ({ ...run })),
                 ...this.endedRuns.list(this.maxListedEnds),
             },
         };
@@ -249,11 +250,15 @@
             return { kind: "old-run", clockMs };
         }
         const { task, run, checkpoint, ticket } = order;
+        const requests = [...this.running.values(), order].map(started => this.getRequest(started.task));
+        const exceedsCapacity = isOverCapacity(requests, this.capacity);
+        if (exceedsCapacity && this.guardsCapacity) {
+            return { kind: "no-room", clockMs };
+        }
         const startedAt = this.monotonicClock();
         this.running.set(name, { task, run, checkpoint, percent: 0, load: 0, pace: 100, startedAt });
         this.starts.push({ task, run, checkpoint, ticket });
-        const requests = [...this.running.values()].map(running => this.getRequest(running.task));
-        if (isOverCapacity(requests, this.capacity)) {
+        if (exceedsCapacity) {
             this.startsOverCapacity.push(name);
         }
         if (this.deadlyTasks.get(name) === 0) {
--- a/packages/stand-ins/src/fleet/OrderFault.ts
+++ b/packages/stand-ins/src/fleet/OrderFault.ts
@@ -1,3 +1,6 @@
+/** Cause of the unclear result of an order that is not answered before its timeout. */
+export const UNANSWERED = "unanswered";
+
 /** A fault injected into one order. */
 export type OrderFault =
     /** The order is executed, and the caller gets an unclear result. */
--- a/packages/stand-ins/src/fleet/executeWithFault.ts
+++ b/packages/stand-ins/src/fleet/executeWithFault.ts
@@ -1,8 +1,6 @@
 import type { OrderOutcome } from "@balsamward/scheduler";
 import type { OrderFault } from "./OrderFault.js";
-
-/** Cause of the unclear result of an order that is not answered before its timeout. */
-export const UNANSWERED = "unanswered";
+import { UNANSWERED } from "./OrderFault.js";
 
 /**
  * Executes an order of a reachable worker, subject to a fault.
