Look for room for a step that fills idle CPU although one that needs no CPU found none

A worker whose capacity has shrunk below what its runs need has negative free CPU. No step that counts CPU fits there, not even one that needs none, while a step that fills idle CPU does. The record of unplaced steps gave both a demand of 0 CPU, so that the waiting of the first kept the second from being placed.

A step that fills idle CPU now demands less CPU than any other in the record.

--- a/packages/scheduler/src/placement/createUnplacedSteps.steps.ts
+++ b/packages/scheduler/src/placement/createUnplacedSteps.steps.ts
@@ -24,10 +24,22 @@
 const WORKERS_PER_RACK = 3;
 const CAPACITY: ResourceAmounts = { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 8 };
 
+/** Free amounts are negative on a worker whose capacity has shrunk below what its runs need. */
+const freeArbitrary = fc.record({
+    cpuMillis: fc.integer({ min: -CAPACITY.cpuMillis, max: CAPACITY.cpuMillis }),
+    memoryMb: fc.integer({ min: -CAPACITY.memoryMb, max: CAPACITY.memoryMb }),
+    accelerators: fc.integer({ min: -CAPACITY.accelerators, max: CAPACITY.accelerators }),
+});
+
+/** Creates amounts up to a maximum, of which many are zero. */
+function createAmountArbitrary(max: number): fc.Arbitrary<number> {
+    return fc.oneof(fc.constant(0), fc.integer({ min: 0, max }));
+}
+
 const amountsArbitrary = fc.record({
-    cpuMillis: fc.integer({ min: 0, max: CAPACITY.cpuMillis }),
-    memoryMb: fc.integer({ min: 0, max: CAPACITY.memoryMb }),
-    accelerators: fc.integer({ min: 0, max: CAPACITY.accelerators }),
+    cpuMillis: createAmountArbitrary(CAPACITY.cpuMillis),
+    memoryMb: createAmountArbitrary(CAPACITY.memoryMb),
+    accelerators: createAmountArbitrary(CAPACITY.accelerators),
 });
 
 const stepArbitrary = fc.record({
@@ -75,7 +87,7 @@
 }
 
 Then("a covered step fits nowhere, for random fleets and steps", () => {
-    const frees = fc.array(amountsArbitrary, { minLength: 1, maxLength: 8 });
+    const frees = fc.array(freeArbitrary, { minLength: 1, maxLength: 8 });
     const steps = fc.array(stepArbitrary, { minLength: 2, maxLength: 30 });
     fc.assert(fc.property(frees, steps, checkCoveredSteps), { seed: SEED, numRuns: 500 });
 });
--- a/packages/scheduler/src/placement/createUnplacedSteps.ts
+++ b/packages/scheduler/src/placement/createUnplacedSteps.ts
@@ -51,7 +51,8 @@
 
 function getDemand({ request, taskCount, fillsIdle }: Step, scope: PlacementScope): Demand {
     return {
-        cpuMillis: fillsIdle ? 0 : request?.cpuMillis ?? 0,
+        // Less than a step that needs no CPU, which does not fit where runs need more CPU than the worker has.
+        cpuMillis: fillsIdle ? Number.NEGATIVE_INFINITY : request?.cpuMillis ?? 0,
         memoryMb: request?.memoryMb ?? 0,
         accelerators: request?.accelerators ?? 0,
         taskCount: scope === "task" ? 1 : taskCount,
