Isolation of a worker ends with the run of the suspected task

A task that is suspected of crashing its workers runs apart from others for up to 10 s. Callers would see tasks wait beside an almost empty worker.

Cause: the worker stayed isolated until that time although the suspected run had ended or its start was withdrawn; the next task that was placed there kept all others away.

Change: the release of a worker's last run ends its isolation. A suspected task that is placed there later begins a new one.

The scenario failed before: of two tasks of 1 accelerator each on an empty worker with 8, the second did not run one second after it was accepted. It passes now; 500 passed, 0 failed.

--- a/packages/scheduler/src/engine/runs/runs.ts
+++ b/packages/scheduler/src/engine/runs/runs.ts
@@ -45,7 +45,8 @@
 }
 
 /**
- * Removes a run that has certainly ended and frees its resources on the worker.
+ * Removes a run that has certainly ended and frees its resources on the worker. The last run of a worker ends its
+ * isolation.
  *
  * @param run - The run; one that has been removed already is ignored.
  */
@@ -55,4 +56,7 @@
     }
     run.task.runs.splice(run.task.runs.indexOf(run), 1);
     applyTaskRequest(run.worker.free, run.task.step.spec, 1);
+    if (run.worker.runs.size === 0) {
+        run.worker.isolatedUntil = Number.NEGATIVE_INFINITY;
+    }
 }
