A crash under a suspected task counts although the owner dies with the worker

Callers would see a task that crashes its workers start more often with each owner that dies before the crash is proven.

Cause: the next owner does not know which worker had the run, since starts are not stored.

Change: a run of a suspected task is stored in the job's progress (worker, its incarnation, its machine) before its start is sent, and the next owner counts the crash once another incarnation has answered. The record is removed when the end of the run is known. The first crash under a task is still not counted if the owner dies with it.

--- a/packages/scheduler/src/engine/crashes/LostRuns.ts
+++ b/packages/scheduler/src/engine/crashes/LostRuns.ts
@@ -4,7 +4,10 @@
 
 /** A run of an incarnation of a worker that may have crashed. */
 export type LostRun = {
-    readonly run: Run;
+    readonly task: TaskEntry;
+    readonly number: number;
+    /** The run; `undefined` if an earlier owner started it. */
+    readonly run: Run | undefined;
     /** Whether a crash under the run counts: its start may have arrived, and its worker had not answered a stop. */
     readonly isCountable: boolean;
     /** Whether the worker had confirmed the run. */
@@ -44,6 +47,8 @@
 
 function captureRun(run: Run): LostRun {
     return {
+        task: run.task,
+        number: run.number,
         run,
         // Without an answer to the start or the stop, the crash may have come before the stop, and be its reason.
         isCountable: run.stopAnsweredAt === undefined || !run.isConfirmed,
--- a/packages/scheduler/src/engine/crashes/countCrash.ts
+++ b/packages/scheduler/src/engine/crashes/countCrash.ts
@@ -5,6 +5,7 @@
 import type { Scheduler } from "../Scheduler.js";
 import type { LostRun, LostRuns } from "./LostRuns.js";
 import { getOutcomeUnit } from "./LostRuns.js";
+import { forgetSuspectedRun } from "./suspectedRuns.js";
 
 /** Number of crashes at which a job is given up if the last worker ran nothing else. */
 const MAX_CRASHES_ALONE = 3;
@@ -35,21 +36,29 @@
     }
     const now = scheduler.clock();
     scheduler.crashTimes = [...scheduler.crashTimes.filter(time => now - time < COMMON_CAUSE_WINDOW_MS), now];
-    const isAlone = new Set(lost.runs.map(({ run }) => getOutcomeUnit(run.task))).size === 1;
+    const isAlone = new Set(lost.runs.map(({ task }) => getOutcomeUnit(task))).size === 1;
     lost.runs.filter(({ isCountable }) => isCountable)
         .forEach(lostRun => countRun(scheduler, lost, lostRun, isAlone && lostRun.isConfirmed));
 }
 
-function countRun(scheduler: Scheduler, lost: LostRuns, { run, ageMs }: LostRun, isAlone: boolean): void {
-    const { task } = run;
+function countRun(
+    scheduler: Scheduler,
+    lost: LostRuns,
+    { task, number, run, ageMs }: LostRun,
+    isAlone: boolean,
+): void {
     const { step } = task;
-    if (task.done || isFinalState(step.job.state) || task.crashedRuns.has(run.number)) {
+    forgetSuspectedRun(task, number);
+    if (
+        task.done || isFinalState(step.job.state)
+        || task.crashedRuns.has(number) || task.countedRuns.has(number)
+    ) {
         return;
     }
     const crashes = task.crashedRuns.size + 1;
     const isSuspected = scheduler.crashTimes.length < COMMON_CAUSE_WORKERS || crashes > 1;
     for (const member of step.spec.gang ? step.tasks : [task]) {
-        member.crashedRuns.add(run.number);
+        member.crashedRuns.add(number);
         member.crashedAt = scheduler.clock();
         member.crashAgeMs = isSuspected
             ? Math.max(1, Math.round(ageMs), member.crashAgeMs)
@@ -59,7 +68,7 @@
     scheduler.metrics.workerCrashes.inc({ alone: String(isAlone) });
     scheduler.log.warn("A worker has crashed under a task.", {
         ...task.name,
-        run: run.number,
+        run: number,
         worker: lost.worker,
         bornMs: lost.bornMs,
         crashes,
@@ -70,11 +79,11 @@
     if (crashes >= (isAlone ? MAX_CRASHES_ALONE : MAX_CRASHES)) {
         endJob(scheduler, step.job, JobState.FAILED, "crashes-workers");
     }
-    else if (run.phase === "starting" && run.worker.runs.has(run)) {
+    else if (run?.phase === "starting" && run.worker.runs.has(run)) {
         // A repeated order would start the run on the new incarnation, and a second crash under it is not counted.
         stopRun(scheduler, run, "unclear-start");
         if (step.spec.gang) {
-            stopGang(scheduler, step, run.number);
+            stopGang(scheduler, step, number);
         }
     }
 }
--- a/packages/scheduler/src/engine/crashes/countLostRuns.ts
+++ b/packages/scheduler/src/engine/crashes/countLostRuns.ts
@@ -4,6 +4,7 @@
 import type { Scheduler } from "../Scheduler.js";
 import { countCrash } from "./countCrash.js";
 import type { LostRun, LostRuns } from "./LostRuns.js";
+import { forgetSuspectedRun } from "./suspectedRuns.js";
 
 /**
  * Counts the crashes that a worker's answer to a hold proves: of an earlier incarnation of the worker, or of an earlier
@@ -18,7 +19,15 @@
     const found = scheduler.lostRuns.filter(belongs);
     if (found.length > 0) {
         scheduler.lostRuns = scheduler.lostRuns.filter(lost => !belongs(lost));
-        found.filter(lost => hasBeenReplaced(lost, worker)).forEach(lost => countCrash(scheduler, lost));
+        for (const lost of found) {
+            if (hasBeenReplaced(lost, worker)) {
+                countCrash(scheduler, lost);
+            }
+            else {
+                lost.runs.filter(({ task, number }) => task.runs.every(run => run.number !== number))
+                    .forEach(({ task, number }) => forgetSuspectedRun(task, number));
+            }
+        }
     }
 }
 
@@ -57,9 +66,9 @@
     const listed = new Set(
         [...answer.running, ...answer.ended].map(({ task, run }) => formatRunKey(task, run)),
     );
-    const isOlder = ({ run }: LostRun): boolean =>
-        run.orderedAt <= sentAt && run.confirmedAt <= sentAt
-        && !listed.has(formatRunKey(run.task.name, run.number));
+    const isOlder = ({ task, number, run }: LostRun): boolean =>
+        (run === undefined || run.orderedAt <= sentAt && run.confirmedAt <= sentAt)
+        && !listed.has(formatRunKey(task.name, number));
     return { ...lost, runs: lost.runs.filter(isOlder) };
 }
 
--- a/packages/scheduler/src/engine/crashes/crashPaths.feature
+++ b/packages/scheduler/src/engine/crashes/crashPaths.feature
@@ -17,3 +17,14 @@
         And 90 recorded seconds pass
         Then no task of J has more than 4 recorded starts
         And the job J is failed
+
+    Scenario: A task whose owners die with its workers is started again and again
+        Given a fleet of 10 workers with an owner
+        And the starts and crashes of all tasks are recorded
+        And task 0.0.0 of the job number 1 crashes its worker after 300 ms
+        When bob submits the normal job J of "1 x 2"
+        And 2 recorded seconds pass
+        And the owners die with the next 3 crashes under task 0.0.0 of J
+        And 60 recorded seconds pass
+        Then no task of J has more than 2 recorded starts after its third crash
+        And the job J is failed
--- a/packages/scheduler/src/engine/crashes/rememberLostRuns.ts
+++ b/packages/scheduler/src/engine/crashes/rememberLostRuns.ts
@@ -16,5 +16,6 @@
     const now = scheduler.clock();
     const recent = scheduler.lostRuns.filter(({ lostAt }) => now - lostAt < LOST_RUNS_RETENTION_MS);
     const lost = captureRuns(worker, now);
+    worker.runs.forEach(run => run.hasUnknownEnd = true);
     scheduler.lostRuns = lost.runs.length > 0 ? [...recent, lost] : recent;
 }
--- a/packages/scheduler/src/engine/jobs/endJob.ts
+++ b/packages/scheduler/src/engine/jobs/endJob.ts
@@ -13,6 +13,7 @@
  */
 export function markProgressChanged(scheduler: Scheduler, entry: JobEntry): void {
     entry.hasUnstoredProgress = true;
+    entry.changeCount += 1;
     scheduler.requestFlush();
 }
 
--- a/packages/scheduler/src/engine/jobs/flushProgress.ts
+++ b/packages/scheduler/src/engine/jobs/flushProgress.ts
@@ -20,7 +20,13 @@
     readonly lastApplied: number;
 };
 
-type Snapshot = { readonly entry: JobEntry; readonly state: JobEntry["state"]; readonly value: Uint8Array };
+type Snapshot = {
+    readonly entry: JobEntry;
+    readonly state: JobEntry["state"];
+    /** Number of changes that the value contains. */
+    readonly changeCount: number;
+    readonly value: Uint8Array;
+};
 
 /**
  * Stores changed progress during a term. Run ends are acknowledged to their workers, which then discard them,
@@ -69,7 +75,8 @@
     const { ownership } = scheduler;
     const snapshots = entries.map((entry): Snapshot => {
         entry.hasUnstoredProgress = false;
-        return { entry, state: entry.state, value: toBinary(ProgressSchema, composeProgress(entry)) };
+        const { state, changeCount } = entry;
+        return { entry, state, changeCount, value: toBinary(ProgressSchema, composeProgress(entry)) };
     });
     const committed = await scheduler.store.commit({
         expect: [
@@ -89,7 +96,8 @@
     return handleCommitError(scheduler, snapshots, committed.error);
 }
 
-function markStored({ entry, state }: Snapshot, revision: number): void {
+function markStored({ entry, state, changeCount }: Snapshot, revision: number): void {
+    entry.storedChangeCount = changeCount;
     entry.progressRevision = revision;
     entry.durableState = state;
 }
--- a/packages/scheduler/src/engine/runs/runs.ts
+++ b/packages/scheduler/src/engine/runs/runs.ts
@@ -1,6 +1,7 @@
 import { applyTaskRequest } from "../../placement/applyTaskRequest.js";
 import type { Run, TaskEntry } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { forgetSuspectedRun } from "../crashes/suspectedRuns.js";
 
 /**
  * Creates a run and allocates its resources on the worker.
@@ -26,6 +27,7 @@
         phase: "starting",
         coversWholeTask: isOrderedHere && task.checkpoint === "",
         isOrderSent: !isOrderedHere,
+        hasUnknownEnd: false,
         isConfirmed: false,
         orderedAt: now,
         confirmedAt: now,
@@ -54,5 +56,8 @@
         return;
     }
     run.task.runs.splice(run.task.runs.indexOf(run), 1);
+    if (!run.hasUnknownEnd) {
+        forgetSuspectedRun(run.task, run.number);
+    }
     applyTaskRequest(run.worker.free, run.task.step.spec, 1);
 }
--- a/packages/scheduler/src/engine/runs/startRun.ts
+++ b/packages/scheduler/src/engine/runs/startRun.ts
@@ -3,6 +3,8 @@
 import type { OrderOutcome, Refusal } from "../../ports/WorkerPort.js";
 import type { Run } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { isSuspected } from "../crashes/isIsolated.js";
+import { storeSuspectedRun } from "../crashes/suspectedRuns.js";
 import { removeWorker } from "../fleet/removeWorker.js";
 import { extendLease, recordClock } from "../fleet/workerClock.js";
 import type { Scheduler } from "../Scheduler.js";
@@ -21,6 +23,12 @@
 export async function startRun(scheduler: Scheduler, run: Run, ticket: string): Promise<void> {
     const { worker } = run;
     let mayHaveStarted = false;
+    if (isSuspected(run.task)) {
+        await storeSuspectedRun(scheduler, run);
+        if (!mayStillStart(scheduler, run)) {
+            return;
+        }
+    }
     for (let send = 0; send < MAX_START_SENDS && mayStillStart(scheduler, run); send++) {
         const outcome = await sendStart(scheduler, run, ticket);
         if (outcome === undefined) {
--- a/packages/scheduler/src/engine/takeover/loadState.ts
+++ b/packages/scheduler/src/engine/takeover/loadState.ts
@@ -6,6 +6,7 @@
 import type { StoreError, StoreItem } from "../../ports/FleetStore.js";
 import { createWorkerEntry } from "../../state/WorkerEntry.js";
 import { storeKeys } from "../../storeKeys.js";
+import { listInheritedRuns } from "../crashes/suspectedRuns.js";
 import { decodeRoster } from "../fleet/decodeRoster.js";
 import { addWorker, applyReports } from "../fleet/watchFleet.js";
 import { getMaxLeaseMs, getMaxMonotonicMs } from "../fleet/workerClock.js";
@@ -39,6 +40,7 @@
         return err({ kind: "unavailable", message: "The list of workers cannot be read. Try again later." });
     }
     restoreJobs(scheduler, jobs.value.items, progressRecords.value.items);
+    scheduler.lostRuns = listInheritedRuns(scheduler);
     restoreRoster(scheduler, roster.value);
     applyReports(scheduler, reports);
     return ok(jobs.value.revision);
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -15,6 +15,8 @@
     readonly coversWholeTask: boolean;
     /** Whether an order to start the run may have reached the worker. */
     isOrderSent: boolean;
+    /** Whether it is unknown how the run ended, since its worker is silent or gone. */
+    hasUnknownEnd: boolean;
     /** Whether the worker has confirmed that the run exists. */
     isConfirmed: boolean;
     /** Monotonic time of the order, in milliseconds. */
@@ -33,6 +35,17 @@
     pacePercent: number;
 };
 
+/** A run of a suspected task as it is stored, so that the next owner counts a crash under it. */
+export type SuspectedRun = {
+    readonly run: number;
+    readonly worker: WorkerId;
+    readonly machine: string;
+    /** Wall time at which the worker's incarnation started, in milliseconds since 1970. */
+    readonly bornMs: number;
+    /** Whether the worker was to run nothing else. */
+    readonly alone: boolean;
+};
+
 /** One task of a step. */
 export type TaskEntry = {
     readonly name: TaskName;
@@ -49,6 +62,8 @@
     crashAgeMs: number;
     /** Monotonic time at which the latest crash became known to this owner, in milliseconds. */
     crashedAt: number;
+    /** Runs of which it is not known how they ended, while the task is suspected. */
+    suspectedRuns: readonly SuspectedRun[];
     checkpoint: string;
     readonly runs: Run[];
     /** Workers on which the task failed or stalled. */
@@ -118,6 +133,9 @@
     progressRevision: number;
     /** Whether the progress has changed since it was last stored. */
     hasUnstoredProgress: boolean;
+    /** Number of changes of the progress in this term, and of those that are stored. */
+    changeCount: number;
+    storedChangeCount: number;
     /** Wall time at which the job ended, in milliseconds since 1970; 0 before. */
     endedAtMs: number;
 };
--- a/packages/scheduler/src/state/composeProgress.ts
+++ b/packages/scheduler/src/state/composeProgress.ts
@@ -31,6 +31,7 @@
                 countedRuns: [...task.countedRuns],
                 crashedRuns: [...task.crashedRuns],
                 crashAgeMs: task.crashAgeMs,
+                suspectedRuns: [...task.suspectedRuns],
                 checkpoint: task.done ? "" : task.checkpoint,
             })
         );
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -1,6 +1,6 @@
 import type { Job, Progress, Step } from "@balsamward/schema/scheduling";
 import { JobState } from "@balsamward/schema/scheduling";
-import type { JobId, QueueName } from "../ids.js";
+import type { JobId, QueueName, WorkerId } from "../ids.js";
 import type { JobEntry, StepEntry, TaskEntry } from "./JobEntry.js";
 
 /** Options of `createJobEntry`. */
@@ -39,6 +39,8 @@
         hasStarted: stored !== undefined,
         progressRevision: options.progress?.revision ?? 0,
         hasUnstoredProgress: false,
+        changeCount: 0,
+        storedChangeCount: 0,
         endedAtMs: stored?.endedAtMs ?? 0,
     };
     if (job.schedule === undefined) {
@@ -103,6 +105,7 @@
         crashedRuns: new Set(),
         crashAgeMs: 0,
         crashedAt: Number.NEGATIVE_INFINITY,
+        suspectedRuns: [],
         checkpoint: "",
         runs: [],
         avoidedWorkers: new Set(),
@@ -126,6 +129,13 @@
         countedRuns.forEach(run => task.countedRuns.add(run));
         storedTask.crashedRuns.forEach(run => task.crashedRuns.add(run));
         task.crashAgeMs = storedTask.crashAgeMs;
+        task.suspectedRuns = storedTask.suspectedRuns.map(({ run, worker, machine, bornMs, alone }) => ({
+            run,
+            worker: worker as WorkerId,
+            machine,
+            bornMs,
+            alone,
+        }));
         task.checkpoint = storedTask.checkpoint;
         step.doneCount += storedTask.done ? 1 : 0;
     }
