A job of an earlier term is given up at the third crash that is counted

Callers would see a task that crashes its workers start three times more after its third crash, where two owners died with the first workers and the later ones ran other tasks too.

Cause: a first crash under a task is not counted if the owner dies before the worker is back, and the job was given up at the fourth counted crash if the last worker ran other tasks: two uncounted and four counted crashes are six starts.

Change: a job that this owner has not accepted may have such crashes, and is given up at the third counted crash in any case. For jobs of this term, all crashes are known, and nothing changes.

Result: in the new scenario, the task was started 3 times after its third crash before, and at most twice now; the other tasks on its workers run on.

--- a/packages/scheduler/src/engine/crashes/countCrash.ts
+++ b/packages/scheduler/src/engine/crashes/countCrash.ts
@@ -1,5 +1,6 @@
 import { JobState } from "@balsamward/schema/scheduling";
 import { isFinalState } from "../../state/isFinalState.js";
+import type { StepEntry } from "../../state/JobEntry.js";
 import { endJob, markProgressChanged } from "../jobs/endJob.js";
 import { stopGang, stopRun } from "../runs/stopRun.js";
 import type { Scheduler } from "../Scheduler.js";
@@ -7,8 +8,8 @@
 import { getOutcomeUnit } from "./LostRuns.js";
 import { forgetSuspectedRun } from "./suspectedRuns.js";
 
-/** Number of crashes at which a job is given up if the last worker ran nothing else. */
-const MAX_CRASHES_ALONE = 3;
+/** Number of crashes at which a job is given up if the last worker ran nothing else, or others may be uncounted. */
+const MIN_CRASHES = 3;
 
 /** Number of crashes at which a job is given up in any case. */
 const MAX_CRASHES = 4;
@@ -24,8 +25,9 @@
  *
  * A task that ran on a crashed worker is suspected, and is then placed apart from other runs, so that a further crash
  * shows whether it is the cause. Its job is given up once three workers have crashed under the task and the last of
- * them ran nothing else, or once four have. A gang counts as one task. Crashes of at least three workers within two
- * seconds have a common cause: they count, but a task is suspected only from its second crash on.
+ * them ran nothing else, or once four have; a job of an earlier term at the third crash in any case. A gang counts as
+ * one task. Crashes of at least three workers within two seconds have a common cause: they count, but a task is
+ * suspected only from its second crash on.
  *
  * @param scheduler - The scheduler.
  * @param lost - The runs of the crashed incarnation; runs that were counted before are ignored.
@@ -76,7 +78,7 @@
         suspected: isSuspected,
         ageMs: Math.round(ageMs),
     });
-    if (crashes >= (isAlone ? MAX_CRASHES_ALONE : MAX_CRASHES)) {
+    if (crashes >= (isAlone || mayHaveUncountedCrashes(scheduler, step) ? MIN_CRASHES : MAX_CRASHES)) {
         endJob(scheduler, step.job, JobState.FAILED, "crashes-workers");
     }
     else if (run?.phase === "starting" && run.worker.runs.has(run)) {
@@ -87,3 +89,8 @@
         }
     }
 }
+
+/** A crash is not counted if it was the first under its task, and the owner died before the worker was back. */
+function mayHaveUncountedCrashes({ ownership }: Scheduler, { job: { job } }: StepEntry): boolean {
+    return job.termRevision !== ownership.revision;
+}
--- a/packages/scheduler/src/engine/crashes/crashPaths.feature
+++ b/packages/scheduler/src/engine/crashes/crashPaths.feature
@@ -28,3 +28,15 @@
         And 60 recorded seconds pass
         Then no task of J has more than 2 recorded starts after its third crash
         And the job J is failed
+
+    Scenario: A task whose owners die with its first two workers is started again and again on shared workers
+        Given a fleet of 3 workers with an owner
+        And the starts and crashes of all tasks are recorded
+        And task 0.0.0 of the job number 2 crashes its worker after 300 ms
+        When ana submits the normal job K of "4 x 3 lasting"
+        And bob submits the normal job J of "1 x 2"
+        And the owners die with the next 2 crashes under task 0.0.0 of J
+        And 90 recorded seconds pass
+        Then no task of J has more than 2 recorded starts after its third crash
+        And the job J is failed
+        And the job K is running
--- a/packages/scheduler/src/engine/crashes/crashPaths.steps.ts
+++ b/packages/scheduler/src/engine/crashes/crashPaths.steps.ts
@@ -54,7 +54,10 @@
     "{int} recorded seconds pass",
     { timeout: LONG_STEP_TIMEOUT_MS },
     async function(this: TestWorld, seconds: number) {
-        await this.note<CrashRecorder>("recorder").advance(seconds * MS_PER_SECOND);
+        for (let passed = 0; passed < seconds; passed++) {
+            getHarness(this).workers.forEach(({ running }) => running.forEach(run => run.percent += 1));
+            await this.note<CrashRecorder>("recorder").advance(MS_PER_SECOND);
+        }
     },
 );
 
