A task that is suspected of crashing its workers gets no copies

Callers would see a task whose copies are allowed crash further workers.

Cause: while the worker of such a task was down, the task seemed to be slow, and a copy was started on another worker, beside the runs there.

Change: a suspected task gets no copy. A first copy may still be started before any crash is known.

--- a/packages/scheduler/src/engine/crashes/crashPaths.feature
+++ b/packages/scheduler/src/engine/crashes/crashPaths.feature
@@ -40,3 +40,12 @@
         Then no task of J has more than 2 recorded starts after its third crash
         And the job J is failed
         And the job K is running
+
+    Scenario: A suspected task crashes further workers with its copies
+        Given a fleet of 10 workers with an owner
+        And the starts and crashes of all tasks are recorded
+        And task 0.0.0 of the job number 1 crashes its worker after 9000 ms
+        When bob submits the normal job J of "1 x 2 copies"
+        And 90 recorded seconds pass
+        Then no task of J has more than 3 recorded starts
+        And the job J is failed
--- a/packages/scheduler/src/engine/passes/findStragglers.ts
+++ b/packages/scheduler/src/engine/passes/findStragglers.ts
@@ -1,4 +1,5 @@
 import type { Run, StepEntry, TaskEntry } from "../../state/JobEntry.js";
+import { isSuspected } from "../crashes/isIsolated.js";
 import type { Scheduler } from "../Scheduler.js";
 
 /** Multiple of the expected run time after which a run counts as a straggler. */
@@ -12,7 +13,8 @@
  *
  * @param scheduler - The scheduler.
  * @param step - The step.
- * @returns The tasks; none if the step is a gang, is lasting or allows no copies.
+ * @returns The tasks; none if the step is a gang, is lasting or allows no copies. A task that is suspected of
+ * crashing its workers gets no copy, which would crash a further worker.
  */
 export function findStragglers(scheduler: Scheduler, step: StepEntry): readonly TaskEntry[] {
     const { copiesAllowed, gang, lasting } = step.spec;
@@ -20,9 +22,11 @@
         return [];
     }
     const expectedRunMs = scheduler.runTimePredictor.predict(step.job.queue, step.spec.estimatedMs);
-    return step.tasks.filter(({ done, runs: [run, copy] }) =>
-        !done && run !== undefined && copy === undefined && isStraggler(run, expectedRunMs, scheduler.clock())
-    );
+    return step.tasks.filter(task => {
+        const { done, runs: [run, copy] } = task;
+        return !done && !isSuspected(task) && run !== undefined && copy === undefined
+            && isStraggler(run, expectedRunMs, scheduler.clock());
+    });
 }
 
 function isStraggler(run: Run, expectedRunMs: number, now: number): boolean {
