Scenario: a start reaches a worker that has restarted unnoticed, and the task runs twice (failing)

Callers could see a task run on two workers at once. Ends of leases are on the clock of the incarnation that last answered. If a start reaches a new one first, whose clock begins anew, the worker grants the longest lease, maxHoldMs, while the owner counts on the 7 s that it has asked for. If nothing is answered after that, the owner starts the task elsewhere up to 3 s too early. Where maxHoldMs is at most 7 s, the two agree.

Only starts that are not answered, or are answered with another clock, need the longer bound; that is not done here.

--- a/packages/scheduler/src/engine/fleet/workerLeases.feature
+++ b/packages/scheduler/src/engine/fleet/workerLeases.feature
@@ -49,3 +49,15 @@
         And 15 seconds pass while all runs make progress
         Then 1 task of J runs
         And task 0.0.0 of J was started 1 time
+
+    Scenario: A start reaches a worker that has restarted unnoticed, and the task runs twice once its lease counts as ended
+        Given a fleet of 1 workers with an owner
+        When 20 seconds pass
+        And the worker w0 restarts
+        And the answers to the next 1000 holds of w0 are lost
+        And the next orders to w0 hit the faults "lost-answer unanswered unanswered unanswered unanswered unanswered"
+        And ana submits the normal job J of "1 x 8"
+        And the worker of task 0.0.0 of J is disconnected
+        And 1 worker joins the fleet
+        And 12 seconds pass while all runs make progress
+        Then no task has had two runs at the same time
