Ignore stored jobs and progress whose values cannot be scheduled

Seen: a stored job with tasks, or with as many occurrences due at once, used up the memory of the owner that read it, and of each next one: the process ended (heap limit) in the scenario. A job under another id, under a key that is no id, without steps, empty, or with NaN, negative or infinite needs was taken as a job. Progress that named run could not be stored again, and progress of an occurrence that the job does not have ran the task a second time (2 runs beside each other, instead of 1). Cause: a record that could be parsed was used without a check of its values. Change: a record's values are checked when it is read. One that cannot be used counts in 'balsamward_ignored_records_total' and is logged; progress that cannot be used counts as none, as an unreadable one did before, and is replaced. The limits lie beyond those of a submission.

--- a/packages/scheduler/src/Metrics.ts
+++ b/packages/scheduler/src/Metrics.ts
@@ -63,6 +63,9 @@
             help: "Version of the configuration in force.",
             registers,
         }),
+        ignoredRecords: counter("ignored_records", "Stored records that cannot be used, by record.", [
+            "record",
+        ]),
         ignoredWorkerEntries: new Gauge({
             name: "balsamward_ignored_worker_entries",
             help: "Store entries in the latest list of workers that do not describe a worker.",
--- a/packages/scheduler/src/engine/fleet/decodeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/decodeRoster.ts
@@ -1,8 +1,8 @@
 import { RosterRecordSchema } from "@balsamward/schema/scheduling";
+import { decodeRecord } from "../../_lib/decodeRecord.js";
 import type { WorkerId } from "../../ids.js";
 import type { StoreItem } from "../../ports/FleetStore.js";
 import type { Roster, Scheduler } from "../Scheduler.js";
-import { decodeRecord } from "../takeover/decodeRecord.js";
 
 /**
  * Decodes the stored roster.
@@ -11,7 +11,10 @@
  * @param item - Store item of the roster; `undefined` if none is stored.
  * @returns The roster, empty if none is stored or the record is malformed.
  */
-export function decodeRoster(scheduler: Pick<Scheduler, "log">, item: StoreItem | undefined): Roster {
+export function decodeRoster(
+    scheduler: Pick<Scheduler, "log" | "metrics">,
+    item: StoreItem | undefined,
+): Roster {
     const record = item === undefined ? undefined : decodeRecord(scheduler, RosterRecordSchema, item);
     return new Map(record?.workers.map(({ worker, address }) => [worker as WorkerId, address]));
 }
--- a/packages/scheduler/src/engine/jobs/watchJobs.ts
+++ b/packages/scheduler/src/engine/jobs/watchJobs.ts
@@ -1,9 +1,7 @@
-import { JobSchema } from "@balsamward/schema/scheduling";
 import { MAX_WATCH_WAIT_MS, STORE_RETRY_MS } from "../../constants.js";
 import { storeKeys } from "../../storeKeys.js";
 import type { Scheduler } from "../Scheduler.js";
-import { decodeRecord } from "../takeover/decodeRecord.js";
-import { parseCancellationKey } from "../takeover/restoreJob.js";
+import { decodeJobRecord, parseCancellationKey } from "../takeover/restoreJob.js";
 import { cancelJob, registerJob } from "./registerJob.js";
 
 type StoredItem = { readonly key: string; readonly revision: number; readonly value: Uint8Array };
@@ -62,7 +60,7 @@
         cancelJob(scheduler, cancelledId);
         return;
     }
-    const job = decodeRecord(scheduler, JobSchema, item);
+    const job = decodeJobRecord(scheduler, item);
     if (job !== undefined) {
         registerJob(scheduler, job, item.revision);
     }
--- a/packages/scheduler/src/engine/takeover/restoreJob.ts
+++ b/packages/scheduler/src/engine/takeover/restoreJob.ts
@@ -1,10 +1,13 @@
+import type { Job } from "@balsamward/schema/scheduling";
 import { JobSchema, ProgressSchema } from "@balsamward/schema/scheduling";
+import { decodeRecord } from "../../_lib/decodeRecord.js";
 import type { JobId } from "../../ids.js";
 import type { StoreItem } from "../../ports/FleetStore.js";
 import { storeKeys } from "../../storeKeys.js";
 import { registerJob } from "../jobs/registerJob.js";
 import type { Scheduler } from "../Scheduler.js";
-import { decodeRecord } from "./decodeRecord.js";
+import { isSoundJob } from "./isSoundJob.js";
+import { isSoundProgress } from "./isSoundProgress.js";
 
 /**
  * Registers a job with its stored progress.
@@ -18,13 +21,15 @@
     item: StoreItem,
     progressItem: StoreItem | undefined,
 ): void {
-    const job = decodeRecord(scheduler, JobSchema, item);
+    const job = decodeJobRecord(scheduler, item);
     if (job === undefined) {
         return;
     }
     const progress = progressItem === undefined
         ? undefined
-        : decodeRecord(scheduler, ProgressSchema, progressItem);
+        : decodeRecord(scheduler, ProgressSchema, progressItem, {
+            isSound: record => isSoundProgress(record, job),
+        });
     registerJob(scheduler, job, item.revision, {
         ...(progress === undefined
             ? {}
@@ -32,6 +37,22 @@
     });
 }
 
+/**
+ * Decodes a stored job.
+ *
+ * @param scheduler - The scheduler.
+ * @param item - Store item of the job.
+ * @returns The job, or `undefined` if it is malformed or cannot be scheduled.
+ */
+export function decodeJobRecord(
+    scheduler: Scheduler,
+    item: { readonly key: string; readonly value: Uint8Array },
+): Job | undefined {
+    return decodeRecord(scheduler, JobSchema, item, {
+        isSound: job => isSoundJob(job, parseJobKey(item.key)),
+    });
+}
+
 /**
  * Parses the job id from the key of a job.
  *
