Ignore records of members, the owner and the terms that cannot be used

Seen: one unreadable member's record ended the membership with 'RangeError: premature EOF': the peers after it were not added, and the task began again every 500 ms with another store lease. An unreadable owner's record ended the watch of the ownership in the same way. A term's record that could not be read did so with each claim; one with terms gave run numbers that cannot be stored, so that each term would have ended. Cause: the records were decoded without handling the exception, and the number of terms without a bound. Change: such a record is counted and logged, once per member's revision, and the task goes on. In place of a number of terms that cannot be used, the revision of the record bounds it from above, so that run numbers still only grow. An unreadable owner's record still holds the ownership until it is removed.

--- a/packages/scheduler/src/cluster/runMembership.ts
+++ b/packages/scheduler/src/cluster/runMembership.ts
@@ -1,5 +1,6 @@
 import { MemberRecordSchema } from "@balsamward/schema/scheduling";
-import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { create, toBinary } from "@bufbuild/protobuf";
+import { decodeRecord } from "../_lib/decodeRecord.js";
 import { sample } from "../_lib/sample.js";
 import { MEMBER_LEASE_TTL_MS, STORE_RETRY_MS } from "../constants.js";
 import { pause } from "../pause.js";
@@ -19,11 +20,12 @@
  */
 export async function runMembership(cluster: Cluster, store: FleetStore, signal: AbortSignal): Promise<void> {
     let lease: LeaseId | undefined;
+    let ignoredRevisions: ReadonlySet<number> = new Set();
     while (!signal.aborted) {
         lease = lease === undefined
             ? await registerMember(cluster, store)
             : await renewMemberLease(store, lease);
-        await addMembersAsPeers(cluster, store);
+        ignoredRevisions = await addMembersAsPeers(cluster, store, ignoredRevisions);
         await pause(lease === undefined ? STORE_RETRY_MS : MEMBER_LEASE_TTL_MS / RENEWALS_PER_LEASE, signal);
     }
     if (lease !== undefined) {
@@ -54,15 +56,32 @@
     return renewed.isErr() && renewed.error.kind === "lease-ended" ? undefined : lease;
 }
 
-async function addMembersAsPeers(cluster: Cluster, store: FleetStore): Promise<void> {
+/**
+ * Adds the listed members as peers, except those of which the record cannot be used, whose revisions are returned;
+ * each is counted and logged once.
+ */
+async function addMembersAsPeers(
+    cluster: Cluster,
+    store: FleetStore,
+    ignoredBefore: ReadonlySet<number>,
+): Promise<ReadonlySet<number>> {
     const members = await store.list(storeKeys.memberPrefix, { stale: true });
     if (members.isErr()) {
         cluster.log.debug("The members cannot be listed.", { reason: members.error.kind });
-        return;
+        return ignoredBefore;
     }
+    const ignored = new Set<number>();
     // In random order: in a large cluster, the first peers that a daemon knows are called before the others.
     for (const item of sample(members.value.items, members.value.items.length, Math.random)) {
-        const record = fromBinary(MemberRecordSchema, item.value);
-        cluster.addPeer(record.peerAddress, record.node);
+        const record = ignoredBefore.has(item.revision)
+            ? undefined
+            : decodeRecord(cluster, MemberRecordSchema, item);
+        if (record === undefined) {
+            ignored.add(item.revision);
+        }
+        else {
+            cluster.addPeer(record.peerAddress, record.node);
+        }
     }
+    return ignored;
 }
--- a/packages/scheduler/src/cluster/runOwnership.ts
+++ b/packages/scheduler/src/cluster/runOwnership.ts
@@ -1,6 +1,7 @@
 import { OwnerRecordSchema, TermRecordSchema } from "@balsamward/schema/scheduling";
-import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { create, toBinary } from "@bufbuild/protobuf";
 import { setMaxListeners } from "node:events";
+import { decodeRecord } from "../_lib/decodeRecord.js";
 import {
     LEASE_RENEWAL_INTERVAL_MS,
     MAX_WATCH_WAIT_MS,
@@ -22,6 +23,9 @@
 /** Longest time for which an owner continues past its lease while no peer reaches the store, in milliseconds. */
 const MAX_OVERDUE_WITHOUT_STORE_MS = 30_000;
 
+/** Largest number of terms. Run numbers are counted from a multiple of it, and must remain storable. */
+const MAX_TERM = 2_000_000;
+
 /** Options of `runOwnership`. */
 export type OwnershipOptions = {
     readonly cluster: Cluster;
@@ -83,8 +87,10 @@
 }
 
 function updateOwnerFromRecord(cluster: Cluster, item: StoreItem): void {
-    const record = fromBinary(OwnerRecordSchema, item.value);
-    updateOwner(cluster, { node: record.node, address: record.peerAddress, revision: item.revision });
+    const record = decodeRecord(cluster, OwnerRecordSchema, item);
+    if (record !== undefined) {
+        updateOwner(cluster, { node: record.node, address: record.peerAddress, revision: item.revision });
+    }
 }
 
 /** Ends the lease of a dead owner, so that the ownership is free before the lease would expire. */
@@ -93,7 +99,10 @@
     if (current.isErr() || current.value?.revision !== owner.revision) {
         return;
     }
-    const record = fromBinary(OwnerRecordSchema, current.value.value);
+    const record = decodeRecord(cluster, OwnerRecordSchema, current.value);
+    if (record === undefined) {
+        return;
+    }
     const ended = await store.endLease(record.lease as LeaseId);
     cluster.metrics.ownershipChanges.inc({ reason: "dead-owner" });
     cluster.log.warn("The lease of a dead owner is ended.", { owner: owner.node, result: ended.isOk() });
@@ -118,7 +127,7 @@
         await pause(STORE_RETRY_MS, signal);
         return;
     }
-    const termNumber = term.value === undefined ? 0 : fromBinary(TermRecordSchema, term.value.value).term;
+    const termNumber = getTermNumber(cluster, term.value);
     const record = create(OwnerRecordSchema, {
         node: cluster.node,
         peerAddress: cluster.address,
@@ -152,6 +161,20 @@
     );
 }
 
+/**
+ * Returns the number of terms so far. In place of a record that cannot be used, the record's revision bounds it from
+ * above: each term begins with a write.
+ */
+function getTermNumber(cluster: Cluster, item: StoreItem | undefined): number {
+    if (item === undefined) {
+        return 0;
+    }
+    const record = decodeRecord(cluster, TermRecordSchema, item, {
+        isSound: ({ term }) => term <= MAX_TERM,
+    });
+    return record?.term ?? Math.min(item.revision, MAX_TERM);
+}
+
 type Term = {
     readonly lease: StoreLease;
     readonly number: number;
