--- a/packages/scheduler/src/engine/fleet/runUpkeep.ts
+++ b/packages/scheduler/src/engine/fleet/runUpkeep.ts
@@ -37,11 +37,16 @@
 export async function runUpkeep(scheduler: Scheduler): Promise<void> {
     const { signal } = scheduler.ownership;
     const waves = new Map<number, WaveEntry>();
+    let areMachinesListed = true;
     while (!signal.aborted) {
         await loadNewWaves(scheduler, waves);
         const unfinished = [...waves.values()].filter(entry => entry.status !== "completed");
         if (unfinished.length > 0) {
             const machines = await scheduler.machines.list();
+            if (machines === undefined && areMachinesListed) {
+                scheduler.log.warn("The machines cannot be listed. Waves of upkeep wait until they can.");
+            }
+            areMachinesListed = machines !== undefined;
             for (const entry of machines === undefined ? [] : unfinished) {
                 await advanceWave(scheduler, entry, machines!);
             }
--- a/packages/scheduler/src/engine/jobs/watchJobs.ts
+++ b/packages/scheduler/src/engine/jobs/watchJobs.ts
@@ -33,12 +33,13 @@
             continue;
         }
         scheduler.log.warn("The watch of jobs is interrupted.", { reason: changes.error.kind, revision });
-        if (changes.error.kind === "compacted") {
-            revision = await relistJobs(scheduler) ?? revision;
-        }
-        else {
+        if (changes.error.kind !== "compacted") {
             await scheduler.pause(STORE_RETRY_MS, signal);
         }
+        if (changes.error.kind === "compacted" || changes.error.kind === "invalid") {
+            // The revision may be one from which the store answers no watch.
+            revision = await relistJobs(scheduler) ?? revision;
+        }
     }
 }
 
--- a/packages/scheduler/src/engine/takeover/oddRecords.feature
+++ b/packages/scheduler/src/engine/takeover/oddRecords.feature
@@ -34,6 +34,14 @@
             | that needs -1 accelerators              |
             | that was accepted at NaN                |
 
+    Scenario: An owner whose watch of jobs is refused as invalid lists them
+        When the store refuses watches except from the revision of a list
+        And ana submits the normal job K of "1 x 2"
+        And ana submits the normal job L of "1 x 2"
+        And 1 second passes
+        Then 1 task of K runs
+        And 1 task of L runs
+
     Scenario: A stored job at the edge of what can be submitted is scheduled
         When another client stores a job with 20000 tasks
         And 1 second passes
--- a/packages/scheduler/src/engine/takeover/oddRecords.steps.ts
+++ b/packages/scheduler/src/engine/takeover/oddRecords.steps.ts
@@ -3,6 +3,7 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { Then, When } from "@cucumber/cucumber";
+import { errAsync } from "neverthrow";
 import assert from "node:assert/strict";
 import { getHarness, getJobId } from "../../../../../features/support/schedulerScenario.js";
 import type { TestWorld } from "../../../../../features/support/TestWorld.js";
@@ -100,6 +101,22 @@
     },
 );
 
+When("the store refuses watches except from the revision of a list", function(this: TestWorld) {
+    const { store } = getHarness(this).terms.at(-1)!.scheduler;
+    const { list, watch } = store;
+    const listedRevisions = new Set<number>();
+    const listAndRecord: typeof list = (...call) =>
+        list(...call).map(listing => {
+            listedRevisions.add(listing.revision);
+            return listing;
+        });
+    const refuse: typeof watch = (prefix, after, ...rest) =>
+        listedRevisions.has(after)
+            ? watch(prefix, after, ...rest)
+            : errAsync({ kind: "invalid", message: "The watch is refused. Check the request." });
+    Object.assign(store, { list: listAndRecord, watch: refuse });
+});
+
 async function countIgnoredRecords(world: TestWorld): Promise<Readonly<Record<string, number>>> {
     const { values } = await getHarness(world).terms.at(-1)!.scheduler.metrics.ignoredRecords.get();
     return Object.fromEntries(values.map(({ labels, value }) => [labels.record, value]));
