Keep the runs of a worker whose entry is overwritten with another address

Seen: when another client overwrote the entry of a worker with one of another address, of nobody or of another sound worker, the worker was removed at once and its runs were started again elsewhere, while they still ran: 2 starts instead of 1, within a second, also with a takeover between. Cause: another address in the list counted as the end of the worker and of its runs. Change: without a restart, the worker keeps its address and its runs, counts as not listed, and so gets no starts; it is replaced by what the list says once nothing runs there: no known or unknown runs, or silence and the end of its lease. A worker that has restarted at another address is replaced at once, as before. The same address under two ids held before.

--- a/packages/scheduler/src/engine/fleet/watchFleet.ts
+++ b/packages/scheduler/src/engine/fleet/watchFleet.ts
@@ -36,12 +36,12 @@
  * @param reports - All workers that the platform lists.
  */
 export function applyReports(scheduler: Scheduler, reports: readonly WorkerReport[]): void {
-    const listed = new Set(reports.map(report => report.id));
+    const listedAddresses = new Map(reports.map(report => [report.id, report.address]));
     for (const report of reports) {
         applyReport(scheduler, report);
     }
     for (const worker of [...scheduler.fleet.values()]) {
-        worker.isListed = listed.has(worker.id);
+        worker.isListed = listedAddresses.get(worker.id) === worker.address;
         if (!worker.isListed && isRemovable(scheduler, worker)) {
             removeWorker(scheduler, worker, "not-listed");
         }
@@ -64,6 +64,9 @@
 function applyReport(scheduler: Scheduler, report: WorkerReport): void {
     let worker = scheduler.fleet.get(report.id);
     if (worker !== undefined && worker.address !== report.address) {
+        if (!hasLeftAddress(scheduler, worker, report)) {
+            return;
+        }
         removeWorker(scheduler, worker, "other-address");
         worker = undefined;
     }
@@ -95,6 +98,15 @@
     updateCapacity(worker, report);
 }
 
+/**
+ * Returns whether a worker that is listed at another address runs nothing at the known one. Another client may have
+ * written the entry, so without a restart, its runs there count until the worker is removable.
+ */
+function hasLeftAddress(scheduler: Scheduler, worker: WorkerEntry, report: WorkerReport): boolean {
+    return isOtherIncarnation(worker, report.bornMs) || isRemovable(scheduler, worker)
+        || worker.runs.size === 0 && !mayHaveUnknownRuns(scheduler, worker.id);
+}
+
 function updateCapacity(worker: WorkerEntry, report: WorkerReport): void {
     worker.free.cpuMillis += report.capacity.cpuMillis - worker.capacity.cpuMillis;
     worker.free.memoryMb += report.capacity.memoryMb - worker.capacity.memoryMb;
