Contain an unexpected error of a decoder to the item that causes it

Seen: an exception of the decoder at one worker's entry ended the owner's term (the list rejects), at one configuration the watch of the configuration, and at one wave of upkeep the term: each next owner met the same item. Cause: the decoders are called without handling an exception. Change: an item whose decoder throws counts as one that cannot be decoded: counted, logged once, passed over. Waves that cannot be decoded are counted and logged too. None of the present decoders of the platform is known to throw.

--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -21,8 +21,14 @@
 const CONFIGURATION_KEY = "configuration";
 const EVENT_LOOP_TURNS = 50;
 
+/** Version of a configuration that causes an unexpected error of the decoder. */
+const UNEXPECTED_VERSION = 13;
+
 function decodeTestConfiguration(text: Uint8Array) {
     const version = Number(Buffer.from(text).toString());
+    if (version === UNEXPECTED_VERSION) {
+        throw new RangeError("Maximum call stack size exceeded");
+    }
     return Number.isNaN(version)
         ? err({ kind: "bad-configuration" as const, message: "It has no version. Write it again." })
         : ok({ version, queues: [], customers: [], services: [], maxBodyBytes: 0 } as FleetConfiguration);
--- a/packages/scheduler/src/cluster/createActiveConfiguration.ts
+++ b/packages/scheduler/src/cluster/createActiveConfiguration.ts
@@ -1,5 +1,6 @@
 import type { Result } from "neverthrow";
 import type { Logger } from "winston";
+import { decodeSafely } from "../_lib/decodeSafely.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { Metrics } from "../Metrics.js";
 
@@ -40,11 +41,12 @@
         current: () => current,
         text: () => currentText,
         activateIfNewer: (text, source) => {
-            const decoded = decode(text);
-            if (decoded.isErr()) {
+            const decoded = decodeSafely(() => decode(text));
+            if (decoded === undefined || decoded.isErr()) {
+                options.metrics.ignoredRecords.inc({ record: "configuration" });
                 options.log.error("A configuration cannot be decoded and is ignored.", {
                     source,
-                    reason: decoded.error.message,
+                    reason: decoded?.error.message ?? "The decoder fails unexpectedly.",
                 });
                 return;
             }
--- a/packages/scheduler/src/cluster/watchConfiguration.feature
+++ b/packages/scheduler/src/cluster/watchConfiguration.feature
@@ -28,6 +28,14 @@
         And configuration nonsense is written to the store
         Then configuration 5 is in force
 
+    Scenario: A configuration that causes an unexpected error of the decoder is passed over, and later ones are not
+        Given the store holds configuration 5
+        When the daemon watches the configuration
+        And configuration 13 is written to the store
+        Then configuration 5 is in force
+        When configuration 14 is written to the store
+        Then configuration 14 is in force
+
     Scenario: A configuration that is older than the retained history is listed once and then watched
         Given the store holds configuration 3
         And the store compacts its history
--- a/packages/scheduler/src/createWorkerLister.feature
+++ b/packages/scheduler/src/createWorkerLister.feature
@@ -7,6 +7,13 @@
         And 2 ignored worker entries are counted
         And the warnings name "odd-1 odd-2"
 
+    Scenario: An entry that causes an unexpected error of the decoder is ignored like the others
+        Given a store with the worker entries "odd-error sound odd-1 sound-2"
+        When the workers are listed 3 times
+        Then the listed workers are "sound sound-2"
+        And 2 ignored worker entries are counted
+        And the warnings name "odd-error odd-1"
+
     Scenario: An entry that was removed meanwhile is logged again
         Given a store with the worker entries "odd-1"
         When the workers are listed 1 time
--- a/packages/scheduler/src/createWorkerLister.steps.ts
+++ b/packages/scheduler/src/createWorkerLister.steps.ts
@@ -12,6 +12,9 @@
 /** Decodes an entry to a report with only an id, unless its key says that it is odd. */
 function decodeWorkerReport(key: string): WorkerReport | undefined {
     const id = key.slice(PREFIX.length);
+    if (id.startsWith("odd-error")) {
+        throw new RangeError("Maximum call stack size exceeded");
+    }
     return id.startsWith("odd") ? undefined : { id } as WorkerReport;
 }
 
--- a/packages/scheduler/src/createWorkerLister.ts
+++ b/packages/scheduler/src/createWorkerLister.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "winston";
+import { decodeSafely } from "./_lib/decodeSafely.js";
 import type { ListWorkers } from "./engine/Scheduler.js";
 import type { Metrics } from "./Metrics.js";
 import type { FleetStore } from "./ports/FleetStore.js";
@@ -34,7 +35,7 @@
         }
         const entries = listed.value.items.map(({ key, value }) => ({
             key,
-            report: options.decodeWorkerReport(key, value),
+            report: decodeSafely(() => options.decodeWorkerReport(key, value)),
         }));
         const ignoredKeys = entries.filter(({ report }) => report === undefined).map(({ key }) => key);
         options.metrics.ignoredWorkerEntries.set(ignoredKeys.length);
--- a/packages/scheduler/src/engine/fleet/runUpkeep.feature
+++ b/packages/scheduler/src/engine/fleet/runUpkeep.feature
@@ -42,3 +42,11 @@
         Then each task of J was started 1 time
         When 40 seconds pass
         Then the wave of upkeep is completed
+
+    Scenario: A wave that cannot be decoded does not keep the others waiting
+        Given a fleet of 4 workers with an owner
+        When another client stores a wave that cannot be decoded
+        And the operator orders the upkeep of all machines, 2 at a time
+        And 20 seconds pass
+        Then the wave of upkeep is completed
+        And 1 record wave is ignored
--- a/packages/scheduler/src/engine/fleet/runUpkeep.ts
+++ b/packages/scheduler/src/engine/fleet/runUpkeep.ts
@@ -1,3 +1,4 @@
+import { decodeSafely } from "../../_lib/decodeSafely.js";
 import { STORE_RETRY_MS } from "../../constants.js";
 import type { Machine, UpkeepWave } from "../../ports/MachinePort.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
@@ -37,9 +38,10 @@
 export async function runUpkeep(scheduler: Scheduler): Promise<void> {
     const { signal } = scheduler.ownership;
     const waves = new Map<number, WaveEntry>();
+    const ignoredRevisions = new Set<number>();
     let areMachinesListed = true;
     while (!signal.aborted) {
-        await loadNewWaves(scheduler, waves);
+        await loadNewWaves(scheduler, waves, ignoredRevisions);
         const unfinished = [...waves.values()].filter(entry => entry.status !== "completed");
         if (unfinished.length > 0) {
             const machines = await scheduler.machines.list();
@@ -58,14 +60,23 @@
     }
 }
 
-async function loadNewWaves(scheduler: Scheduler, waves: Map<number, WaveEntry>): Promise<void> {
+async function loadNewWaves(
+    scheduler: Scheduler,
+    waves: Map<number, WaveEntry>,
+    ignoredRevisions: Set<number>,
+): Promise<void> {
     const listed = await scheduler.store.list(scheduler.waveRecordFormat.prefix, { stale: true });
     if (listed.isErr()) {
         await scheduler.pause(STORE_RETRY_MS, scheduler.ownership.signal);
         return;
     }
     for (const item of listed.value.items) {
-        const wave = scheduler.waveRecordFormat.decode(item.value);
+        const wave = decodeSafely(() => scheduler.waveRecordFormat.decode(item.value));
+        if (wave === undefined && !ignoredRevisions.has(item.revision)) {
+            ignoredRevisions.add(item.revision);
+            scheduler.metrics.ignoredRecords.inc({ record: "wave" });
+            scheduler.log.warn("A wave of upkeep cannot be decoded and is ignored.", { key: item.key });
+        }
         if (wave !== undefined && !waves.has(wave.number)) {
             waves.set(wave.number, {
                 wave,
--- a/packages/scheduler/src/engine/takeover/oddRecords.steps.ts
+++ b/packages/scheduler/src/engine/takeover/oddRecords.steps.ts
@@ -101,6 +101,10 @@
     },
 );
 
+When("another client stores a wave that cannot be decoded", function(this: TestWorld) {
+    getHarness(this).store.put("waves/0", Buffer.from("[".repeat(200_000)));
+});
+
 When("the store refuses watches except from the revision of a list", function(this: TestWorld) {
     const { store } = getHarness(this).terms.at(-1)!.scheduler;
     const { list, watch } = store;
