--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./callers/submitJob.js";
 export * from "./cluster/createActiveConfiguration.js";
 export * from "./createLog.js";
+export * from "./engine/takeover/isSoundJob.js";
 export * from "./FleetConfiguration.js";
 export * from "./ids.js";
 export * from "./listenOn.js";
