Let inherited tasks wait for the leases when the stored roster cannot be read

Seen: after another client had overwritten the stored roster with bytes that are no record, the next owner took it as empty, and started a task again that ran on a worker which it did not know and which its list left out: 2 starts instead of 1 within 2 s. Cause: an unreadable roster counted as one without workers. Change: it counts as one of which a worker has not answered: tasks of this term are placed, inherited ones wait until the leases of all earlier owners have ended. The owner replaces the roster at once.

--- a/packages/scheduler/src/engine/fleet/decodeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/decodeRoster.ts
@@ -9,12 +9,15 @@
  *
  * @param scheduler - The scheduler, whose log reports a malformed record.
  * @param item - Store item of the roster; `undefined` if none is stored.
- * @returns The roster, empty if none is stored or the record is malformed.
+ * @returns The roster, empty if none is stored, or `undefined` if the record is malformed.
  */
 export function decodeRoster(
     scheduler: Pick<Scheduler, "log" | "metrics">,
     item: StoreItem | undefined,
-): Roster {
-    const record = item === undefined ? undefined : decodeRecord(scheduler, RosterRecordSchema, item);
-    return new Map(record?.workers.map(({ worker, address }) => [worker as WorkerId, address]));
+): Roster | undefined {
+    if (item === undefined) {
+        return new Map();
+    }
+    const record = decodeRecord(scheduler, RosterRecordSchema, item);
+    return record && new Map(record.workers.map(({ worker, address }) => [worker as WorkerId, address]));
 }
--- a/packages/scheduler/src/engine/fleet/storeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/storeRoster.ts
@@ -111,5 +111,5 @@
         return;
     }
     const item = storedItems.get(storeKeys.roster);
-    setRoster(scheduler, item?.revision ?? 0, decodeRoster(scheduler, item));
+    setRoster(scheduler, item?.revision ?? 0, decodeRoster(scheduler, item) ?? new Map());
 }
--- a/packages/scheduler/src/engine/takeover/loadState.ts
+++ b/packages/scheduler/src/engine/takeover/loadState.ts
@@ -2,7 +2,7 @@
 import { err, ok } from "neverthrow";
 import { createWakeSignal } from "../../_lib/createWakeSignal.js";
 import { OWNER_LEASE_TTL_MS } from "../../constants.js";
-import type { JobId } from "../../ids.js";
+import type { JobId, WorkerId } from "../../ids.js";
 import type { StoreError, StoreItem } from "../../ports/FleetStore.js";
 import { createWorkerEntry } from "../../state/WorkerEntry.js";
 import { storeKeys } from "../../storeKeys.js";
@@ -13,6 +13,9 @@
 import type { Scheduler } from "../Scheduler.js";
 import { parseCancellationKey, parseJobKey, restoreJob } from "./restoreJob.js";
 
+/** Stands for the workers of an unreadable roster: none answers for it, so that inherited jobs wait for the leases. */
+const UNREADABLE_ENTRY = "" as WorkerId;
+
 /**
  * Loads the state that earlier owners stored: jobs, progress, cancellations and the roster of workers.
  *
@@ -67,7 +70,11 @@
         return;
     }
     scheduler.rosterRevision = item.revision;
-    scheduler.roster = decodeRoster(scheduler, item);
+    const roster = decodeRoster(scheduler, item);
+    if (roster === undefined) {
+        scheduler.unreconciledWorkers.add(UNREADABLE_ENTRY);
+    }
+    scheduler.roster = roster ?? new Map();
     for (const [id, address] of scheduler.roster) {
         scheduler.unreconciledWorkers.add(id);
         const wakeSignal = createWakeSignal(scheduler.pause);
--- a/packages/scheduler/src/engine/takeover/oddRecords.feature
+++ b/packages/scheduler/src/engine/takeover/oddRecords.feature
@@ -72,3 +72,39 @@
             | with 4294967295 failures            |
             | of the occurrence 4294967295        |
             | that ended at NaN                   |
+
+    Scenario: Tasks of an unreadable roster may still run, and start again only once their leases have ended
+        When ana submits the normal job K of "1 x 4"
+        And the worker of task 0.0.0 of K is not listed
+        And the owner dies
+        And another client stores an unreadable roster
+        And a new owner takes over that cannot reach the worker of task 0.0.0 of K
+        And ana submits the normal job L of "1 x 2"
+        And 2 seconds pass
+        Then 1 task of L runs
+        And task 0.0.0 of K was started 1 time
+        And 1 record RosterRecord is ignored
+        When 12 seconds pass while all runs make progress
+        Then each task of K runs at most once
+        And 1 task of K runs
+        And the owner has not resigned
+        When the owner dies
+        And a new owner takes over
+        Then 0 records are ignored
+
+    Scenario: A stored roster with odd entries delays inherited tasks once, by no more than the leases
+        When ana submits the normal job K of "3 x 8"
+        And the owner dies
+        And another client adds odd entries to the stored roster
+        And a new owner takes over
+        And task 0.0.0 of J ends as done
+        And ana submits the normal job L of "1 x 0"
+        Then 1 task of L runs
+        When 10 seconds pass while all runs make progress
+        Then 2 tasks of K run
+        And the owner has not resigned
+        When the owner dies
+        And a new owner takes over
+        And task 0.0.0 of K ends as done
+        And 1 second passes
+        Then 2 tasks of K run
--- a/packages/scheduler/src/engine/takeover/oddRecords.steps.ts
+++ b/packages/scheduler/src/engine/takeover/oddRecords.steps.ts
@@ -1,4 +1,4 @@
-import { JobSchema, ProgressSchema } from "@balsamward/schema/scheduling";
+import { JobSchema, ProgressSchema, RosterRecordSchema } from "@balsamward/schema/scheduling";
 import type { Job, Progress } from "@balsamward/schema/scheduling";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
@@ -101,6 +101,19 @@
     },
 );
 
+When("another client stores an unreadable roster", function(this: TestWorld) {
+    getHarness(this).store.put(storeKeys.roster, MALFORMED);
+});
+
+When("another client adds odd entries to the stored roster", function(this: TestWorld) {
+    const { store } = getHarness(this);
+    const roster = fromBinary(RosterRecordSchema, store.get(storeKeys.roster)!.value);
+    const addresses = ["", "....:80", "999.1.1.1:80", "10.9.9.9:99999", "10.0.0.1:80", "a b:1", "\u0000:1"];
+    const entries = addresses.map((address, index) => ({ worker: `odd ${index}\u00e9`, address }));
+    const workers = [...entries, { worker: "", address: "" }, ...roster.workers];
+    store.put(storeKeys.roster, toBinary(RosterRecordSchema, create(RosterRecordSchema, { workers })));
+});
+
 When("another client stores a wave that cannot be decoded", function(this: TestWorld) {
     getHarness(this).store.put("waves/0", Buffer.from("[".repeat(200_000)));
 });
