--- a/packages/scheduler/src/engine/fleet/watchFleet.ts
+++ b/packages/scheduler/src/engine/fleet/watchFleet.ts
@@ -45,7 +45,7 @@
             releasePredecessor(scheduler, report);
         }
     }
-    [...scheduler.replacedWorkers.keys()].filter(id => !listed.has(id))
+    [...scheduler.replacedWorkers.keys()].filter(id => !listedAddresses.has(id))
         .forEach(id => scheduler.replacedWorkers.delete(id));
     for (const worker of [...scheduler.fleet.values()]) {
         worker.isListed = listedAddresses.get(worker.id) === worker.address;
