--- a/packages/scheduler/src/engine/takeover/takeoverSoak.steps.ts
+++ b/packages/scheduler/src/engine/takeover/takeoverSoak.steps.ts
@@ -1,5 +1,6 @@
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { parseSeeds } from "../../../../../features/support/parseSeeds.js";
 import type { SoakFaults, SoakOutcome } from "../../../../../features/support/soakTakeovers.js";
 import { soakTakeovers } from "../../../../../features/support/soakTakeovers.js";
 import type { TestWorld } from "../../../../../features/support/TestWorld.js";
@@ -11,14 +12,6 @@
 
 type SeedOutcome = SoakOutcome & { readonly seed: number };
 
-/** Parses seeds and ranges of seeds, such as '1-8 65'. */
-function parseSeeds(text: string): readonly number[] {
-    return text.split(" ").flatMap(range => {
-        const [first, last] = range.split("-").map(Number);
-        return Array.from({ length: (last ?? first!) - first! + 1 }, (_, index) => first! + index);
-    });
-}
-
 When(
     "takeovers with {word} are played for the seeds {string}",
     { timeout: SOAK_TIMEOUT_MS },
