--- a/features/support/soakTakeovers.ts
+++ b/features/support/soakTakeovers.ts
@@ -1,6 +1,7 @@
 import type { JobId, WorkerId } from "@balsamward/scheduler";
 import type { FakeWorker } from "@balsamward/stand-ins";
 import { OWNER_LEASE_TTL_MS } from "../../packages/scheduler/src/constants.js";
+import { createRandom } from "./createRandom.js";
 import type { Term } from "./SchedulerTestHarness.js";
 import { SchedulerTestHarness } from "./SchedulerTestHarness.js";
 
@@ -64,15 +65,6 @@
     return outcome;
 }
 
-/** Creates a linear congruential generator of numbers from 0 to 1. */
-function createRandom(seed: number): () => number {
-    let state = seed;
-    return () => {
-        state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-        return state / 2 ** 32;
-    };
-}
-
 function choose<T>(values: readonly T[], random: () => number): T {
     return values[Math.floor(random() * values.length)]!;
 }
