--- a/features/support/soakCapacities.ts
+++ b/features/support/soakCapacities.ts
@@ -1,6 +1,7 @@
 import type { JobId } from "@balsamward/scheduler";
 import type { FakeWorker } from "@balsamward/stand-ins";
-import { createRandom } from "./createRandom.js";
+import type { Random } from "./createRandom.js";
+import { choose, createRandom } from "./createRandom.js";
 import { SchedulerTestHarness } from "./SchedulerTestHarness.js";
 
 /** Outcome of a soak with capacities that change. */
@@ -41,7 +42,7 @@
 
 type Soak = {
     readonly harness: SchedulerTestHarness;
-    readonly random: () => number;
+    readonly random: Random;
     readonly jobs: JobId[];
     /** Time at which the capacity of a worker last shrank, in milliseconds. */
     readonly shrunkAt: Map<FakeWorker, number>;
@@ -144,19 +145,15 @@
     worker.capacity = { ...worker.capacity, accelerators };
 }
 
-function endSomeRun(worker: FakeWorker, random: () => number): void {
+function endSomeRun(worker: FakeWorker, random: Random): void {
     const [name] = worker.running.keys();
     if (name !== undefined) {
         worker.endRun(name, random() < 0.9 ? "done" : "failed");
     }
 }
 
-function choose<T>(values: readonly T[], random: () => number): T {
-    return values[chooseUpTo(values.length - 1, random)]!;
-}
-
 /** Chooses an integer from 0 to a maximum. */
-function chooseUpTo(max: number, random: () => number): number {
+function chooseUpTo(max: number, random: Random): number {
     return Math.floor(random() * (max + 1));
 }
 
