--- a/packages/scheduler/src/engine/crashes/LostRuns.ts
+++ b/packages/scheduler/src/engine/crashes/LostRuns.ts
@@ -8,9 +8,12 @@
     readonly number: number;
     /** The run; `undefined` if an earlier owner started it. */
     readonly run: Run | undefined;
-    /** Whether a crash under the run counts: its start may have arrived, and its worker had not answered a stop. */
+    /**
+     * Whether a crash under the run counts: its start may have arrived, and its worker had not both confirmed it and
+     * answered a stop.
+     */
     readonly isCountable: boolean;
-    /** Whether the worker had confirmed the run. */
+    /** Whether the worker had confirmed the run; for one of an earlier owner, whether it was to run nothing else. */
     readonly isConfirmed: boolean;
     /** Time for which the run was known to have lasted, in milliseconds. */
     readonly ageMs: number;
--- a/packages/scheduler/src/engine/crashes/countCrash.ts
+++ b/packages/scheduler/src/engine/crashes/countCrash.ts
@@ -8,7 +8,10 @@
 import { getOutcomeUnit } from "./LostRuns.js";
 import { forgetSuspectedRun } from "./suspectedRuns.js";
 
-/** Number of crashes at which a job is given up if the last worker ran nothing else, or others may be uncounted. */
+/**
+ * Number of crashes at which a job is given up if the last worker ran nothing else, or if crashes before may have been
+ * missed.
+ */
 const MIN_CRASHES = 3;
 
 /** Number of crashes at which a job is given up in any case. */
@@ -90,7 +93,7 @@
     }
 }
 
-/** A crash is not counted if it was the first under its task, and the owner died before the worker was back. */
+/** Returns whether crashes before the task was suspected may have been missed, since an owner has died meanwhile. */
 function mayHaveUncountedCrashes({ ownership }: Scheduler, { job: { job } }: StepEntry): boolean {
     return job.termRevision !== ownership.revision;
 }
--- a/packages/scheduler/src/engine/crashes/countLostRuns.ts
+++ b/packages/scheduler/src/engine/crashes/countLostRuns.ts
@@ -32,8 +32,8 @@
 }
 
 /**
- * Counts the crash of a worker whose runs have just been released if a later worker on its machine has answered before,
- * since that one may send no further answer for long.
+ * Counts the crash of a worker whose runs have just been released if another worker on its machine has answered
+ * before. That one may be idle, and then sends no further answer, at which the crash would be counted, for long.
  *
  * @param scheduler - The scheduler.
  * @param worker - The worker, whose runs are remembered.
--- a/packages/scheduler/src/engine/crashes/crashPaths.feature
+++ b/packages/scheduler/src/engine/crashes/crashPaths.feature
@@ -49,3 +49,11 @@
         And 90 recorded seconds pass
         Then no task of J has more than 3 recorded starts
         And the job J is failed
+
+    Scenario: A start that the next worker at the address refuses counts as a crash under its task
+        Given a fleet of 2 workers with an owner
+        When the worker w0 is replaced by w2 at its address, and both are listed
+        And ana submits the normal job J of "2 x 8"
+        And 2 seconds pass
+        Then 2 tasks of J run
+        And no crash has been counted
--- a/packages/scheduler/src/engine/crashes/crashPaths.steps.ts
+++ b/packages/scheduler/src/engine/crashes/crashPaths.steps.ts
@@ -80,3 +80,8 @@
         assert.ok(Math.max(0, ...counts) <= limit, `A task was started ${Math.max(...counts)} times.`);
     },
 );
+
+Then("no crash has been counted", async function(this: TestWorld) {
+    const { values } = await getHarness(this).terms.at(-1)!.scheduler.metrics.workerCrashes.get();
+    assert.deepEqual(values, []);
+});
--- a/packages/scheduler/src/engine/passes/PlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/PlacementPass.ts
@@ -30,7 +30,7 @@
     deferredPlan: StepEntry | undefined;
     /** Number of starts that can still be ordered without a long wait. */
     freeStarts: number;
-    /** Number of free starts that the first step needs for which too few were left; 0 if there is none. */
+    /** Number of free starts for which the first step waits that did not get enough of them; 0 if none waits. */
     awaitedStarts: number;
     /** Whether a start that was ordered before waits to be sent. */
     hasWaitingStarts: boolean;
--- a/packages/scheduler/src/placement/createUnplacedSteps.ts
+++ b/packages/scheduler/src/placement/createUnplacedSteps.ts
@@ -51,7 +51,7 @@
 
 function getDemand({ request, taskCount, fillsIdle }: Step, scope: PlacementScope): Demand {
     return {
-        // Less than a step that needs no CPU, which does not fit where runs need more CPU than the worker has.
+        // A step that needs no CPU does not fit on a worker whose runs need more CPU than it has; this one does.
         cpuMillis: fillsIdle ? Number.NEGATIVE_INFINITY : request?.cpuMillis ?? 0,
         memoryMb: request?.memoryMb ?? 0,
         accelerators: request?.accelerators ?? 0,
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -15,7 +15,7 @@
     readonly coversWholeTask: boolean;
     /** Whether an order to start the run may have reached the worker. */
     isOrderSent: boolean;
-    /** Whether it is unknown how the run ended, since its worker is silent or gone. */
+    /** Whether the run is released without a report of its end, since its worker is silent or gone. */
     hasUnknownEnd: boolean;
     /** Whether the worker has confirmed that the run exists. */
     isConfirmed: boolean;
@@ -133,8 +133,9 @@
     progressRevision: number;
     /** Whether the progress has changed since it was last stored. */
     hasUnstoredProgress: boolean;
-    /** Number of changes of the progress in this term, and of those that are stored. */
+    /** Number of changes of the progress in this term. */
     changeCount: number;
+    /** Number of these changes that are stored. */
     storedChangeCount: number;
     /** Wall time at which the job ended, in milliseconds since 1970; 0 before. */
     endedAtMs: number;
