--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -175,10 +175,11 @@
     return worker;
 }
 
-/** Sends a client's call to a daemon and records what was sent and answered. */
-export async function callDaemon(deployment, daemon, method, id, body, timeoutMs = 3_000) {
+/** Sends a client's call to a daemon, with the key of its tenant by default, and records what was sent and answered. */
+export async function callDaemon(deployment, daemon, method, id, body, options = {}) {
+    const { key = CUSTOMER.apiKeys[0], timeoutMs = 3_000 } = options;
     const { record } = deployment;
-    record("client-sends", { node: daemon.node, method, id, ...(body === undefined ? {} : { body }) });
+    record("client-sends", { node: daemon.node, method, id, key, ...(body === undefined ? {} : { body }) });
     const answer = await send({
         host: daemon.ip,
         port: 8_521,
@@ -186,8 +187,8 @@
         path: `/walkin/${id}`,
         headers: {
             "host": "desk.example",
-            "authorization": "Token desk-key",
             "deadline-ms": String(timeoutMs),
+            ...(key === "" ? {} : { authorization: `Token ${key}` }),
         },
         body,
         timeoutMs,
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -3,6 +3,10 @@
 
 const MIN_TTL_MS = 1_000;
 
+/** Largest value and largest number of entries in a transaction, as the pages set them. */
+const VALUE_BYTES = 1_048_576;
+const MAX_ENTRIES = 32;
+
 /** Creates the state of a store and the function that handles its calls. */
 export function createStore(clock) {
     const state = {
@@ -114,6 +118,10 @@
 }
 
 function commit(state, { expect = [], puts = [], remove = [] }) {
+    const isTooLarge = puts.some(({ value }) => Buffer.byteLength(value, "base64") > VALUE_BYTES);
+    if (isTooLarge || expect.length + puts.length + remove.length > MAX_ENTRIES) {
+        return { status: 400 };
+    }
     const fails = expect.some(({ key, rev }) => (state.items.get(key)?.rev ?? 0) !== rev);
     if (fails) {
         return { status: 412, body: { items: expect.flatMap(({ key }) => state.items.get(key) ?? []) } };
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -136,6 +136,7 @@
         needMs,
         stopAt: Infinity,
         saved: checkpoint,
+        saveCount: 0,
     });
     worker.record("run-begins", { worker: worker.id, task, run });
     return { status: 200, body: { clockMs: clockMs(worker) } };
@@ -186,9 +187,24 @@
     });
 }
 
+/** Gives each run a new checkpoint for each interval of work, on workers that have such tasks. */
+function saveCheckpoints({ running, saveEveryMs, composeCheckpoint }, now) {
+    if (saveEveryMs === undefined) {
+        return;
+    }
+    for (const run of running.values()) {
+        const count = Math.floor((now - run.startedAt) / saveEveryMs);
+        if (count > run.saveCount) {
+            run.saveCount = count;
+            run.saved = composeCheckpoint(run.task, run.run, count);
+        }
+    }
+}
+
 /** Ends the runs whose work is done, that were stopped, or whose lease has expired. */
 function advance(worker) {
     const now = worker.clock();
+    saveCheckpoints(worker, now);
     const isLapsed = clockMs(worker) >= worker.leaseEndMs;
     for (const run of [...worker.running.values()]) {
         if (isLapsed) {
