--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -224,6 +224,7 @@
     worker.lastEnd += 1;
     worker.ended.push([worker.lastEnd, task, run, how, saved]);
     worker.highestEnded.set(task, Math.max(run, worker.highestEnded.get(task) ?? 0));
+    worker.stopCount = (worker.stopCount ?? 0) + (how === "stopped" ? 1 : 0);
     worker.record("run-ends", { worker: worker.id, task, run, how });
     [...worker.waiters].forEach(finish => finish());
 }
