Review: case 5, a start on a worker that has restarted unnoticed

Claim: TWICE. An idle worker restarts under its id; a task starts on it before the owner knows; the worker is cut off a second later. Its lease lasts longer than the owner counts, and the task starts elsewhere beside it.

--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,8 +1,6 @@
-// A queue is opened: one version removes its route, the next adds it again as public. Calls then carry no key.
+// An idle worker goes down and up under its id. A task starts on it; a second later it is cut off and runs on.
 import {
     addWorker,
-    callDaemon,
-    CONFIGURATION,
     recordLogs,
     runCase,
     startDaemon,
@@ -13,56 +11,67 @@
 import { pause } from "../lib/http.mjs";
 
 const JOB = "5c0e7a21d94b36f8";
-/** Time between the two versions, and from the second to the calls: `configApplyMs` and `visible_ms` are over then. */
-const GAP_MS = 1_000;
-const WAIT_MS = 6_000;
-/** `cancel_ms` and `stopTimeoutMs`, after which a cancelled task has to be gone. */
-const CANCEL_MS = 4_000;
+const TASK = `${JOB}.0.0.0`;
+const WORK_MS = 60_000;
+/** Age of the worker's first life. The job comes as soon as the second has begun. */
+const FIRST_LIFE_MS = 8_000;
+/** Time from the start of the run to the cut, and length of the cut. */
+const RUN_MS = 1_000;
+const CUT_MS = 9_500;
+const WATCH_MS = 13_000;
 
-function writeConfiguration({ store, record }, version, routes) {
-    store.put("op/config", { ...CONFIGURATION, version, routes });
-    record("operator-writes", { version, routes });
+/** Cuts a worker off from the store and from all machines; it runs on. */
+function cutOff(worker) {
+    const { store, record } = worker;
+    record("cut-begins", { worker: worker.id });
+    worker.store = { put: () => {} };
+    worker.isCut = true;
+    setTimeout(() => {
+        record("cut-ends", { worker: worker.id });
+        worker.store = store;
+        worker.isCut = false;
+    }, CUT_MS);
 }
 
 async function play(deployment, withTrouble) {
-    const { workers } = deployment;
+    const { workers, record } = deployment;
     for (let number = 1; number <= 7; number++) {
-        await addWorker(deployment, number, { workMs: () => Infinity });
+        // The job requires the label of the second rack, which only the last two workers have.
+        await addWorker(deployment, number, { workMs: () => WORK_MS, rack: number >= 6 ? "r1-2" : "r1-1" });
     }
     const daemons = [1, 2, 3].map(number => startDaemon(deployment, number));
     await waitUntilReady(daemons);
-    const step = { count: 1, cpu: 1_000, memMb: 256, gpus: 1, estRuntimeMs: 1_000, longRunning: true };
-    const job = { spec: "season", steps: [step] };
-    if (!await submit(deployment, daemons, JOB, job)) {
-        throw new Error("The job is not accepted.");
+    await pause(FIRST_LIFE_MS);
+    const worker = workers[5];
+    if (withTrouble) {
+        await worker.crash();
+        await worker.start();
     }
-    const isRunning = () => workers.some(({ running }) => running.size > 0);
-    if (!await waitFor(isRunning, 5_000)) {
-        throw new Error("The task does not run.");
+    const step = { count: 1, cpu: 1_000, memMb: 256, gpus: 1, estRuntimeMs: WORK_MS, requirements: "r1-2" };
+    await submit(deployment, daemons, JOB, { spec: "season", steps: [step] });
+    if (!await waitFor(() => worker.running.has(TASK), 3_000, 10)) {
+        throw new Error("The task does not run on the worker.");
     }
-    await pause(4_000);
+    await pause(RUN_MS);
     if (withTrouble) {
-        writeConfiguration(deployment, 4, []);
-        await pause(GAP_MS);
-        writeConfiguration(deployment, 7, [{ ...CONFIGURATION.routes[0], public: true }]);
-    }
-    await pause(WAIT_MS);
-    const options = withTrouble ? { key: "" } : {};
-    const answers = [];
-    for (const daemon of daemons) {
-        answers.push(await callDaemon(deployment, daemon, "GET", JOB, undefined, options));
+        cutOff(worker);
     }
-    const cancellation = withTrouble
-        ? await callDaemon(deployment, daemons[0], "DELETE", JOB, undefined, options)
-        : undefined;
-    await pause(CANCEL_MS);
-    recordLogs(deployment, /A configuration is in force/);
-    const statuses = answers.map(({ status }) => status);
-    return statuses.includes(410) && isRunning()
-        ? `LOST: GET for an accepted job that runs and that nobody has cancelled is answered ${
-            statuses.join(", ")
-        }. A DELETE is then answered ${cancellation?.status}, and the task runs on.`
-        : undefined;
+    const listRuns = () => workers.filter(({ isUp, running }) => isUp && running.has(TASK));
+    let twice;
+    await waitFor(
+        () => {
+            const runs = listRuns();
+            twice ??= runs.length > 1
+                ? runs.map(({ id, running }) => `run ${running.get(TASK).run} on ${id}`)
+                : undefined;
+            return false;
+        },
+        WATCH_MS,
+        10,
+    );
+    record("runs-at-once", { runs: twice ?? [] });
+    recordLogs(deployment, /ended without a report|A step is placed|is adopted|is stopped|restarted/);
+    return twice && `TWICE: ${twice.join(" and ")} at the same time, both workers up.`;
 }
 
 await runCase(import.meta.dirname, play);
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -14,8 +14,8 @@
         isUp: false,
         server: undefined,
         timers: [],
-        /** Called for each order; it may return "lost" to leave the order without effect or answer. */
-        intercept: async () => undefined,
+        /** Whether the worker is cut off from all machines. */
+        isCut: false,
         start: () => startLife(worker),
         crash: () => endLife(worker),
         running: new Map(),
@@ -77,11 +77,13 @@
     return Math.floor(worker.clock() - worker.bornAt);
 }
 
+/** Handles a call; one that arrives at a worker that is cut off is lost, as is an answer during the cut. */
 async function handle(worker, call) {
-    const { url, headers, body } = call;
-    if (await worker.intercept(call) === "lost") {
-        return undefined;
-    }
+    const answer = worker.isCut ? undefined : await execute(worker, call);
+    return worker.isCut ? undefined : answer;
+}
+
+function execute(worker, { url, headers, body }) {
     const target = headers["target-instance"];
     if (target !== undefined && target !== worker.id) {
         return { status: 421, body: { clockMs: clockMs(worker) } };
