--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -257,6 +257,7 @@
     let status = 2;
     const stopEarly = () => {
         deployment.daemons.forEach(stopDaemon);
+        rmSync(deployment.temporary, { recursive: true, force: true });
         process.exit(2);
     };
     setTimeout(stopEarly, MAX_CASE_MS).unref();
