Engine: A replaced owner that wakes sends no start that waited

What callers see: a task may run twice (TWICE).

Cause: a start that was placed before a suspension was sent afterwards without asking whether the ownership is still proved. The fence of the successor refuses it, unless the worker has restarted since and has seen no fence; the end of the lease in the order is on the earlier incarnation's clock and does not stop it either. An owner whose clock stood still took the last proof for young and placed new jobs as well.

Change: a start is sent only while the ownership is confirmed; otherwise it is withdrawn, or stopped if an order was sent before. A suspension shows as the wall clock being ahead of the monotonic one; after it, only a younger proof confirms the ownership.

Evidence: three scenarios of replacedOwner.feature failed before. Two more check that jumps of the wall clock do not keep work waiting.

A check that changes: in "An owner that is suspended before its first renewal extends a lease after it wakes", the woken owner started a task so that the limit of its lease could be seen. It starts none now, which the scenario says; a new one checks the limit with a run from before the suspension.

--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -73,6 +73,8 @@
     configuration: FleetConfiguration = createTestConfiguration();
     /** Speed of the workers' clocks relative to the harness's clock. */
     workerClockRate = 1;
+    /** Error of the wall clock of the owners' machines, in milliseconds. */
+    wallClockErrorMs = 0;
     private jobCount = 0;
     private readonly submittedSteps = new Map<string, readonly MessageInitShape<typeof StepSchema>[]>();
 
@@ -194,6 +196,7 @@
             pause: clock.pause,
             clock: () => clock.now,
             wallClock: () => this.clock.now,
+            machineWallClock: () => this.clock.now + this.wallClockErrorMs,
             bounds: { maxHoldMs: MAX_HOLD_MS, stateRetentionMs: 120_000 },
         }, ownership);
         const term = { scheduler, end, resignations, unreachableWorkers: unreachable, clock, lease };
--- a/packages/measure/src/fleet/createOfflineFleet.ts
+++ b/packages/measure/src/fleet/createOfflineFleet.ts
@@ -130,6 +130,7 @@
         pause: () => new Promise(() => {}),
         clock,
         wallClock: clock,
+        machineWallClock: clock,
         bounds: { maxHoldMs: 10_000, stateRetentionMs: 120_000 },
     }, {
         key: "",
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -1,5 +1,6 @@
 import type PQueue from "p-queue";
 import type { Logger } from "winston";
+import type { SuspensionDetector } from "../_lib/createSuspensionDetector.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { JobId, WorkerId } from "../ids.js";
 import type { Metrics } from "../Metrics.js";
@@ -36,6 +37,8 @@
     readonly clock: () => number;
     /** Returns the median of the daemons' wall clocks, in milliseconds since 1970. */
     readonly wallClock: () => number;
+    /** Returns this machine's wall clock in milliseconds since 1970. */
+    readonly machineWallClock: () => number;
     readonly bounds: SchedulerBounds;
 };
 
@@ -103,6 +106,7 @@
     crashTimes: readonly number[];
     /** Step whose reservation is planned in the next pass, before any other; `undefined` if none waits for that. */
     nextPlan: StepEntry | undefined;
+    readonly getSuspendedAt: SuspensionDetector;
     readonly runTimePredictor: RunTimePredictor;
     /** Queue of the orders to start and stop runs. */
     readonly orders: OrderQueue;
--- a/packages/scheduler/src/engine/fleet/workerLeases.feature
+++ b/packages/scheduler/src/engine/fleet/workerLeases.feature
@@ -26,11 +26,24 @@
         And 1.5 seconds pass
         And ana submits the normal job J of "1 x 8 lasting" through a daemon that stores no term
         And the first owner wakes, and resigns after 1.8 seconds
-        Then task 0.0.0 of J was started 1 time
+        Then task 0.0.0 of J was started 0 times
         When 8 seconds pass
         Then no task has had two runs at the same time
         And 1 task of J runs
 
+    Scenario: An owner that is suspended before its first renewal extends the lease of a run after it wakes
+        Given a fleet of 4 workers with an owner
+        When ana submits the normal job J of "1 x 8 lasting" through a daemon that stores no term
+        And the owner is suspended, and its clock stops
+        And 2 seconds pass
+        And a new owner takes over that cannot reach the worker of task 0.0.0 of J
+        And 1.5 seconds pass
+        And the first owner wakes, and resigns after 1.8 seconds
+        Then task 0.0.0 of J was started 1 time
+        When 10 seconds pass
+        Then no task has had two runs at the same time
+        And 1 task of J runs
+
     Scenario: The lease of a task on a slow clock outlasts its successor's wait after the worker was idle
         Given a fleet of 4 workers with slow clocks and an owner
         When 150 seconds pass
--- a/packages/scheduler/src/engine/owners.steps.ts
+++ b/packages/scheduler/src/engine/owners.steps.ts
@@ -20,6 +20,13 @@
     scheduler.ownership.resign("The store lease could not be renewed in time.");
 });
 
+When("the wall clock of the owner's machine jumps by {int} second(s)", function(
+    this: TestWorld,
+    seconds: number,
+) {
+    getHarness(this).wallClockErrorMs += seconds * MS_PER_SECOND;
+});
+
 When("the owner dies", function(this: TestWorld) {
     getHarness(this).killOwner();
 });
--- a/packages/scheduler/src/engine/passes/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/runPlacementPass.ts
@@ -1,8 +1,8 @@
-import { OWNER_LEASE_TTL_MS } from "../../constants.js";
 import { createUnplacedSteps } from "../../placement/createUnplacedSteps.js";
 import { createWorkerGroups } from "../../placement/createWorkerGroups.js";
 import type { JobEntry } from "../../state/JobEntry.js";
 import { mayHaveUnknownRuns } from "../fleet/mayHaveUnknownRuns.js";
+import { isOwnershipConfirmed } from "../isOwnershipConfirmed.js";
 import type { Scheduler } from "../Scheduler.js";
 import { addDueOccurrences } from "./addDueOccurrences.js";
 import { findEntitledJobs } from "./findEntitledJobs.js";
@@ -81,11 +81,6 @@
     }
 }
 
-/** An owner that was suspended may have a successor; it places nothing before its lease is confirmed again. */
-function isOwnershipConfirmed({ clock, ownership }: Scheduler): boolean {
-    return clock() - ownership.heldAt() <= OWNER_LEASE_TTL_MS;
-}
-
 /** Returns whether a job was accepted in this term, so that it is unknown to every earlier owner. */
 function isOfThisTerm({ ownership }: Scheduler, { job }: JobEntry): boolean {
     return job.termRevision === ownership.revision;
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -1,4 +1,5 @@
 import PQueue from "p-queue";
+import { createSuspensionDetector } from "../_lib/createSuspensionDetector.js";
 import { createWakeSignal } from "../_lib/createWakeSignal.js";
 import {
     MAX_PASS_INTERVAL_MS,
@@ -53,6 +54,7 @@
         lostRuns: [],
         crashTimes: [],
         nextPlan: undefined,
+        getSuspendedAt: createSuspensionDetector(dependencies),
         runTimePredictor: createRunTimePredictor(),
         orders: createOrderQueue({ clock: dependencies.clock, onFree: () => scheduler.requestPass() }),
         probes: new PQueue({ concurrency: MAX_CONCURRENT_PROBES }),
--- a/packages/scheduler/src/engine/runs/startRun.ts
+++ b/packages/scheduler/src/engine/runs/startRun.ts
@@ -14,6 +14,7 @@
 import { applyOrderAnswer, describeSentOrder } from "../fleet/applyOrderAnswer.js";
 import { removeReplacedWorker } from "../fleet/removeReplacedWorker.js";
 import { extendLease, recordLongestLease } from "../fleet/workerLease.js";
+import { isOwnershipConfirmed } from "../isOwnershipConfirmed.js";
 import type { Scheduler } from "../Scheduler.js";
 import { releaseRun } from "./runs.js";
 import { stopGang, stopRun } from "./stopRun.js";
@@ -41,7 +42,7 @@
         if (outcome === undefined) {
             return;
         }
-        if (outcome === "silent") {
+        if (outcome === "silent" || outcome === "unconfirmed") {
             break;
         }
         if (outcome === "no-capacity") {
@@ -74,14 +75,14 @@
 }
 
 /**
- * Why an order is not sent: its worker, which may have got an earlier one, no longer answers, or the worker's capacity
- * has shrunk below what its runs need.
+ * Why an order is not sent: its worker no longer answers, another daemon may be the owner, or the worker's capacity has
+ * shrunk below what its runs need.
  */
-type UnsentReason = "silent" | "no-capacity";
+type UnsentReason = "silent" | "unconfirmed" | "no-capacity";
 
 /**
  * Sends an order to start a run; returns `undefined` if the run was stopped or released before its turn came, or is
- * released now because its worker no longer answers and has got no order.
+ * released now because an order must wait and its worker has got none.
  */
 async function sendStart(
     scheduler: Scheduler,
@@ -94,20 +95,16 @@
         if (!mayStillStart(scheduler, run)) {
             return undefined;
         }
-        if (worker.isUnresponsive) {
-            // The order would extend the lease after which the worker's other runs have certainly ended.
-            if (run.isOrderSent) {
-                outcome = "silent";
+        const reason = findUnsentReason(scheduler, run);
+        if (reason !== undefined) {
+            if (reason === "no-capacity" || run.isOrderSent) {
+                outcome = reason;
             }
             else {
-                withdrawRun(scheduler, run);
+                withdrawRun(scheduler, run, reason);
             }
             return undefined;
         }
-        if (!fitsCapacity(run)) {
-            outcome = "no-capacity";
-            return undefined;
-        }
         run.isOrderSent = true;
         const sent = describeSentOrder(scheduler, worker);
         const started = await scheduler.workers.start(worker, {
@@ -143,10 +140,23 @@
     }
 }
 
-/** Releases a run whose start has not been sent, since its worker does not answer. */
-function withdrawRun(scheduler: Scheduler, run: Run): void {
-    scheduler.log.info("A start is withdrawn, since its worker does not answer.", {
+function findUnsentReason(scheduler: Scheduler, run: Run): UnsentReason | undefined {
+    if (run.worker.isUnresponsive) {
+        // The order would extend the lease after which the worker's other runs have certainly ended.
+        return "silent";
+    }
+    if (!isOwnershipConfirmed(scheduler)) {
+        // A worker that has restarted since a successor called it would not refuse the order.
+        return "unconfirmed";
+    }
+    return fitsCapacity(run) ? undefined : "no-capacity";
+}
+
+/** Releases a run whose start has not been sent. */
+function withdrawRun(scheduler: Scheduler, run: Run, reason: UnsentReason): void {
+    scheduler.log.info("A start is withdrawn.", {
         ...run.task.name,
+        reason,
         run: run.number,
         worker: run.worker.id,
         sincePlacedMs: Math.round(scheduler.clock() - run.orderedAt),
--- a/packages/scheduler/src/engine/takeover/replacedOwner.feature
+++ b/packages/scheduler/src/engine/takeover/replacedOwner.feature
@@ -117,3 +117,45 @@
         When the workers forget their fences, as after a restart
         And the first owner wakes, and resigns after 1 second
         Then no task has had two runs at the same time
+
+    # TWICE: the workers that restarted had forgotten the fence, and the woken owner still had a start to send.
+    Scenario Outline: A woken owner repeats a start on a worker that has forgotten its fence
+        When the next orders to w0 hit the faults "unanswered refused"
+        And ana submits the normal job J of "1 x 8 lasting"
+        And the owner is suspended, and its clock <clock>
+        And 3 seconds pass
+        And a new owner takes over
+        Then 1 task of J runs
+        When the workers forget their fences, as after a restart
+        And the first owner wakes, and resigns after 1 second
+        Then no task has had two runs at the same time
+
+        Examples:
+            | clock |
+            | runs  |
+            | stops |
+
+    Scenario: A woken owner whose clock stood still starts a task of its successor on a worker without a fence
+        When the owner cannot reach w0
+        And the owner is suspended, and its clock stops
+        And ana submits the normal job J of "1 x 8 lasting"
+        And 3 seconds pass
+        And a new owner takes over
+        Then 1 task of J runs
+        When the workers forget their fences, as after a restart
+        And the first owner wakes, and resigns after 1 second
+        Then no task has had two runs at the same time
+
+    # LOST: a jump of the wall clock looks like a suspension, and must not keep work waiting.
+    Scenario Outline: The wall clock of the owner's machine jumps, and the owner starts nothing any more
+        When 1 second passes
+        And the wall clock of the owner's machine jumps by <seconds> seconds
+        And ana submits the normal job J of "4 x 8"
+        And 1 second passes
+        Then 4 tasks of J run
+        And the owner has not resigned
+
+        Examples:
+            | seconds |
+            | 3600    |
+            | -3600   |
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -100,6 +100,7 @@
             pause,
             clock,
             wallClock: () => getMedianWallClockMs(cluster),
+            machineWallClock: () => Date.now(),
             bounds: options.bounds,
         }, ownership);
         ownerService = createOwnerService(scheduler, {
@@ -116,10 +117,8 @@
         ? undefined
         : await openHeartbeatSocket(cluster, options.heartbeatPort);
     runPeers(cluster, closing.signal);
-    const listener: Listener = await serveCluster(
-        { cluster, store: options.store, localOwner: localOwner },
-        options.peerAddress,
-    );
+    const clusterContext = { cluster, store: options.store, localOwner };
+    const listener: Listener = await serveCluster(clusterContext, options.peerAddress);
     const addPeers: Node["addPeers"] = addresses =>
         addresses.forEach(address => cluster.addPeer(address, address));
     addPeers(options.seeds);
