Engine: An accepted job keeps the terms of its queue

Cause: a job kept the name of its queue alone. What the queue promises was read from the configuration in force, and passes left out the jobs of other queues. An urgent job lost its guarantee, a task got two attempts whatever its queue had allowed, and a daemon that had never seen the queue could not know better.

Change: the terms of the queue (service, priority, attempts, objective, advice) are stored with the job. One rule in createTermsFinder, used by all readers: the present terms while a queue of that name is configured, otherwise those of the acceptance. Jobs of earlier versions hold none: the last terms that an owner has known apply and are stored with the progress; otherwise they run on the only service, or wait if there are several. Jobs without a queue are logged once and counted in balsamward_jobs_without_queue.

A check that changes: "A configuration has the queue of a job again" checked that a waiting job is placed within a second, and took the wait itself for right. It now uses the one case that still waits: a job without stored terms while there are several services.

--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -3,6 +3,7 @@
     AdvisedStep,
     FleetConfiguration,
     JobId,
+    Queue,
     UpkeepWave,
     WorkerId,
     WorkerReport,
@@ -18,6 +19,7 @@
 import { createOwnerService } from "../../packages/scheduler/src/engine/createOwnerService.js";
 import { createScheduler, runScheduler } from "../../packages/scheduler/src/engine/runScheduler.js";
 import type { Ownership } from "../../packages/scheduler/src/engine/Scheduler.js";
+import { encodeQueueTerms } from "../../packages/scheduler/src/state/encodeQueueTerms.js";
 import { storeKeys } from "../../packages/scheduler/src/storeKeys.js";
 import { createSuspendableStore } from "./createSuspendableStore.js";
 import { createTestConfiguration } from "./createTestConfiguration.js";
@@ -37,7 +39,7 @@
 /** Options of `SchedulerTestHarness.submit`. */
 export type SubmitOptions = {
     readonly schedule?: MessageInitShape<typeof ScheduleSchema>;
-    /** Whether the accepting daemon is of a build that stores no term with a job. */
+    /** Whether the accepting daemon is of a build that stores neither a term nor the terms of the queue with a job. */
     readonly withoutTerm?: boolean;
 };
 
@@ -266,11 +268,20 @@
             spec: "spec",
             steps: steps.map((step): Step => create(StepSchema, step)),
             acceptedAtMs: this.clock.now,
-            ...(withoutTerm ? {} : { termRevision: this.terms.at(-1)!.scheduler.ownership.revision }),
+            ...(withoutTerm ? {} : {
+                termRevision: this.terms.at(-1)!.scheduler.ownership.revision,
+                terms: encodeQueueTerms(this.findQueue(queue)),
+            }),
             ...(schedule === undefined ? {} : { schedule: create(ScheduleSchema, schedule) }),
         });
     }
 
+    /** Finds a queue; the accepting daemon may have another configuration than the owner. */
+    private findQueue(queue: string): Queue {
+        const { queues } = createTestConfiguration();
+        return [...this.configuration.queues, ...queues].find(({ name }) => name === queue)!;
+    }
+
     private listWorkers(): readonly WorkerReport[] {
         const reports = [...this.workers.values()]
             .filter(worker => !this.unlistedWorkers.has(worker.id) && !worker.isDown)
--- a/packages/scheduler/src/FleetConfiguration.ts
+++ b/packages/scheduler/src/FleetConfiguration.ts
@@ -10,11 +10,8 @@
     readonly validityMs: number;
 };
 
-/** A queue of jobs, which callers address by host and path prefix. */
-export type Queue = {
-    readonly name: QueueName;
-    readonly host: string;
-    readonly prefix: string;
+/** What a queue promises its jobs. */
+export type QueueTerms = {
     /** Service whose workers run the queue's tasks. */
     readonly service: string;
     /** Rank of the queue; 0 is the highest priority, and its jobs may preempt others. */
@@ -25,9 +22,16 @@
     readonly stretch: number;
     /** Time added to the target duration, in milliseconds. */
     readonly objectiveMs: number;
+    readonly advice: AdvicePolicy | undefined;
+};
+
+/** A queue of jobs, which callers address by host and path prefix. */
+export type Queue = QueueTerms & {
+    readonly name: QueueName;
+    readonly host: string;
+    readonly prefix: string;
     /** Whether callers may use the queue without an API key. */
     readonly open: boolean;
-    readonly advice: AdvicePolicy | undefined;
 };
 
 /** A customer with its API keys and its guarantee. */
--- a/packages/scheduler/src/Metrics.ts
+++ b/packages/scheduler/src/Metrics.ts
@@ -71,6 +71,12 @@
             help: "Store entries in the latest list of workers that do not describe a worker.",
             registers,
         }),
+        jobsWithoutQueue: new Gauge({
+            name: "balsamward_jobs_without_queue",
+            help: "Active jobs whose queue is not configured, by the source of the terms that apply.",
+            labelNames: ["terms"] as const,
+            registers,
+        }),
         owner: new Gauge({ name: "balsamward_owner", help: "1 while the daemon schedules.", registers }),
     };
 }
--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -2,6 +2,7 @@
 import { create, fromBinary } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { createTestConfiguration } from "../../../../features/support/createTestConfiguration.js";
 import type { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import type { FakeFleetStore, WriteFault } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
@@ -11,6 +12,7 @@
 import type { PeerClient } from "../cluster/createPeerClient.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { JobId, QueueName } from "../ids.js";
+import { decodeQueueTerms } from "../state/decodeQueueTerms.js";
 import { storeKeys } from "../storeKeys.js";
 import type { CallContext } from "./CallContext.js";
 import { countPendingJobs } from "./countPendingJobs.js";
@@ -21,6 +23,7 @@
 import { submitJob } from "./submitJob.js";
 
 const JOB_ID = "00000000000000ab" as JobId;
+const CONFIGURED_QUEUE = createTestConfiguration().queues[0]!;
 const CALLER_TIMEOUT_MS = 3_000;
 const CLOCK_STEP_MS = 50;
 const REFUSED_WRITE_COUNT = 100;
@@ -166,7 +169,7 @@
             spec: "s",
             steps: [{ taskCount: 1 }],
         });
-        await awaitReply(this, submitJob(createCallContext(this), job, getDeadline(this)));
+        await awaitReply(this, submitJob(createCallContext(this), job, CONFIGURED_QUEUE, getDeadline(this)));
     },
 );
 
@@ -234,6 +237,11 @@
     );
 });
 
+Then("the terms that are stored with the job match the snapshot", function(this: TestWorld) {
+    const item = this.note<FakeFleetStore>("store").get(storeKeys.job(JOB_ID))!;
+    this.expectSnapshot(decodeQueueTerms(fromBinary(JobSchema, item.value).terms));
+});
+
 Then("the job is stored for the latest term", function(this: TestWorld) {
     const store = this.note<FakeFleetStore>("store");
     const job = fromBinary(JobSchema, store.get(storeKeys.job(JOB_ID))!.value);
--- a/packages/scheduler/src/callers/submitJob.feature
+++ b/packages/scheduler/src/callers/submitJob.feature
@@ -8,6 +8,11 @@
         Then the reply is accepted
         And the job is stored: yes
 
+    # LOST: what a queue promises was known from the configuration only, which may no longer have the queue.
+    Scenario: An accepted job is stored without the terms of its queue
+        When ana submits a job with the digest d
+        Then the terms that are stored with the job match the snapshot
+
     Scenario: A repeated submission of the same job is accepted
         When ana submits a job with the digest d
         And ana submits a job with the digest d
--- a/packages/scheduler/src/callers/submitJob.ts
+++ b/packages/scheduler/src/callers/submitJob.ts
@@ -2,7 +2,9 @@
 import { JobSchema } from "@balsamward/schema/scheduling";
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import { getMedianWallClockMs } from "../cluster/getMedianWallClockMs.js";
+import type { Queue } from "../FleetConfiguration.js";
 import type { StoreError, StoreItem, StoreTransaction } from "../ports/FleetStore.js";
+import { encodeQueueTerms } from "../state/encodeQueueTerms.js";
 import { storeKeys } from "../storeKeys.js";
 import type { CallContext } from "./CallContext.js";
 import { commitWithRetries } from "./commitWithRetries.js";
@@ -22,16 +24,24 @@
  * record never returns to an earlier revision.
  *
  * @param context - The services that the call uses.
- * @param submittedJob - The job to store; its time and its term of acceptance are set by this function.
+ * @param submittedJob - The job to store; its time, its term of ownership and the terms of its queue are set by this
+ * function.
+ * @param queue - The queue of the job. Its terms are stored with the job, which keeps them if the queue is removed.
  * @param deadline - Monotonic time at which the caller stops waiting, in milliseconds.
  * @returns `accepted` once the job is stored, or a refusal: `bad-job`, `other-job`, `store-unavailable` or
  * `unclear`. Only `unclear` leaves open whether the job is stored.
  */
-export async function submitJob(context: CallContext, submittedJob: Job, deadline: number): Promise<Reply> {
+export async function submitJob(
+    context: CallContext,
+    submittedJob: Job,
+    queue: Queue,
+    deadline: number,
+): Promise<Reply> {
+    const terms = encodeQueueTerms(queue);
     const acceptedAtMs = getMedianWallClockMs(context.cluster);
     let termRevision = context.cluster.owner?.revision ?? 0;
     while (true) {
-        const job = { ...submittedJob, acceptedAtMs, termRevision };
+        const job = { ...submittedJob, terms, acceptedAtMs, termRevision };
         const commitResult = await commitWithRetries(context, composeAcceptance(job, termRevision), deadline);
         if (commitResult.isOk()) {
             notifyOwner(context, job, commitResult.value, false);
--- a/packages/scheduler/src/engine/passes/chooseAssignments.ts
+++ b/packages/scheduler/src/engine/passes/chooseAssignments.ts
@@ -68,7 +68,7 @@
     pass: PlacementPass,
     { ranked, step, group }: Pick<StepToPlace, "ranked" | "step" | "group">,
 ): boolean {
-    const capacity = pass.capacities.get(ranked.queue.service);
+    const capacity = pass.capacities.get(ranked.terms.service);
     return waitsDespiteRoom(step, { group, capacity, now: scheduler.clock() });
 }
 
@@ -87,7 +87,7 @@
     { ranked, step }: Pick<StepToPlace, "ranked" | "step">,
     workers: readonly WorkerEntry[],
 ): readonly WorkerEntry[] {
-    return filterAllowedWorkers(ranked.queue.advice, step, workers, scheduler.clock())
+    return filterAllowedWorkers(ranked.terms.advice, step, workers, scheduler.clock())
         .filter(worker => !reservedWorkers.has(worker));
 }
 
@@ -113,7 +113,7 @@
     const { ranked, step, group, scope } = target;
     const now = scheduler.clock();
     const paused = listPausedWorkers(pass, group);
-    const reserved = filterAllowedWorkers(ranked.queue.advice, step, [...group.workers, ...paused], now)
+    const reserved = filterAllowedWorkers(ranked.terms.advice, step, [...group.workers, ...paused], now)
         .filter(worker => pass.reservedWorkers.has(worker) && !pass.guaranteedWorkers.has(worker));
     const concessions: readonly Concession[] = [
         { addedWorkers: listUsableWorkers(scheduler, pass, target, paused), scope },
--- a/packages/scheduler/src/engine/passes/estimateJobTimes.ts
+++ b/packages/scheduler/src/engine/passes/estimateJobTimes.ts
@@ -1,4 +1,4 @@
-import type { Queue } from "../../FleetConfiguration.js";
+import type { QueueTerms } from "../../FleetConfiguration.js";
 import type { JobEntry, StepEntry } from "../../state/JobEntry.js";
 import type { RunTimePredictor } from "./createRunTimePredictor.js";
 
@@ -24,11 +24,11 @@
  * Estimates how long a job takes.
  *
  * @param entry - The job.
- * @param queue - The job's queue.
+ * @param terms - The terms that apply to the job.
  * @param predictor - Predictor of task run times.
  * @returns The job's times. The paths are the longest over all known occurrences, the remaining work is their sum.
  */
-export function estimateJobTimes(entry: JobEntry, queue: Queue, predictor: RunTimePredictor): JobTimes {
+export function estimateJobTimes(entry: JobEntry, terms: QueueTerms, predictor: RunTimePredictor): JobTimes {
     let criticalPathMs = 0;
     let remainingCriticalPathMs = 0;
     let remainingWorkCoreMs = 0;
@@ -36,7 +36,7 @@
         const pathsMs: number[] = [];
         const remainingPathsMs: number[] = [];
         for (const step of steps) {
-            const runMs = predictor.predict(queue.name, step.spec.estimatedMs);
+            const runMs = predictor.predict(entry.queue, step.spec.estimatedMs);
             const unfinished = step.tasks.length - step.doneCount;
             pathsMs.push(runMs + findLongestPredecessorMs(step, pathsMs));
             remainingPathsMs.push(
@@ -47,7 +47,7 @@
         criticalPathMs = Math.max(criticalPathMs, ...pathsMs);
         remainingCriticalPathMs = Math.max(remainingCriticalPathMs, ...remainingPathsMs);
     }
-    const objectiveMs = queue.stretch * criticalPathMs + queue.objectiveMs;
+    const objectiveMs = terms.stretch * criticalPathMs + terms.objectiveMs;
     return { criticalPathMs, remainingCriticalPathMs, remainingWorkCoreMs, objectiveMs };
 }
 
--- a/packages/scheduler/src/engine/passes/findEntitledJobs.ts
+++ b/packages/scheduler/src/engine/passes/findEntitledJobs.ts
@@ -1,6 +1,6 @@
-import type { FleetConfiguration, Queue } from "../../FleetConfiguration.js";
-import type { QueueName } from "../../ids.js";
+import type { FleetConfiguration } from "../../FleetConfiguration.js";
 import type { JobEntry } from "../../state/JobEntry.js";
+import type { TermsFinder } from "../jobs/createTermsFinder.js";
 import type { Scheduler } from "../Scheduler.js";
 
 /**
@@ -11,20 +11,20 @@
  *
  * @param scheduler - The scheduler.
  * @param configuration - The configuration in force.
- * @param queues - Queues of the configuration by name.
+ * @param findTerms - Finds the terms that apply to a job.
  * @returns The jobs that may preempt runs of other jobs.
  */
 export function findEntitledJobs(
     scheduler: Scheduler,
     configuration: FleetConfiguration,
-    queues: ReadonlyMap<QueueName, Queue>,
+    findTerms: TermsFinder,
 ): ReadonlySet<JobEntry> {
     const remainingByCustomer = new Map(
         configuration.customers.map(customer => [customer.name, customer.guaranteedAccelerators]),
     );
     const entitled = new Set<JobEntry>();
     const urgentJobs = [...scheduler.activeJobs]
-        .filter(entry => queues.get(entry.queue)?.priority === 0)
+        .filter(entry => findTerms(entry).terms?.priority === 0)
         .sort((left, right) => left.revision - right.revision);
     for (const entry of urgentJobs) {
         const needed = countFirstStepAccelerators(entry);
--- a/packages/scheduler/src/engine/passes/logLongWaits.ts
+++ b/packages/scheduler/src/engine/passes/logLongWaits.ts
@@ -37,13 +37,13 @@
 function isLongWait(
     scheduler: Scheduler,
     { groups, capacities }: PlacementPass,
-    { queue }: RankedJob,
+    { terms }: RankedJob,
     step: StepEntry,
 ): boolean {
-    const group = groups.get(queue.service, step.spec.requiredLabel);
+    const group = groups.get(terms.service, step.spec.requiredLabel);
     return waitsDespiteRoom(step, {
         group,
-        capacity: capacities.get(queue.service),
+        capacity: capacities.get(terms.service),
         now: scheduler.clock(),
     });
 }
@@ -51,11 +51,11 @@
 function logWait(
     scheduler: Scheduler,
     { groups, reservedWorkers, freeStarts, hasWaitingStarts }: PlacementPass,
-    { queue, schedulingClass }: RankedJob,
+    { terms, schedulingClass }: RankedJob,
     step: StepEntry,
 ): void {
     const now = scheduler.clock();
-    const eligible = [...scheduler.fleet.values()].filter(worker => isEligible(worker, queue, step));
+    const eligible = [...scheduler.fleet.values()].filter(worker => isEligible(worker, terms, step));
     const reserved = new Set(
         [...reservedWorkers].filter(worker => step.reservation?.workers.includes(worker) !== true),
     );
@@ -65,7 +65,7 @@
         occurrence: step.occurrence,
         waitedMs: Math.round(now - (step.waitingSince ?? now)),
         prospect: schedulingClass,
-        scope: getPlacementScope(groups.get(queue.service, step.spec.requiredLabel), step.spec),
+        scope: getPlacementScope(groups.get(terms.service, step.spec.requiredLabel), step.spec),
         tasks: step.tasks.length,
         freeStarts,
         hasWaitingStarts,
--- a/packages/scheduler/src/engine/passes/orderJobs.ts
+++ b/packages/scheduler/src/engine/passes/orderJobs.ts
@@ -1,7 +1,7 @@
-import type { Queue } from "../../FleetConfiguration.js";
-import type { QueueName } from "../../ids.js";
+import type { QueueTerms } from "../../FleetConfiguration.js";
 import type { JobEntry, StepEntry } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { TermsFinder } from "../jobs/createTermsFinder.js";
 import type { Scheduler } from "../Scheduler.js";
 import type { JobTimes } from "./estimateJobTimes.js";
 import { estimateJobTimes, LATE_FACTOR } from "./estimateJobTimes.js";
@@ -19,10 +19,10 @@
     | "late"
     | "too-late";
 
-/** A job with steps to place, its queue's configuration, its estimated times and its scheduling class. */
+/** A job with steps to place, the terms that apply to it, its estimated times and its scheduling class. */
 export type RankedJob = {
     readonly entry: JobEntry;
-    readonly queue: Queue;
+    readonly terms: QueueTerms;
     /** Steps that have waiting tasks and whose preceding steps are done. */
     readonly readySteps: readonly StepEntry[];
     readonly times: JobTimes;
@@ -36,8 +36,8 @@
 
 /** Options of `orderJobs`. */
 export type OrderJobsOptions = {
-    /** Configured queues by name; jobs of other queues are left out. */
-    readonly queues: ReadonlyMap<QueueName, Queue>;
+    /** Finds the terms that apply to a job; one without terms is left out. */
+    readonly findTerms: TermsFinder;
     /** Jobs covered by their customers' guarantees. */
     readonly entitled: ReadonlySet<JobEntry>;
     /** Schedulable workers. */
@@ -51,23 +51,23 @@
  * first, the earliest before the others, since any other job would take the room and cause further stops.
  *
  * @param scheduler - The scheduler.
- * @param options - The queues, guaranteed jobs and workers of the pass.
+ * @param options - The terms, guaranteed jobs and workers of the pass.
  * @returns The jobs that have steps to place, highest rank first.
  */
 export function orderJobs(
     scheduler: Scheduler,
-    { queues, entitled, workers }: OrderJobsOptions,
+    { findTerms, entitled, workers }: OrderJobsOptions,
 ): readonly RankedJob[] {
     const capacities = measureCapacity(workers);
     const now = scheduler.clock();
     const ranked: RankedJob[] = [];
     for (const entry of scheduler.activeJobs) {
         isolateJob(scheduler, entry, () => {
-            const queue = queues.get(entry.queue);
-            const readySteps = queue === undefined ? [] : findReadySteps(entry, now);
-            if (queue !== undefined && readySteps.length > 0) {
-                const times = estimateJobTimes(entry, queue, scheduler.runTimePredictor);
-                const capacity = capacities.get(queue.service);
+            const { terms } = findTerms(entry);
+            const readySteps = terms === undefined ? [] : findReadySteps(entry, now);
+            if (terms !== undefined && readySteps.length > 0) {
+                const times = estimateJobTimes(entry, terms, scheduler.runTimePredictor);
+                const capacity = capacities.get(terms.service);
                 const schedulingClass = entitled.has(entry)
                     ? "entitled"
                     : capacity !== undefined && isStarved(entry, readySteps, capacity, now)
@@ -76,7 +76,7 @@
                 const reclaimedAt = schedulingClass === "entitled"
                     ? Math.min(...readySteps.map(getReservationTime))
                     : Number.POSITIVE_INFINITY;
-                ranked.push({ entry, queue, readySteps, times, schedulingClass, reclaimedAt });
+                ranked.push({ entry, terms, readySteps, times, schedulingClass, reclaimedAt });
             }
         });
     }
@@ -108,7 +108,7 @@
 function compareRanks(left: RankedJob, right: RankedJob): number {
     return getTier(left) - getTier(right)
         || compareTimes(left.reclaimedAt, right.reclaimedAt)
-        || left.queue.priority - right.queue.priority
+        || left.terms.priority - right.terms.priority
         || CLASS_RANKS[left.schedulingClass] - CLASS_RANKS[right.schedulingClass]
         || left.times.remainingWorkCoreMs - right.times.remainingWorkCoreMs
         || left.entry.revision - right.entry.revision;
--- a/packages/scheduler/src/engine/passes/placeCopies.ts
+++ b/packages/scheduler/src/engine/passes/placeCopies.ts
@@ -1,4 +1,4 @@
-import type { Queue } from "../../FleetConfiguration.js";
+import type { QueueTerms } from "../../FleetConfiguration.js";
 import { placeTasks } from "../../placement/placeTasks.js";
 import type { JobEntry } from "../../state/JobEntry.js";
 import { listSteps } from "../../state/listSteps.js";
@@ -15,23 +15,23 @@
  * @param scheduler - The scheduler.
  * @param schedulable - Workers on which runs may be started; copies use only capacity that no step waits for.
  * @param entry - The job.
- * @param queue - The job's queue; one that is not configured gets no copies.
+ * @param terms - The terms that apply to the job; a job without terms gets no copies.
  */
 export function placeCopies(
     scheduler: Scheduler,
     schedulable: readonly WorkerEntry[],
     entry: JobEntry,
-    queue: Queue | undefined,
+    terms: QueueTerms | undefined,
 ): void {
-    if (queue === undefined) {
+    if (terms === undefined) {
         return;
     }
     for (const step of listSteps(entry)) {
         for (const task of findStragglers(scheduler, step)) {
             const eligible = schedulable.filter(worker =>
-                isEligible(worker, queue, step) && task.runs.every(run => run.worker !== worker)
+                isEligible(worker, terms, step) && task.runs.every(run => run.worker !== worker)
             );
-            const workers = filterAllowedWorkers(queue.advice, step, eligible, scheduler.clock());
+            const workers = filterAllowedWorkers(terms.advice, step, eligible, scheduler.clock());
             startRuns(scheduler, step, placeTasks(step, [task], workers));
         }
     }
--- a/packages/scheduler/src/engine/passes/placeStep.ts
+++ b/packages/scheduler/src/engine/passes/placeStep.ts
@@ -33,7 +33,7 @@
     ranked: RankedJob,
     step: StepEntry,
 ): void {
-    const { advice, service } = ranked.queue;
+    const { advice, service } = ranked.terms;
     const group = pass.groups.get(service, step.spec.requiredLabel);
     const scope = getPlacementScope(group, step.spec);
     const hasNoRoom = advice === undefined && pass.unplacedSteps.covers(group.key, step.spec, scope);
@@ -88,7 +88,7 @@
     taskCount: number,
 ): void {
     const { ranked, step, waiting, group, scope } = target;
-    const { advice } = ranked.queue;
+    const { advice } = ranked.terms;
     pass.hasUnplacedSteps = true;
     if (advice !== undefined) {
         const pausedWorkers = hasWaitedLong(scheduler, pass, target) ? listPausedWorkers(pass, group) : [];
--- a/packages/scheduler/src/engine/passes/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/runPlacementPass.ts
@@ -3,6 +3,8 @@
 import type { JobEntry } from "../../state/JobEntry.js";
 import { mayHaveUnknownRuns } from "../fleet/mayHaveUnknownRuns.js";
 import { isOwnershipConfirmed } from "../isOwnershipConfirmed.js";
+import { createTermsFinder } from "../jobs/createTermsFinder.js";
+import { followQueues } from "../jobs/followQueues.js";
 import type { Scheduler } from "../Scheduler.js";
 import { addDueOccurrences } from "./addDueOccurrences.js";
 import { findEntitledJobs } from "./findEntitledJobs.js";
@@ -36,8 +38,9 @@
     const nonDrainingWorkers = [...scheduler.fleet.values()].filter(worker =>
         worker.isListed && !worker.draining
     );
-    const queues = new Map(configuration.queues.map(queue => [queue.name, queue]));
-    const entitled = findEntitledJobs(scheduler, configuration, queues);
+    const findTerms = createTermsFinder(configuration);
+    followQueues(scheduler, findTerms);
+    const entitled = findEntitledJobs(scheduler, configuration, findTerms);
     const pass: PlacementPass = {
         entitled,
         capacities: measureCapacity(nonDrainingWorkers),
@@ -54,14 +57,14 @@
         awaitedStarts: 0,
         hasWaitingStarts: scheduler.orders.countWaitingStarts() > 0,
     };
-    const rankedJobs = orderJobs(scheduler, { queues, entitled, workers });
+    const rankedJobs = orderJobs(scheduler, { findTerms, entitled, workers });
     placeJobs(scheduler, pass, rankedJobs);
     scheduler.orders.awaitFreeStarts(pass.awaitedStarts);
     scheduler.nextPlan = pass.deferredPlan;
     logLongWaits(scheduler, pass, rankedJobs);
     if (!pass.hasUnplacedSteps && pass.freeStarts > 0) {
         for (const entry of scheduler.activeJobs) {
-            placeCopies(scheduler, workers, entry, queues.get(entry.queue));
+            placeCopies(scheduler, workers, entry, findTerms(entry).terms);
         }
     }
 }
--- a/packages/scheduler/src/engine/passes/wakeUps.feature
+++ b/packages/scheduler/src/engine/passes/wakeUps.feature
@@ -145,8 +145,9 @@
 
     Scenario: A configuration has the queue of a job again
         Given a fleet of 1 workers with an owner
-        When the configuration has no queue normal
-        And ana submits the normal job J of "1 x 8"
+        When the configuration has several services
+        And the configuration has no queue normal
+        And ana submits the normal job J of "1 x 8" through a daemon that stores no term
         And 5 seconds pass
         Then 0 tasks of J run
         When the configuration has all queues again
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -133,4 +133,5 @@
         await scheduler.pause(Math.max(MIN_PASS_INTERVAL_MS, passMs * PAUSE_PER_PASS), signal);
         await waitForTrigger(MAX_PASS_INTERVAL_MS, signal);
     }
+    scheduler.metrics.jobsWithoutQueue.reset();
 }
--- a/packages/scheduler/src/engine/runs/applyRunEnd.ts
+++ b/packages/scheduler/src/engine/runs/applyRunEnd.ts
@@ -1,8 +1,9 @@
 import { JobState } from "@balsamward/schema/scheduling";
 import type { EndedRun } from "../../ports/WorkerPort.js";
 import { isFinalState } from "../../state/isFinalState.js";
-import type { Run, TaskEntry } from "../../state/JobEntry.js";
+import type { JobEntry, Run, TaskEntry } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { createTermsFinder } from "../jobs/createTermsFinder.js";
 import { endJob, endJobIfComplete, markProgressChanged } from "../jobs/endJob.js";
 import type { Scheduler } from "../Scheduler.js";
 import { findTask } from "./findTask.js";
@@ -10,7 +11,7 @@
 import { pauseWorker } from "./startRun.js";
 import { endGang, stopRun } from "./stopRun.js";
 
-/** Number of failures of a task after which its job fails, if its queue is no longer configured. */
+/** Number of failures of a task after which its job fails, if no terms apply to it. */
 const DEFAULT_ATTEMPTS = 2;
 
 /**
@@ -140,9 +141,13 @@
         member.failures += 1;
     }
     markProgressChanged(scheduler, step.job);
-    const queue = scheduler.configuration()?.queues.find(candidate => candidate.name === step.job.queue);
-    const attempts = queue?.attempts ?? DEFAULT_ATTEMPTS;
-    if (task.failures >= attempts) {
+    if (task.failures >= getAttempts(scheduler, step.job)) {
         endJob(scheduler, step.job, JobState.FAILED, "attempts-used-up");
     }
 }
+
+function getAttempts({ configuration }: Scheduler, entry: JobEntry): number {
+    const current = configuration();
+    const terms = current === undefined ? entry.acceptedTerms : createTermsFinder(current)(entry).terms;
+    return terms?.attempts ?? DEFAULT_ATTEMPTS;
+}
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -1,4 +1,5 @@
 import type { Job, JobState, Step } from "@balsamward/schema/scheduling";
+import type { QueueTerms } from "../FleetConfiguration.js";
 import type { JobId, QueueName, TaskName, WorkerId } from "../ids.js";
 import type { WorkerEntry } from "./WorkerEntry.js";
 
@@ -117,11 +118,23 @@
     reservation: Reservation | undefined;
 };
 
+/**
+ * Where the terms of a job come from: its queue as it is configured, the job's acceptance, the queue as it was last
+ * configured, or assumptions; `none` if the job cannot be placed.
+ */
+export type TermsSource = "configured" | "accepted" | "last-known" | "assumed" | "none";
+
 /** State of a job, as held by the owner. */
 export type JobEntry = {
     readonly id: JobId;
     readonly job: Job;
     readonly queue: QueueName;
+    /** Terms under which the job was accepted; `undefined` if they are not stored with it. */
+    readonly acceptedTerms: QueueTerms | undefined;
+    /** Last known terms of the queue of a job without `acceptedTerms`. */
+    lastTerms: QueueTerms | undefined;
+    /** Source of the terms in the latest placement pass, `configured` before the first. */
+    termsSource: TermsSource;
     /** Store revision at which the job was written. */
     readonly revision: number;
     /** Monotonic time at which the job was accepted, in milliseconds. */
--- a/packages/scheduler/src/state/composeProgress.ts
+++ b/packages/scheduler/src/state/composeProgress.ts
@@ -1,6 +1,7 @@
 import type { Progress, StepProgress } from "@balsamward/schema/scheduling";
 import { ProgressSchema, StepProgressSchema, TaskProgressSchema } from "@balsamward/schema/scheduling";
 import { create } from "@bufbuild/protobuf";
+import { encodeQueueTerms } from "./encodeQueueTerms.js";
 import { isFinalState } from "./isFinalState.js";
 import type { JobEntry, StepEntry, TaskEntry } from "./JobEntry.js";
 import { listSteps } from "./listSteps.js";
@@ -15,7 +16,13 @@
     const steps = isFinalState(entry.state)
         ? []
         : listSteps(entry).map(composeStep).filter(step => step.tasks.length > 0);
-    return create(ProgressSchema, { job: entry.id, state: entry.state, steps, endedAtMs: entry.endedAtMs });
+    return create(ProgressSchema, {
+        job: entry.id,
+        state: entry.state,
+        steps,
+        endedAtMs: entry.endedAtMs,
+        ...(entry.lastTerms === undefined ? {} : { terms: encodeQueueTerms(entry.lastTerms) }),
+    });
 }
 
 function composeStep(step: StepEntry): StepProgress {
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -1,6 +1,7 @@
 import type { Job, Progress, Step } from "@balsamward/schema/scheduling";
 import { JobState } from "@balsamward/schema/scheduling";
 import type { JobId, QueueName, WorkerId } from "../ids.js";
+import { decodeQueueTerms } from "./decodeQueueTerms.js";
 import type { JobEntry, StepEntry, TaskEntry } from "./JobEntry.js";
 
 /** Options of `createJobEntry`. */
@@ -30,6 +31,9 @@
         id: job.id as JobId,
         job,
         queue: job.queue as QueueName,
+        acceptedTerms: decodeQueueTerms(job.terms),
+        lastTerms: decodeQueueTerms(stored?.terms),
+        termsSource: "configured",
         revision,
         acceptedAt,
         occurrences: new Map(),
