Engine: Split the files that start and end runs

Change: confirmRun, countFailure, findUnsentReason and listTasksSharingOutcome have files of their own; pauseWorker is with the fleet. No change of behaviour.

--- a/packages/scheduler/src/engine/runs/applyRunEnd.ts
+++ b/packages/scheduler/src/engine/runs/applyRunEnd.ts
@@ -1,19 +1,16 @@
-import { JobState } from "@balsamward/schema/scheduling";
 import type { EndedRun } from "../../ports/WorkerPort.js";
 import { isFinalState } from "../../state/isFinalState.js";
-import type { JobEntry, Run, TaskEntry } from "../../state/JobEntry.js";
+import type { Run, TaskEntry } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
-import { createTermsFinder } from "../jobs/createTermsFinder.js";
-import { endJob, endJobIfComplete, markProgressChanged } from "../jobs/endJob.js";
+import { pauseWorker } from "../fleet/pauseWorker.js";
+import { endJobIfComplete, markProgressChanged } from "../jobs/endJob.js";
 import type { Scheduler } from "../Scheduler.js";
+import { countFailure } from "./countFailure.js";
 import { findTask } from "./findTask.js";
+import { listTasksSharingOutcome } from "./listTasksSharingOutcome.js";
 import { releaseRun } from "./runs.js";
-import { pauseWorker } from "./startRun.js";
 import { endGang, stopRun } from "./stopRun.js";
 
-/** Number of failures of a task after which its job fails, if no terms apply to it. */
-const DEFAULT_ATTEMPTS = 2;
-
 /**
  * Applies the end of a run that a worker reports.
  *
@@ -100,11 +97,6 @@
     }
 }
 
-/** Returns the tasks that an outcome of a task applies to: all members of a gang, otherwise the task alone. */
-function listTasksSharingOutcome(task: TaskEntry): readonly TaskEntry[] {
-    return task.step.spec.gang ? task.step.tasks : [task];
-}
-
 /** Saves a task's checkpoint; one of any member of a gang resumes the whole gang. */
 function saveCheckpoint(task: TaskEntry, checkpoint: string): void {
     listTasksSharingOutcome(task).forEach(member => {
@@ -129,25 +121,3 @@
         endJobIfComplete(scheduler, job);
     }
 }
-
-/** Counts a failure of a task that does not last; lasting tasks may fail any number of times. */
-function countFailure(scheduler: Scheduler, task: TaskEntry, runNumber: number): void {
-    const { step } = task;
-    if (task.countedRuns.has(runNumber) || task.done) {
-        return;
-    }
-    for (const member of listTasksSharingOutcome(task)) {
-        member.countedRuns.add(runNumber);
-        member.failures += 1;
-    }
-    markProgressChanged(scheduler, step.job);
-    if (task.failures >= getAttempts(scheduler, step.job)) {
-        endJob(scheduler, step.job, JobState.FAILED, "attempts-used-up");
-    }
-}
-
-function getAttempts({ configuration }: Scheduler, entry: JobEntry): number {
-    const current = configuration();
-    const terms = current === undefined ? entry.acceptedTerms : createTermsFinder(current)(entry).terms;
-    return terms?.attempts ?? DEFAULT_ATTEMPTS;
-}
--- a/packages/scheduler/src/engine/runs/relocateRuns.ts
+++ b/packages/scheduler/src/engine/runs/relocateRuns.ts
@@ -1,7 +1,7 @@
 import type { Run } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { pauseWorker } from "../fleet/pauseWorker.js";
 import type { Scheduler } from "../Scheduler.js";
-import { pauseWorker } from "./startRun.js";
 import { stopRun } from "./stopRun.js";
 
 /** Time without progress after which a run counts as stalled, in milliseconds. */
--- a/packages/scheduler/src/engine/runs/startRun.ts
+++ b/packages/scheduler/src/engine/runs/startRun.ts
@@ -1,9 +1,4 @@
-import {
-    MAX_START_SENDS,
-    MAX_WORKER_PAUSE_MS,
-    MIN_WORKER_PAUSE_MS,
-    WORKER_LIST_INTERVAL_MS,
-} from "../../constants.js";
+import { MAX_START_SENDS, WORKER_LIST_INTERVAL_MS } from "../../constants.js";
 import { isAnswer } from "../../ports/isAnswer.js";
 import type { OrderOutcome, Refusal } from "../../ports/WorkerPort.js";
 import type { Run } from "../../state/JobEntry.js";
@@ -12,10 +7,13 @@
 import { storeSuspectedRun } from "../crashes/suspectedRuns.js";
 import type { SentOrder } from "../fleet/applyOrderAnswer.js";
 import { applyOrderAnswer, describeSentOrder } from "../fleet/applyOrderAnswer.js";
+import { pauseWorker } from "../fleet/pauseWorker.js";
 import { removeReplacedWorker } from "../fleet/removeReplacedWorker.js";
 import { extendLease, recordLongestLease } from "../fleet/workerLease.js";
-import { isOwnershipConfirmed } from "../isOwnershipConfirmed.js";
 import type { Scheduler } from "../Scheduler.js";
+import { confirmRun } from "./confirmRun.js";
+import type { UnsentReason } from "./findUnsentReason.js";
+import { findUnsentReason } from "./findUnsentReason.js";
 import { releaseRun } from "./runs.js";
 import { stopGang, stopRun } from "./stopRun.js";
 
@@ -74,12 +72,6 @@
     }
 }
 
-/**
- * Why an order is not sent: its worker no longer answers, another daemon may be the owner, or the worker's capacity has
- * shrunk below what its runs need.
- */
-type UnsentReason = "silent" | "unconfirmed" | "no-capacity";
-
 /**
  * Sends an order to start a run; returns `undefined` if the run was stopped or released before its turn came, or is
  * released now because an order must wait and its worker has got none.
@@ -140,18 +132,6 @@
     }
 }
 
-function findUnsentReason(scheduler: Scheduler, run: Run): UnsentReason | undefined {
-    if (run.worker.isUnresponsive) {
-        // The order would extend the lease after which the worker's other runs have certainly ended.
-        return "silent";
-    }
-    if (!isOwnershipConfirmed(scheduler)) {
-        // A worker that has restarted since a successor called it would not refuse the order.
-        return "unconfirmed";
-    }
-    return fitsCapacity(run) ? undefined : "no-capacity";
-}
-
 /** Releases a run whose start has not been sent. */
 function withdrawRun(scheduler: Scheduler, run: Run, reason: UnsentReason): void {
     scheduler.log.info("A start is withdrawn.", {
@@ -170,42 +150,6 @@
     return run.phase === "starting" && run.worker.runs.has(run) && !ownership.signal.aborted;
 }
 
-/**
- * Marks a run as confirmed by its worker; a confirmed run stays unchanged.
- *
- * @param run - The run.
- * @param now - Monotonic time in milliseconds.
- */
-export function confirmRun(run: Run, now: number): void {
-    if (run.isConfirmed) {
-        return;
-    }
-    run.isConfirmed = true;
-    run.task.step.job.hasStarted = true;
-    run.confirmedAt = now;
-    run.progressedAt = now;
-    if (run.phase === "starting") {
-        run.phase = "running";
-    }
-}
-
-/**
- * Pauses starts on a worker, for twice as long with each consecutive fault up to a maximum.
- *
- * @param scheduler - The scheduler.
- * @param worker - The worker.
- */
-export function pauseWorker(scheduler: Scheduler, worker: WorkerEntry): void {
-    const pauseMs = Math.min(MAX_WORKER_PAUSE_MS, MIN_WORKER_PAUSE_MS * 2 ** worker.consecutiveFaults);
-    worker.consecutiveFaults += 1;
-    worker.pausedUntil = scheduler.clock() + pauseMs;
-    scheduler.log.info("A worker is paused.", {
-        worker: worker.id,
-        faults: worker.consecutiveFaults,
-        pauseMs,
-    });
-}
-
 /** Starts nothing on a worker that has less room than it is listed with before the next list may show what it has. */
 function awaitNextList(scheduler: Scheduler, worker: WorkerEntry): void {
     worker.pausedUntil = Math.max(worker.pausedUntil, scheduler.clock() + WORKER_LIST_INTERVAL_MS);
@@ -245,12 +189,6 @@
     scheduler.requestPass();
 }
 
-/** Returns whether the capacity of a run's worker suffices for all runs on it; a run that fills idle CPU needs none. */
-function fitsCapacity({ worker: { free }, task }: Run): boolean {
-    return free.memoryMb >= 0 && free.accelerators >= 0
-        && (task.step.spec.fillsIdle || free.cpuMillis >= 0);
-}
-
 function logLostCapacity(scheduler: Scheduler, { task, number, worker }: Run): void {
     scheduler.log.info("A start is withdrawn, since the capacity of its worker has shrunk.", {
         ...task.name,
