--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -3,27 +3,27 @@
     AdvisedStep,
     FleetConfiguration,
     JobId,
-    Queue,
     UpkeepWave,
     WorkerId,
     WorkerReport,
 } from "@balsamward/scheduler";
 import { createMetrics } from "@balsamward/scheduler";
-import { JobSchema, JobState, ScheduleSchema, StepSchema } from "@balsamward/schema/scheduling";
-import type { Job, Step } from "@balsamward/schema/scheduling";
+import { JobSchema, JobState } from "@balsamward/schema/scheduling";
+import type { StepSchema } from "@balsamward/schema/scheduling";
 import { FakeFleetStore, FakeWorker } from "@balsamward/stand-ins";
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import { setMaxListeners } from "node:events";
 import winston from "winston";
 import { createOwnerService } from "../../packages/scheduler/src/engine/createOwnerService.js";
 import { createScheduler, runScheduler } from "../../packages/scheduler/src/engine/runScheduler.js";
 import type { Ownership } from "../../packages/scheduler/src/engine/Scheduler.js";
-import { encodeQueueTerms } from "../../packages/scheduler/src/state/encodeQueueTerms.js";
 import { storeKeys } from "../../packages/scheduler/src/storeKeys.js";
 import { createSuspendableStore } from "./createSuspendableStore.js";
 import { createTestConfiguration } from "./createTestConfiguration.js";
 import { FakeClock } from "./FakeClock.js";
+import type { CreateAcceptedJobOptions } from "./scheduler/createAcceptedJob.js";
+import { createAcceptedJob } from "./scheduler/createAcceptedJob.js";
 import { createFakeWorkerPort } from "./scheduler/createFakeWorkerPort.js";
 import { createWorkerReport } from "./scheduler/createWorkerReport.js";
 import { FakeMachines } from "./scheduler/FakeMachines.js";
@@ -36,13 +36,6 @@
 
 const MAX_HOLD_MS = 10_000;
 
-/** Options of `SchedulerTestHarness.submit`. */
-export type SubmitOptions = {
-    readonly schedule?: MessageInitShape<typeof ScheduleSchema>;
-    /** Whether the accepting daemon is of a build that stores neither a term nor the terms of the queue with a job. */
-    readonly withoutTerm?: boolean;
-};
-
 /** Runs a scheduler against a fake store and fake workers, on a fake clock. */
 export class SchedulerTestHarness {
     readonly clock = new FakeClock();
@@ -113,15 +106,21 @@
         queue: string,
         customer: string,
         steps: readonly MessageInitShape<typeof StepSchema>[],
-        options: SubmitOptions = {},
+        options: CreateAcceptedJobOptions = {},
     ): JobId {
         this.jobCount += 1;
         const id = this.jobCount.toString(16).padStart(16, "0");
         this.submittedSteps.set(id, steps);
-        this.store.put(
-            storeKeys.job(id),
-            toBinary(JobSchema, this.createJob(id, queue, customer, steps, options)),
-        );
+        const job = createAcceptedJob({
+            id,
+            queue,
+            customer,
+            steps,
+            acceptedAtMs: this.clock.now,
+            termRevision: this.terms.at(-1)!.scheduler.ownership.revision,
+            configuration: this.configuration,
+        }, options);
+        this.store.put(storeKeys.job(id), toBinary(JobSchema, job));
         return id as JobId;
     }
 
@@ -254,34 +253,6 @@
         return { kind: "advised", allowed, validityMs: 3_000 };
     }
 
-    private createJob(
-        id: string,
-        queue: string,
-        customer: string,
-        steps: readonly MessageInitShape<typeof StepSchema>[],
-        { schedule, withoutTerm = false }: SubmitOptions,
-    ): Job {
-        return create(JobSchema, {
-            id,
-            queue,
-            customer,
-            spec: "spec",
-            steps: steps.map((step): Step => create(StepSchema, step)),
-            acceptedAtMs: this.clock.now,
-            ...(withoutTerm ? {} : {
-                termRevision: this.terms.at(-1)!.scheduler.ownership.revision,
-                terms: encodeQueueTerms(this.findQueue(queue)),
-            }),
-            ...(schedule === undefined ? {} : { schedule: create(ScheduleSchema, schedule) }),
-        });
-    }
-
-    /** Finds a queue; the accepting daemon may have another configuration than the owner. */
-    private findQueue(queue: string): Queue {
-        const { queues } = createTestConfiguration();
-        return [...this.configuration.queues, ...queues].find(({ name }) => name === queue)!;
-    }
-
     private listWorkers(): readonly WorkerReport[] {
         const reports = [...this.workers.values()]
             .filter(worker => !this.unlistedWorkers.has(worker.id) && !worker.isDown)
