Tests: Runs of one incarnation that are released one after the other

Cause: the runs of a silent worker may now be released at two times, and no scenario checked that a crash of it is still counted as one with all of them.

Change: a scenario of workerLeases.feature. Without remembering the runs together it fails: the second counts as the only run of its worker.

--- a/packages/scheduler/src/engine/fleet/workerLeases.feature
+++ b/packages/scheduler/src/engine/fleet/workerLeases.feature
@@ -112,3 +112,18 @@
         And 1 worker joins the fleet
         And 8 seconds pass while all runs make progress
         Then 1 task of J runs
+
+    # LOST: a task beside others was suspected as the only one that ran when its worker crashed.
+    Scenario: Runs of a crashed worker that are released one after the other count as crashes with one run each
+        Given a fleet of 1 workers with an owner
+        When 5 seconds pass
+        And ana submits the normal job J of "1 x 2"
+        And 1 second passes
+        And the next orders to w0 hit the faults "lost-answer unanswered"
+        And ana submits the normal job K of "1 x 2"
+        And the worker of task 0.0.0 of K is disconnected
+        And 12 seconds pass while all runs make progress
+        And the worker w0 restarts
+        And the disconnected worker is reachable again
+        And 1 second passes
+        Then the counted crashes match the snapshot
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -90,6 +90,11 @@
     await harness.advance(2 * WORKER_LIST_INTERVAL_MS);
 });
 
+Then("the counted crashes match the snapshot", async function(this: TestWorld) {
+    const { values } = await getHarness(this).terms.at(-1)!.scheduler.metrics.workerCrashes.get();
+    this.expectSnapshot(values.map(({ labels, value }) => ({ alone: labels.alone, crashes: value })));
+});
+
 When("the worker {word} restarts", function(this: TestWorld, id: string) {
     getHarness(this).workers.get(id as WorkerId)!.restart();
 });
