A daemon knows how long ago its configuration was last the newest

The logs told the version that decided a call, but not whether the daemon had heard from the store since: a watch that was given up left no line. Each daemon now keeps the time at which the version in force was last known to be the newest (an answered list or watch). The loop of the watch reads from top to bottom: read, then watch from the revision read.

--- a/packages/scheduler/src/Metrics.ts
+++ b/packages/scheduler/src/Metrics.ts
@@ -63,6 +63,11 @@
             help: "Version of the configuration in force.",
             registers,
         }),
+        configurationConfirmed: new Gauge({
+            name: "balsamward_configuration_confirmed_timestamp_seconds",
+            help: "Unix time at which the configuration in force was last known to be the newest.",
+            registers,
+        }),
         ignoredRecords: counter("ignored_records", "Stored records that cannot be used, by record.", [
             "record",
         ]),
--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -114,6 +114,10 @@
     assert.equal(this.note<Cluster>("cluster").configuration.current()?.version, version);
 });
 
+Then("the age of the configuration is {int} ms", function(this: TestWorld, ageMs: number) {
+    assert.equal(this.note<Cluster>("cluster").configuration.getAgeMs(), ageMs);
+});
+
 Then("the store was listed {int} time(s)", function(this: TestWorld, times: number) {
     assert.equal(this.note<FakeFleetStore>("store").callCounts.get("list"), times);
 });
--- a/packages/scheduler/src/cluster/createActiveConfiguration.ts
+++ b/packages/scheduler/src/cluster/createActiveConfiguration.ts
@@ -4,6 +4,8 @@
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { Metrics } from "../Metrics.js";
 
+const MS_PER_SECOND = 1_000;
+
 /** A text that cannot be decoded as a configuration. */
 export type ConfigurationError = { readonly kind: "bad-configuration"; readonly message: string };
 
@@ -20,23 +22,36 @@
      * be decoded is logged and ignored; `source` names its origin in the log.
      */
     readonly activateIfNewer: (text: Uint8Array, source: string) => void;
+    /** Records that the version in force was the newest at a monotonic time, in milliseconds. */
+    readonly confirm: (at: number) => void;
+    /** Returns the time since the version in force was last known to be the newest, in milliseconds. */
+    readonly getAgeMs: () => number;
     /** Called after a configuration has come into force. */
     onChange: () => void;
 };
 
+/** Options of `createActiveConfiguration`. */
+export type ActiveConfigurationOptions = {
+    readonly log: Logger;
+    readonly metrics: Metrics;
+    /** Returns monotonic time in milliseconds. */
+    readonly clock: () => number;
+};
+
 /**
  * Creates the holder of a daemon's configuration, with no configuration in force.
  *
  * @param decode - Decodes the text of a configuration.
- * @param options - Log and metrics.
+ * @param options - Log, metrics and clock.
  * @returns The holder.
  */
 export function createActiveConfiguration(
     decode: DecodeConfiguration,
-    options: { readonly log: Logger; readonly metrics: Metrics },
+    options: ActiveConfigurationOptions,
 ): ActiveConfiguration {
     let current: FleetConfiguration | undefined;
     let currentText: Uint8Array = new Uint8Array();
+    let confirmedAt = Number.NEGATIVE_INFINITY;
     const activeConfiguration: ActiveConfiguration = {
         current: () => current,
         text: () => currentText,
@@ -63,6 +78,12 @@
             options.metrics.configurationVersion.set(decoded.value.version);
             activeConfiguration.onChange();
         },
+        confirm: at => {
+            confirmedAt = Math.max(confirmedAt, at);
+            const ageMs = options.clock() - confirmedAt;
+            options.metrics.configurationConfirmed.set((Date.now() - ageMs) / MS_PER_SECOND);
+        },
+        getAgeMs: () => options.clock() - confirmedAt,
         onChange: () => {},
     };
     return activeConfiguration;
--- a/packages/scheduler/src/cluster/createCluster.ts
+++ b/packages/scheduler/src/cluster/createCluster.ts
@@ -31,7 +31,7 @@
         address,
         processorCores: options.processorCores ?? 0,
         peers: new Map(),
-        configuration: createActiveConfiguration(decodeConfiguration, { log, metrics }),
+        configuration: createActiveConfiguration(decodeConfiguration, { log, metrics, clock }),
         log,
         metrics,
         clock,
--- a/packages/scheduler/src/cluster/watchConfiguration.feature
+++ b/packages/scheduler/src/cluster/watchConfiguration.feature
@@ -54,3 +54,16 @@
     Scenario: A term's record and its owner's record differ in their revisions
         When the daemon watches the ownership
         Then the term's record has the revision of the owner's record
+
+    Scenario: A configuration is as old as the last answer of the store
+        Given the store holds configuration 3
+        When the daemon watches the configuration
+        Then the age of the configuration is 0 ms
+        When 400 ms pass
+        Then the age of the configuration is 400 ms
+        When configuration 5 is written to the store
+        # The watch was answered at an unknown time after it was sent.
+        Then the age of the configuration is 400 ms
+        When 100 ms pass
+        And configuration 6 is written to the store
+        Then the age of the configuration is 100 ms
--- a/packages/scheduler/src/cluster/watchConfiguration.ts
+++ b/packages/scheduler/src/cluster/watchConfiguration.ts
@@ -19,22 +19,12 @@
 ): Promise<void> {
     let revision: number | undefined;
     while (!signal.aborted) {
+        revision = revision === undefined
+            ? await readConfiguration(cluster, store, key)
+            : await waitForChange(cluster, store, { key, revision, signal });
         if (revision === undefined) {
-            revision = await readConfiguration(cluster, store, key);
+            await pause(STORE_RETRY_MS, signal);
         }
-        const watched = revision === undefined
-            ? undefined
-            : await store.watch(key, revision, MAX_WATCH_WAIT_MS, signal);
-        if (watched?.isOk()) {
-            watched.value.events
-                .filter(event => event.key === key && event.value !== undefined)
-                .forEach(event => cluster.configuration.activateIfNewer(event.value!, "store"));
-            revision = watched.value.revision;
-            continue;
-        }
-        // The current value is read again whatever error ended the watch.
-        revision = undefined;
-        await pause(STORE_RETRY_MS, signal);
     }
 }
 
@@ -44,12 +34,38 @@
     store: FleetStore,
     key: string,
 ): Promise<number | undefined> {
+    const sentAt = cluster.clock();
     const listed = await store.list(key);
     if (listed.isErr()) {
+        cluster.log.debug("The configuration cannot be read.", { reason: listed.error.kind });
         return undefined;
     }
     listed.value.items
         .filter(item => item.key === key)
         .forEach(item => cluster.configuration.activateIfNewer(item.value, "store"));
+    cluster.configuration.confirm(sentAt);
     return listed.value.revision;
 }
+
+type WatchedKey = { readonly key: string; readonly revision: number; readonly signal: AbortSignal };
+
+/** Returns the revision of the answer, or `undefined` if the value is to be read again, whatever the error is. */
+async function waitForChange(
+    { clock, configuration, log }: Cluster,
+    store: FleetStore,
+    { key, revision, signal }: WatchedKey,
+): Promise<number | undefined> {
+    const sentAt = clock();
+    const watched = await store.watch(key, revision, MAX_WATCH_WAIT_MS, signal);
+    if (watched.isErr()) {
+        const ageMs = Math.round(configuration.getAgeMs());
+        log.warn("The watch of the configuration is interrupted.", { reason: watched.error.kind, ageMs });
+        return undefined;
+    }
+    const { events } = watched.value;
+    events.filter(event => event.key === key && event.value !== undefined)
+        .forEach(event => configuration.activateIfNewer(event.value!, "store"));
+    // Without events, the store answers after the whole wait.
+    configuration.confirm(events.length > 0 ? sentAt : Math.min(clock(), sentAt + MAX_WATCH_WAIT_MS));
+    return watched.value.revision;
+}
