Scenarios: a configuration is late after connections have gone silent (failing)

Reproduces the incident in two parts: a connection to a peer that has gone silent fails one call after the other, and a watch whose answer is lost is relayed through peers before the store is called again.

--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -1,5 +1,5 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import { err, ok } from "neverthrow";
+import { err, ok, ResultAsync } from "neverthrow";
 import assert from "node:assert/strict";
 import winston from "winston";
 import { FakeClock } from "../../../../features/support/FakeClock.js";
@@ -8,6 +8,7 @@
 import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import { createMetrics } from "../Metrics.js";
+import { pause } from "../pause.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 import type { Cluster, Peer } from "./Cluster.js";
 import { couldMissNewOwner } from "./couldMissNewOwner.js";
@@ -21,6 +22,12 @@
 const CONFIGURATION_KEY = "configuration";
 const EVENT_LOOP_TURNS = 50;
 
+/** Number and interval of the checks of a change that takes effect after a pause of real time. */
+const MAX_CHECKS = 100;
+const CHECK_INTERVAL_MS = 50;
+
+const LOST = err({ kind: "unclear" as const, message: "The answer is lost. Read the value back." });
+
 /** Version of a configuration that causes an unexpected error of the decoder. */
 const UNEXPECTED_VERSION = 13;
 
@@ -53,10 +60,18 @@
     reachesStore: boolean,
     lastContactAt: number,
 ): void {
-    const calls = {
-        relayStoreCall: (request: Parameters<typeof executeRelayedCall>[1]) =>
-            executeRelayedCall(store, request, new AbortController().signal),
-    };
+    const relayStoreCall = (request: Parameters<typeof executeRelayedCall>[1]) =>
+        executeRelayedCall(store, request, new AbortController().signal);
+    addPeerWithCalls(cluster, name, { relayStoreCall }, reachesStore, lastContactAt);
+}
+
+function addPeerWithCalls(
+    cluster: Cluster,
+    name: string,
+    calls: object,
+    reachesStore: boolean,
+    lastContactAt: number,
+): void {
     const peer = {
         address: name,
         node: name,
@@ -168,6 +183,41 @@
     }
 });
 
+Given("a peer that reaches the store and answers no calls", function(this: TestWorld) {
+    const calls = { relayStoreCall: () => new Promise(() => {}) };
+    addPeerWithCalls(this.note("cluster"), "peer", calls, true, 0);
+});
+
+When("the daemon watches the configuration through the relaying store", async function(this: TestWorld) {
+    const end = new AbortController();
+    this.cleanups.push(() => end.abort());
+    const client = this.note<FakeFleetStore>("store").createClient();
+    const direct: FleetStore = {
+        ...client,
+        watch: () =>
+            new ResultAsync(new Promise(resolve => this.notes.set("loseWatch", () => resolve(LOST)))),
+    };
+    const store = createRelayingStore(direct, this.note("cluster"));
+    void watchConfiguration(this.note("cluster"), store, CONFIGURATION_KEY, end.signal);
+    await waitTurns(EVENT_LOOP_TURNS);
+});
+
+When(
+    "configuration {word} is written to the store, and the answer to the watch is lost",
+    function(this: TestWorld, version: string) {
+        this.note<FakeFleetStore>("store").put(CONFIGURATION_KEY, Buffer.from(version));
+        this.note<() => void>("loseWatch")();
+    },
+);
+
+Then("configuration {int} comes into force", async function(this: TestWorld, version: number) {
+    const { configuration } = this.note<Cluster>("cluster");
+    for (let checks = 0; checks < MAX_CHECKS && configuration.current()?.version !== version; checks++) {
+        await pause(CHECK_INTERVAL_MS);
+    }
+    assert.equal(configuration.current()?.version, version);
+});
+
 When("the daemon writes a value", async function(this: TestWorld) {
     const cluster = this.note<Cluster>("cluster");
     const store = createRelayingStore(this.note<FakeFleetStore>("direct").createClient(), cluster);
--- a/packages/scheduler/src/cluster/createPeerClient.feature
+++ b/packages/scheduler/src/cluster/createPeerClient.feature
@@ -30,3 +30,11 @@
         And the client resets its connection
         Then a new call has failed with a refused connection
         And no error was left unhandled
+
+    Scenario: The calls to a peer do not keep failing after its connection has gone silent
+        Given a called peer behind a proxy
+        When all open connections of the proxy go silent
+        Then one of the next 2 calls is answered
+        When all open connections of the proxy go silent, and nothing is called for 600 ms
+        Then one of the next 1 calls is answered
+        And no error was left unhandled
--- a/packages/scheduler/src/cluster/createPeerClient.steps.ts
+++ b/packages/scheduler/src/cluster/createPeerClient.steps.ts
@@ -4,10 +4,12 @@
 import assert from "node:assert/strict";
 import { createTestCluster } from "../../../../features/support/createTestCluster.js";
 import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
+import { SilenceableProxy } from "../../../../features/support/SilenceableProxy.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { collectUnhandledErrors, SETTLING_TURNS } from "../../../../features/support/unhandledErrors.js";
 import { waitTurns } from "../../../../features/support/waitTurns.js";
 import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
+import { pause } from "../pause.js";
 import type { FleetStore, StoreItem } from "../ports/FleetStore.js";
 import type { PeerClient } from "./createPeerClient.js";
 import { createPeerClient, isConnectionRefused } from "./createPeerClient.js";
@@ -23,7 +25,9 @@
     readonly stop: () => Promise<void>;
 };
 
-async function startCalledPeer(): Promise<CalledPeer> {
+async function startCalledPeer(
+    getClientAddress = async (peerAddress: string): Promise<string> => peerAddress,
+): Promise<CalledPeer> {
     const cluster = createTestCluster("peer", await findFreeAddress());
     let answerReads = (): void => {};
     const answered = new Promise<void>(resolve => answerReads = resolve);
@@ -32,7 +36,7 @@
         read: () => new ResultAsync(answered.then(() => ok<StoreItem | undefined, never>(undefined))),
     };
     const listener = await serveCluster({ cluster, store, localOwner: () => undefined }, cluster.address);
-    const client = createPeerClient(cluster.address);
+    const client = createPeerClient(await getClientAddress(cluster.address));
     const answer = await callPeer(client);
     assert.ok(!(answer instanceof Error), String(answer));
     return { client, answerReads, stop: listener.close };
@@ -123,3 +127,39 @@
     const error = await callPeer(this.note<CalledPeer>("peer").client);
     assert.ok(isConnectionRefused(error), String(error));
 });
+
+Given("a called peer behind a proxy", async function(this: TestWorld) {
+    collectUnhandledErrors(this);
+    const peer = await startCalledPeer(address => {
+        const proxy = new SilenceableProxy(address);
+        this.notes.set("proxy", proxy);
+        return proxy.listen();
+    });
+    this.notes.set("peer", peer);
+    this.cleanups.push(async () => {
+        peer.client.reset();
+        this.note<SilenceableProxy>("proxy").close();
+        await peer.stop();
+    });
+});
+
+When("all open connections of the proxy go silent", function(this: TestWorld) {
+    this.note<SilenceableProxy>("proxy").silence();
+});
+
+When(
+    "all open connections of the proxy go silent, and nothing is called for {int} ms",
+    async function(this: TestWorld, idleMs: number) {
+        this.note<SilenceableProxy>("proxy").silence();
+        await pause(idleMs);
+    },
+);
+
+Then("one of the next {int} calls is answered", async function(this: TestWorld, count: number) {
+    const outcomes: string[] = [];
+    for (let made = 0; made < count; made++) {
+        const answer = await callPeer(this.note<CalledPeer>("peer").client);
+        outcomes.push(answer instanceof Error ? String(answer) : "answered");
+    }
+    assert.ok(outcomes.includes("answered"), outcomes.join("; "));
+});
--- a/packages/scheduler/src/cluster/watchConfiguration.feature
+++ b/packages/scheduler/src/cluster/watchConfiguration.feature
@@ -67,3 +67,10 @@
         When 100 ms pass
         And configuration 6 is written to the store
         Then the age of the configuration is 100 ms
+
+    Scenario: A change is in force after the store's connection has gone silent, though peers do not answer either
+        Given the store holds configuration 3
+        And a peer that reaches the store and answers no calls
+        When the daemon watches the configuration through the relaying store
+        And configuration 5 is written to the store, and the answer to the watch is lost
+        Then configuration 5 comes into force
