A watch whose answer is lost is not relayed through peers first

Cause: a watch that was cut off while it waited was repeated through up to two peers, each with the whole wait and its timeout, before the store itself was called again. With peers that do not answer, that is 5.8 s after the 2.7 s of the watch. Now it fails, and its callers, which try again in any case, call the store. Other calls still show that the store is unreachable, and then watches are relayed.

--- a/packages/scheduler/src/cluster/createRelayingStore.ts
+++ b/packages/scheduler/src/cluster/createRelayingStore.ts
@@ -12,8 +12,9 @@
 /**
  * Creates a store that relays its calls through a peer while this daemon cannot reach the store directly.
  *
- * While no peer reaches the store either, calls fail at once. A single background probe detects when the store
- * answers again. A write whose answer was lost is not relayed, as it may have taken effect: its outcome stays unclear.
+ * A watch that was cut off while it waited is not relayed: its caller tries again. While no peer reaches the store
+ * either, calls fail at once. A single background probe detects when the store answers again. A write whose answer was
+ * lost is not relayed, as it may have taken effect: its outcome stays unclear.
  *
  * @param direct - Store client that calls the store directly.
  * @param cluster - This daemon's view of the cluster, with the peers to relay through.
@@ -94,19 +95,32 @@
         return relayThroughPeers(cluster, storeCall);
     }
     const result = await storeCall.callDirectly();
-    const isUnreachable = result.isErr()
-        && (result.error.kind === "unavailable" || result.error.kind === "unclear");
-    if (!isUnreachable) {
+    if (result.isOk() || !isUnreachable(result.error)) {
         return result;
     }
-    // A watch that waits for events may be cut off although the store is reachable.
+    if (isLostWatch(storeCall, result.error)) {
+        return result;
+    }
+    // Other calls show whether the store is unreachable: a watch may be refused by itself.
     if (storeCall.waitMs === 0) {
         probeStore();
     }
-    const mayRelay = result.isErr() && (storeCall.isRepeatable || result.error.kind === "unavailable");
+    const mayRelay = storeCall.isRepeatable || result.error.kind === "unavailable";
     return mayRelay && listRelayPeers(cluster).length > 0 ? relayThroughPeers(cluster, storeCall) : result;
 }
 
+function isUnreachable({ kind }: StoreError): boolean {
+    return kind === "unavailable" || kind === "unclear";
+}
+
+/**
+ * Returns whether a watch was cut off while it waited. The store may well be reachable on another connection, so it is
+ * called again before a peer is.
+ */
+function isLostWatch({ waitMs }: Pick<RelayedStoreCall<unknown>, "waitMs">, { kind }: StoreError): boolean {
+    return waitMs > 0 && kind === "unclear";
+}
+
 function toEvent(row: StoreRow): StoreEvent {
     return { key: row.key, revision: row.revision, value: row.value };
 }
