The watch of the configuration is given up before a change in it is late

Cause: a watch waited 2 s for changes and timed out 0.7 s later, so a connection that had gone silent hid a change for up to 2.85 s; the bound of the smaller deployments is 2 s. It waits 1 s now, and the configuration is read again at most 1.85 s after a change that was hidden from all daemons at once.

The scenario failed before (2700 ms of timeout). The price is one more call of the store every 2 s and daemon.

--- a/packages/scheduler/src/cluster/watchConfiguration.ts
+++ b/packages/scheduler/src/cluster/watchConfiguration.ts
@@ -1,8 +1,14 @@
-import { MAX_WATCH_WAIT_MS, STORE_RETRY_MS } from "../constants.js";
+import { STORE_RETRY_MS } from "../constants.js";
 import { pause } from "../pause.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 import type { Cluster } from "./Cluster.js";
 
+/**
+ * Maximum time for which a watch of the configuration waits for changes, in milliseconds. A connection that goes silent
+ * hides changes until the watch on it times out.
+ */
+const MAX_CONFIGURATION_WATCH_WAIT_MS = 1_000;
+
 /**
  * Watches the operator's configuration in the store and puts each newer version into force.
  *
@@ -56,7 +62,7 @@
     { key, revision, signal }: WatchedKey,
 ): Promise<number | undefined> {
     const sentAt = clock();
-    const watched = await store.watch(key, revision, MAX_WATCH_WAIT_MS, signal);
+    const watched = await store.watch(key, revision, MAX_CONFIGURATION_WATCH_WAIT_MS, signal);
     if (watched.isErr()) {
         const ageMs = Math.round(configuration.getAgeMs());
         log.warn("The watch of the configuration is interrupted.", { reason: watched.error.kind, ageMs });
@@ -66,6 +72,8 @@
     events.filter(event => event.key === key && event.value !== undefined)
         .forEach(event => configuration.activateIfNewer(event.value!, "store"));
     // Without events, the store answers after the whole wait.
-    configuration.confirm(events.length > 0 ? sentAt : Math.min(clock(), sentAt + MAX_WATCH_WAIT_MS));
+    configuration.confirm(
+        events.length > 0 ? sentAt : Math.min(clock(), sentAt + MAX_CONFIGURATION_WATCH_WAIT_MS),
+    );
     return watched.value.revision;
 }
