One fetch of the configuration from a peer at a time

Cause: each heartbeat that names a newer version started another fetch of the whole text, and each answer was decoded before its version was compared. A fetch now goes on until the version that the peer's last heartbeat has named is in force or no progress is made, and an answer that is not newer is not decoded.

--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -75,6 +75,8 @@
         failedExchanges: 0,
         refusedConnections: 0,
         reachesStore: true,
+        configurationVersion: 0,
+        isFetchingConfiguration: false,
         wallClockOffsetMs: 0,
         leaving: false,
         processorCores: 0,
--- a/packages/scheduler/src/cluster/Cluster.ts
+++ b/packages/scheduler/src/cluster/Cluster.ts
@@ -35,6 +35,10 @@
     refusedConnections: number;
     /** Whether it reaches the store, according to its last heartbeat; false after a relay through it failed. */
     reachesStore: boolean;
+    /** Version of its configuration, according to its last heartbeat; 0 before the first. */
+    configurationVersion: number;
+    /** Whether this daemon is fetching the peer's configuration. */
+    isFetchingConfiguration: boolean;
     /** Its wall clock minus this daemon's, in milliseconds. */
     wallClockOffsetMs: number;
     leaving: boolean;
@@ -134,6 +138,7 @@
         peer.failedExchanges = 0;
         peer.refusedConnections = 0;
         peer.reachesStore = heartbeat.storeReachable;
+        peer.configurationVersion = heartbeat.configurationVersion;
         peer.leaving = heartbeat.leaving;
         peer.processorCores = heartbeat.processorCores;
         peer.wallClockOffsetMs = heartbeat.wallMs - Date.now();
--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -1,3 +1,5 @@
+import { HeartbeatSchema } from "@balsamward/schema/scheduling";
+import { create } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { err, ok, ResultAsync } from "neverthrow";
 import assert from "node:assert/strict";
@@ -10,6 +12,7 @@
 import { createMetrics } from "../Metrics.js";
 import { pause } from "../pause.js";
 import type { FleetStore } from "../ports/FleetStore.js";
+import { answerHeartbeat } from "./answerHeartbeat.js";
 import type { Cluster, Peer } from "./Cluster.js";
 import { couldMissNewOwner } from "./couldMissNewOwner.js";
 import { createCluster } from "./createCluster.js";
@@ -82,6 +85,8 @@
         failedExchanges: 0,
         refusedConnections: 0,
         reachesStore,
+        configurationVersion: 0,
+        isFetchingConfiguration: false,
         wallClockOffsetMs: 0,
         leaving: false,
         requestExchange: () => {},
@@ -218,6 +223,40 @@
     assert.equal(configuration.current()?.version, version);
 });
 
+Given("a peer that answers fetches of its configuration when it is told to", function(this: TestWorld) {
+    const fetches: ((version: number) => void)[] = [];
+    this.notes.set("fetches", fetches);
+    const fetchConfiguration = () =>
+        new Promise(resolve =>
+            fetches.push(version => resolve({ text: Buffer.from(String(version)), version }))
+        );
+    const cluster = this.note<Cluster>("cluster");
+    addPeerWithCalls(cluster, "peer", { fetchConfiguration }, true, 0);
+    cluster.addPeer = address => cluster.peers.get(address);
+});
+
+When(
+    /^(\d+) heartbeats? of the peer names? configuration (\d+)$/,
+    function(this: TestWorld, count: string, version: string) {
+        const heartbeat = create(HeartbeatSchema, {
+            sender: { node: "peer", address: "peer" },
+            configurationVersion: Number(version),
+        });
+        for (let sent = 0; sent < Number(count); sent++) {
+            answerHeartbeat(this.note("cluster"), heartbeat);
+        }
+    },
+);
+
+When("the peer answers with configuration {int}", async function(this: TestWorld, version: number) {
+    this.note<((version: number) => void)[]>("fetches").at(-1)!(version);
+    await waitTurns(EVENT_LOOP_TURNS);
+});
+
+Then(/^the peer has received (\d+) fetch(?:es)?$/, function(this: TestWorld, count: string) {
+    assert.equal(this.note<unknown[]>("fetches").length, Number(count));
+});
+
 When("the daemon writes a value", async function(this: TestWorld) {
     const cluster = this.note<Cluster>("cluster");
     const store = createRelayingStore(this.note<FakeFleetStore>("direct").createClient(), cluster);
--- a/packages/scheduler/src/cluster/createDatagramExchange.steps.ts
+++ b/packages/scheduler/src/cluster/createDatagramExchange.steps.ts
@@ -42,7 +42,7 @@
         const request = create(HeartbeatSchema, { sender: { node: cluster.node, address: cluster.address } });
         return { heartbeat: create(HeartbeatSchema, answerHeartbeat(other, request)) };
     };
-    const fetchConfiguration = async () => ({ text: Buffer.from(CONFIGURATION) });
+    const fetchConfiguration = async () => ({ text: Buffer.from(CONFIGURATION), version: 2 });
     const peer = {
         address: other.address,
         node: other.node,
--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -63,6 +63,8 @@
             failedExchanges: 0,
             refusedConnections: 0,
             reachesStore: false,
+            configurationVersion: 0,
+            isFetchingConfiguration: false,
             wallClockOffsetMs: 0,
             leaving: false,
             processorCores: 0,
--- a/packages/scheduler/src/cluster/watchConfiguration.feature
+++ b/packages/scheduler/src/cluster/watchConfiguration.feature
@@ -74,3 +74,24 @@
         When the daemon watches the configuration through the relaying store
         And configuration 5 is written to the store, and the answer to the watch is lost
         Then configuration 5 comes into force
+
+    Scenario: Heartbeats that name a new version while it is fetched do not start further fetches
+        Given the store holds configuration 3
+        And a peer that answers fetches of its configuration when it is told to
+        When the daemon watches the configuration
+        And 3 heartbeats of the peer name configuration 5
+        Then the peer has received 1 fetch
+        When the peer answers with configuration 5
+        Then configuration 5 is in force
+        And the peer has received 1 fetch
+
+    Scenario: A version that a heartbeat names while an older one is fetched is fetched next
+        Given the store holds configuration 3
+        And a peer that answers fetches of its configuration when it is told to
+        When the daemon watches the configuration
+        And 1 heartbeat of the peer names configuration 5
+        And 1 heartbeat of the peer names configuration 6
+        And the peer answers with configuration 5
+        Then the peer has received 2 fetches
+        When the peer answers with configuration 6
+        Then configuration 6 is in force
