--- a/packages/scheduler/src/cluster/createActiveConfiguration.ts
+++ b/packages/scheduler/src/cluster/createActiveConfiguration.ts
@@ -19,7 +19,7 @@
     readonly text: () => Uint8Array;
     /**
      * Decodes a configuration and puts it into force if its version is higher than the current one. A text that cannot
-     * be decoded is logged and ignored; `source` names its origin in the log.
+     * be decoded is ignored, and logged and counted when it is first seen; `source` names its origin in the log.
      */
     readonly activateIfNewer: (text: Uint8Array, source: string) => void;
     /** Records that the version in force was the newest at a monotonic time, in milliseconds. */
@@ -51,13 +51,18 @@
 ): ActiveConfiguration {
     let current: FleetConfiguration | undefined;
     let currentText: Uint8Array = new Uint8Array();
+    let refusedText: Uint8Array | undefined;
     let confirmedAt = Number.NEGATIVE_INFINITY;
     const activeConfiguration: ActiveConfiguration = {
         current: () => current,
         text: () => currentText,
         activateIfNewer: (text, source) => {
+            if (refusedText !== undefined && Buffer.compare(refusedText, text) === 0) {
+                return;
+            }
             const decoded = decodeSafely(() => decode(text));
             if (decoded === undefined || decoded.isErr()) {
+                refusedText = text;
                 options.metrics.ignoredRecords.inc({ record: "configuration" });
                 options.log.error("A configuration cannot be decoded and is ignored.", {
                     source,
--- a/packages/scheduler/src/cluster/watchConfiguration.feature
+++ b/packages/scheduler/src/cluster/watchConfiguration.feature
@@ -95,3 +95,12 @@
         Then the peer has received 2 fetches
         When the peer answers with configuration 6
         Then configuration 6 is in force
+
+    Scenario: A configuration that cannot be decoded is counted once, however often it is read
+        Given the store holds configuration 5
+        When the daemon watches the configuration
+        And configuration nonsense is written to the store
+        And a peer offers configuration nonsense
+        Then 1 ignored configuration is counted
+        When configuration 6 is written to the store
+        Then configuration 6 is in force
