--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -3,13 +3,13 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createTestConfiguration } from "../../../../features/support/createTestConfiguration.js";
+import { createTestPeer } from "../../../../features/support/createTestPeer.js";
 import type { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import type { FakeFleetStore, WriteFault } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
-import type { Cluster, Peer } from "../cluster/Cluster.js";
+import type { Cluster } from "../cluster/Cluster.js";
 import { composeHeartbeat, receiveHeartbeat, updateOwner } from "../cluster/Cluster.js";
 import { createCluster } from "../cluster/createCluster.js";
-import type { PeerClient } from "../cluster/createPeerClient.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import type { JobId, QueueName } from "../ids.js";
 import { decodeQueueTerms } from "../state/decodeQueueTerms.js";
@@ -64,27 +64,6 @@
     world.notes.set("tookMs", clock.now - startedAt);
 }
 
-function createTestPeer(address: string, calls: PeerClient["calls"]): Peer {
-    return {
-        address,
-        node: address,
-        client: { calls, reset: () => {} },
-        lastContactAt: 0,
-        rank: 0,
-        isActive: true,
-        failedExchanges: 0,
-        refusedConnections: 0,
-        reachesStore: true,
-        configurationVersion: 0,
-        isFetchingConfiguration: false,
-        wallClockOffsetMs: 0,
-        leaving: false,
-        processorCores: 0,
-        requestExchange: () => {},
-        abortController: new AbortController(),
-    };
-}
-
 /** Delivers a heartbeat of a new owner, whose count is `undefined` until it has loaded its state. */
 function receiveHeartbeatOfNewOwner(world: TestWorld, pending: number | undefined): void {
     const cluster = world.note<Cluster>("cluster");
@@ -201,10 +180,7 @@
         depths: [{ queue: QUEUE, jobs: pending }],
     });
     const calls = { exchange: async () => ({ heartbeat }) };
-    cluster.peers.set(address, {
-        ...createTestPeer(address, calls as unknown as PeerClient["calls"]),
-        node,
-    });
+    cluster.peers.set(address, createTestPeer(address, calls, { node }));
 });
 
 When("{float} second(s) pass without a heartbeat", async function(this: TestWorld, seconds: number) {
--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -1,18 +1,14 @@
-import { HeartbeatSchema } from "@balsamward/schema/scheduling";
-import { create } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { err, ok, ResultAsync } from "neverthrow";
+import { err, ok } from "neverthrow";
 import assert from "node:assert/strict";
 import winston from "winston";
+import { createTestPeer } from "../../../../features/support/createTestPeer.js";
 import { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
-import { waitTurns } from "../../../../features/support/waitTurns.js";
 import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
 import type { FleetConfiguration } from "../FleetConfiguration.js";
 import { createMetrics } from "../Metrics.js";
-import { pause } from "../pause.js";
 import type { FleetStore } from "../ports/FleetStore.js";
-import { answerHeartbeat } from "./answerHeartbeat.js";
 import type { Cluster, Peer } from "./Cluster.js";
 import { couldMissNewOwner } from "./couldMissNewOwner.js";
 import { createCluster } from "./createCluster.js";
@@ -20,16 +16,6 @@
 import type { TermLease } from "./createTermLease.js";
 import { createTermLease } from "./createTermLease.js";
 import { executeRelayedCall } from "./executeRelayedCall.js";
-import { watchConfiguration } from "./watchConfiguration.js";
-
-const CONFIGURATION_KEY = "configuration";
-const EVENT_LOOP_TURNS = 50;
-
-/** Number and interval of the checks of a change that takes effect after a pause of real time. */
-const MAX_CHECKS = 100;
-const CHECK_INTERVAL_MS = 50;
-
-const LOST = err({ kind: "unclear" as const, message: "The answer is lost. Read the value back." });
 
 /** Version of a configuration that causes an unexpected error of the decoder. */
 const UNEXPECTED_VERSION = 13;
@@ -56,43 +42,10 @@
 }
 
 /** Adds a peer that executes relayed calls on the given store. */
-function addTestPeer(
-    cluster: Cluster,
-    name: string,
-    store: FleetStore,
-    reachesStore: boolean,
-    lastContactAt: number,
-): void {
+function addRelayingPeer(cluster: Cluster, name: string, store: FleetStore, fields: Partial<Peer>): void {
     const relayStoreCall = (request: Parameters<typeof executeRelayedCall>[1]) =>
         executeRelayedCall(store, request, new AbortController().signal);
-    addPeerWithCalls(cluster, name, { relayStoreCall }, reachesStore, lastContactAt);
-}
-
-function addPeerWithCalls(
-    cluster: Cluster,
-    name: string,
-    calls: object,
-    reachesStore: boolean,
-    lastContactAt: number,
-): void {
-    const peer = {
-        address: name,
-        node: name,
-        client: { calls, reset: () => {} },
-        lastContactAt,
-        rank: 0,
-        isActive: true,
-        failedExchanges: 0,
-        refusedConnections: 0,
-        reachesStore,
-        configurationVersion: 0,
-        isFetchingConfiguration: false,
-        wallClockOffsetMs: 0,
-        leaving: false,
-        requestExchange: () => {},
-        abortController: new AbortController(),
-    };
-    cluster.peers.set(name, peer as unknown as Peer);
+    cluster.peers.set(name, createTestPeer(name, { relayStoreCall }, fields));
 }
 
 Given("a daemon with a store", function(this: TestWorld) {
@@ -104,40 +57,11 @@
     this.notes.set("direct", new FakeFleetStore(() => 0));
 });
 
-Given("the store holds configuration {word}", function(this: TestWorld, version: string) {
-    this.note<FakeFleetStore>("store").put(CONFIGURATION_KEY, Buffer.from(version));
-});
-
 Given("the store compacts its history", function(this: TestWorld) {
     this.note<FakeFleetStore>("store").put("other", new Uint8Array());
     this.note<FakeFleetStore>("store").compact();
 });
 
-When("the daemon watches the configuration", async function(this: TestWorld) {
-    const end = new AbortController();
-    this.cleanups.push(() => end.abort());
-    const store = this.note<FakeFleetStore>("store");
-    void watchConfiguration(this.note("cluster"), store.createClient(), CONFIGURATION_KEY, end.signal);
-    await waitTurns(EVENT_LOOP_TURNS);
-});
-
-When("a peer offers configuration {word}", function(this: TestWorld, version: string) {
-    this.note<Cluster>("cluster").configuration.activateIfNewer(Buffer.from(version), "peer");
-});
-
-When("configuration {word} is written to the store", async function(this: TestWorld, version: string) {
-    this.note<FakeFleetStore>("store").put(CONFIGURATION_KEY, Buffer.from(version));
-    await waitTurns(EVENT_LOOP_TURNS);
-});
-
-Then("configuration {int} is in force", function(this: TestWorld, version: number) {
-    assert.equal(this.note<Cluster>("cluster").configuration.current()?.version, version);
-});
-
-Then("the age of the configuration is {int} ms", function(this: TestWorld, ageMs: number) {
-    assert.equal(this.note<Cluster>("cluster").configuration.getAgeMs(), ageMs);
-});
-
 Then("the store was listed {int} time(s)", function(this: TestWorld, times: number) {
     assert.equal(this.note<FakeFleetStore>("store").callCounts.get("list"), times);
 });
@@ -171,7 +95,7 @@
 });
 
 Given("a peer that reaches the store", function(this: TestWorld) {
-    addTestPeer(this.note("cluster"), "peer", this.note<FakeFleetStore>("store").createClient(), true, 0);
+    addRelayingPeer(this.note("cluster"), "peer", this.note<FakeFleetStore>("store").createClient(), {});
 });
 
 Given("{int} peers, {int} of them responsive, {int} of these reaching the store", function(
@@ -184,79 +108,11 @@
     for (let number = 0; number < count; number++) {
         const lastContactAt = number < responsive ? now : Number.NEGATIVE_INFINITY;
         const store = this.note<FakeFleetStore>("store").createClient();
-        addTestPeer(this.note("cluster"), `p${number}`, store, number < reaching, lastContactAt);
+        const fields = { reachesStore: number < reaching, lastContactAt };
+        addRelayingPeer(this.note("cluster"), `p${number}`, store, fields);
     }
 });
 
-Given("a peer that reaches the store and answers no calls", function(this: TestWorld) {
-    const calls = { relayStoreCall: () => new Promise(() => {}) };
-    addPeerWithCalls(this.note("cluster"), "peer", calls, true, 0);
-});
-
-When("the daemon watches the configuration through the relaying store", async function(this: TestWorld) {
-    const end = new AbortController();
-    this.cleanups.push(() => end.abort());
-    const client = this.note<FakeFleetStore>("store").createClient();
-    const direct: FleetStore = {
-        ...client,
-        watch: () =>
-            new ResultAsync(new Promise(resolve => this.notes.set("loseWatch", () => resolve(LOST)))),
-    };
-    const store = createRelayingStore(direct, this.note("cluster"));
-    void watchConfiguration(this.note("cluster"), store, CONFIGURATION_KEY, end.signal);
-    await waitTurns(EVENT_LOOP_TURNS);
-});
-
-When(
-    "configuration {word} is written to the store, and the answer to the watch is lost",
-    function(this: TestWorld, version: string) {
-        this.note<FakeFleetStore>("store").put(CONFIGURATION_KEY, Buffer.from(version));
-        this.note<() => void>("loseWatch")();
-    },
-);
-
-Then("configuration {int} comes into force", async function(this: TestWorld, version: number) {
-    const { configuration } = this.note<Cluster>("cluster");
-    for (let checks = 0; checks < MAX_CHECKS && configuration.current()?.version !== version; checks++) {
-        await pause(CHECK_INTERVAL_MS);
-    }
-    assert.equal(configuration.current()?.version, version);
-});
-
-Given("a peer that answers fetches of its configuration when it is told to", function(this: TestWorld) {
-    const fetches: ((version: number) => void)[] = [];
-    this.notes.set("fetches", fetches);
-    const fetchConfiguration = () =>
-        new Promise(resolve =>
-            fetches.push(version => resolve({ text: Buffer.from(String(version)), version }))
-        );
-    const cluster = this.note<Cluster>("cluster");
-    addPeerWithCalls(cluster, "peer", { fetchConfiguration }, true, 0);
-    cluster.addPeer = address => cluster.peers.get(address);
-});
-
-When(
-    /^(\d+) heartbeats? of the peer names? configuration (\d+)$/,
-    function(this: TestWorld, count: string, version: string) {
-        const heartbeat = create(HeartbeatSchema, {
-            sender: { node: "peer", address: "peer" },
-            configurationVersion: Number(version),
-        });
-        for (let sent = 0; sent < Number(count); sent++) {
-            answerHeartbeat(this.note("cluster"), heartbeat);
-        }
-    },
-);
-
-When("the peer answers with configuration {int}", async function(this: TestWorld, version: number) {
-    this.note<((version: number) => void)[]>("fetches").at(-1)!(version);
-    await waitTurns(EVENT_LOOP_TURNS);
-});
-
-Then(/^the peer has received (\d+) fetch(?:es)?$/, function(this: TestWorld, count: string) {
-    assert.equal(this.note<unknown[]>("fetches").length, Number(count));
-});
-
 When("the daemon writes a value", async function(this: TestWorld) {
     const cluster = this.note<Cluster>("cluster");
     const store = createRelayingStore(this.note<FakeFleetStore>("direct").createClient(), cluster);
--- a/packages/scheduler/src/cluster/createDatagramExchange.steps.ts
+++ b/packages/scheduler/src/cluster/createDatagramExchange.steps.ts
@@ -3,6 +3,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createTestCluster } from "../../../../features/support/createTestCluster.js";
+import { createTestPeer } from "../../../../features/support/createTestPeer.js";
 import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import type { DatagramSocket } from "../openDatagramSocket.js";
@@ -43,19 +44,12 @@
         return { heartbeat: create(HeartbeatSchema, answerHeartbeat(other, request)) };
     };
     const fetchConfiguration = async () => ({ text: Buffer.from(CONFIGURATION), version: 2 });
-    const peer = {
-        address: other.address,
+    const peer = createTestPeer(other.address, { exchange, fetchConfiguration }, {
         node: other.node,
-        client: { calls: { exchange, fetchConfiguration }, reset: () => {} },
         lastContactAt: Number.NEGATIVE_INFINITY,
-        rank: 0,
-        isActive: true,
-        failedExchanges: 0,
-        refusedConnections: 0,
-        leaving: false,
-        requestExchange: () => {},
-    };
-    cluster.peers.set(other.address, peer as unknown as Peer);
+        reachesStore: false,
+    });
+    cluster.peers.set(other.address, peer);
     cluster.addPeer = address => cluster.peers.get(address);
 }
 
--- /dev/null
+++ b/packages/scheduler/src/cluster/watchConfiguration.steps.ts
@@ -0,0 +1,122 @@
+import { HeartbeatSchema } from "@balsamward/schema/scheduling";
+import { create } from "@bufbuild/protobuf";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { err, ResultAsync } from "neverthrow";
+import assert from "node:assert/strict";
+import { createTestPeer } from "../../../../features/support/createTestPeer.js";
+import type { TestWorld } from "../../../../features/support/TestWorld.js";
+import { waitTurns } from "../../../../features/support/waitTurns.js";
+import type { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
+import { pause } from "../pause.js";
+import type { FleetStore } from "../ports/FleetStore.js";
+import { answerHeartbeat } from "./answerHeartbeat.js";
+import type { Cluster } from "./Cluster.js";
+import { createRelayingStore } from "./createRelayingStore.js";
+import { watchConfiguration } from "./watchConfiguration.js";
+
+const CONFIGURATION_KEY = "configuration";
+const EVENT_LOOP_TURNS = 50;
+
+/** Number and interval of the checks of a change that takes effect after a pause of real time. */
+const MAX_CHECKS = 100;
+const CHECK_INTERVAL_MS = 50;
+
+const LOST = err({ kind: "unclear" as const, message: "The answer is lost. Read the value back." });
+
+Given("the store holds configuration {word}", function(this: TestWorld, version: string) {
+    this.note<FakeFleetStore>("store").put(CONFIGURATION_KEY, Buffer.from(version));
+});
+
+When("the daemon watches the configuration", async function(this: TestWorld) {
+    const end = new AbortController();
+    this.cleanups.push(() => end.abort());
+    const store = this.note<FakeFleetStore>("store");
+    void watchConfiguration(this.note("cluster"), store.createClient(), CONFIGURATION_KEY, end.signal);
+    await waitTurns(EVENT_LOOP_TURNS);
+});
+
+When("a peer offers configuration {word}", function(this: TestWorld, version: string) {
+    this.note<Cluster>("cluster").configuration.activateIfNewer(Buffer.from(version), "peer");
+});
+
+When("configuration {word} is written to the store", async function(this: TestWorld, version: string) {
+    this.note<FakeFleetStore>("store").put(CONFIGURATION_KEY, Buffer.from(version));
+    await waitTurns(EVENT_LOOP_TURNS);
+});
+
+Then("configuration {int} is in force", function(this: TestWorld, version: number) {
+    assert.equal(this.note<Cluster>("cluster").configuration.current()?.version, version);
+});
+
+Then("the age of the configuration is {int} ms", function(this: TestWorld, ageMs: number) {
+    assert.equal(this.note<Cluster>("cluster").configuration.getAgeMs(), ageMs);
+});
+
+Given("a peer that reaches the store and answers no calls", function(this: TestWorld) {
+    const calls = { relayStoreCall: () => new Promise(() => {}) };
+    this.note<Cluster>("cluster").peers.set("peer", createTestPeer("peer", calls));
+});
+
+When("the daemon watches the configuration through the relaying store", async function(this: TestWorld) {
+    const end = new AbortController();
+    this.cleanups.push(() => end.abort());
+    const client = this.note<FakeFleetStore>("store").createClient();
+    const direct: FleetStore = {
+        ...client,
+        watch: () =>
+            new ResultAsync(new Promise(resolve => this.notes.set("loseWatch", () => resolve(LOST)))),
+    };
+    const store = createRelayingStore(direct, this.note("cluster"));
+    void watchConfiguration(this.note("cluster"), store, CONFIGURATION_KEY, end.signal);
+    await waitTurns(EVENT_LOOP_TURNS);
+});
+
+When(
+    "configuration {word} is written to the store, and the answer to the watch is lost",
+    function(this: TestWorld, version: string) {
+        this.note<FakeFleetStore>("store").put(CONFIGURATION_KEY, Buffer.from(version));
+        this.note<() => void>("loseWatch")();
+    },
+);
+
+Then("configuration {int} comes into force", async function(this: TestWorld, version: number) {
+    const { configuration } = this.note<Cluster>("cluster");
+    for (let checks = 0; checks < MAX_CHECKS && configuration.current()?.version !== version; checks++) {
+        await pause(CHECK_INTERVAL_MS);
+    }
+    assert.equal(configuration.current()?.version, version);
+});
+
+Given("a peer that answers fetches of its configuration when it is told to", function(this: TestWorld) {
+    const fetches: ((version: number) => void)[] = [];
+    this.notes.set("fetches", fetches);
+    const fetchConfiguration = () =>
+        new Promise(resolve =>
+            fetches.push(version => resolve({ text: Buffer.from(String(version)), version }))
+        );
+    const cluster = this.note<Cluster>("cluster");
+    cluster.peers.set("peer", createTestPeer("peer", { fetchConfiguration }));
+    cluster.addPeer = address => cluster.peers.get(address);
+});
+
+When(
+    /^(\d+) heartbeats? of the peer names? configuration (\d+)$/,
+    function(this: TestWorld, count: string, version: string) {
+        const heartbeat = create(HeartbeatSchema, {
+            sender: { node: "peer", address: "peer" },
+            configurationVersion: Number(version),
+        });
+        for (let sent = 0; sent < Number(count); sent++) {
+            answerHeartbeat(this.note("cluster"), heartbeat);
+        }
+    },
+);
+
+When("the peer answers with configuration {int}", async function(this: TestWorld, version: number) {
+    this.note<((version: number) => void)[]>("fetches").at(-1)!(version);
+    await waitTurns(EVENT_LOOP_TURNS);
+});
+
+Then(/^the peer has received (\d+) fetch(?:es)?$/, function(this: TestWorld, count: string) {
+    assert.equal(this.note<unknown[]>("fetches").length, Number(count));
+});
