--- a/packages/scheduler/src/cluster/createPeerClient.feature
+++ b/packages/scheduler/src/cluster/createPeerClient.feature
@@ -47,3 +47,8 @@
         And nothing is called for 600 ms
         Then one of the next 1 calls is answered
         And no error was left unhandled
+
+    Scenario: A connection that does not open is given up before the timeout of the call
+        Given a peer whose queue of new connections is full
+        Then a call to it has failed as canceled
+        And no error was left unhandled
--- a/packages/scheduler/src/cluster/createPeerClient.steps.ts
+++ b/packages/scheduler/src/cluster/createPeerClient.steps.ts
@@ -2,6 +2,9 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { ok, ResultAsync } from "neverthrow";
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { Worker } from "node:worker_threads";
 import { createTestCluster } from "../../../../features/support/createTestCluster.js";
 import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
 import { SilenceableProxy } from "../../../../features/support/SilenceableProxy.js";
@@ -17,6 +20,20 @@
 
 const CALL_TIMEOUT_MS = 2_000;
 
+/** Listens, posts its port, and blocks, so that no connection is accepted. */
+const BLOCKED_SERVER_SOURCE = `
+    const { createServer } = require("node:net");
+    const { parentPort } = require("node:worker_threads");
+    const server = createServer();
+    server.listen({ host: "127.0.0.1", port: 0, backlog: 1 }, () => {
+        parentPort.postMessage(server.address().port);
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0);
+    });
+`;
+
+/** Number of connections that fill the queue of a server whose backlog is 1. */
+const QUEUED_CONNECTIONS = 2;
+
 /** A peer that serves calls on loopback, and a client that has called it. */
 type CalledPeer = {
     readonly client: PeerClient;
@@ -159,3 +176,24 @@
     }
     assert.ok(outcomes.includes("answered"), outcomes.join("; "));
 });
+
+Given("a peer whose queue of new connections is full", async function(this: TestWorld) {
+    collectUnhandledErrors(this);
+    const thread = new Worker(BLOCKED_SERVER_SOURCE, { eval: true });
+    this.cleanups.push(async () => void await thread.terminate());
+    const [port] = await once(thread, "message") as [number];
+    for (let queued = 0; queued < QUEUED_CONNECTIONS; queued++) {
+        const socket = connect(port, "127.0.0.1");
+        socket.on("error", () => {});
+        this.cleanups.push(() => void socket.destroy());
+        await once(socket, "connect");
+    }
+    const client = createPeerClient(`127.0.0.1:${port}`);
+    this.notes.set("client", client);
+    this.cleanups.push(() => client.reset());
+});
+
+Then("a call to it has failed as canceled", async function(this: TestWorld) {
+    const error = await callPeer(this.note<PeerClient>("client"));
+    assert.equal(ConnectError.from(error).code, Code.Canceled);
+});
