Peers: A call of a peer that does not end no longer holds up a stop for good

What was seen: a stopping daemon waits for the calls of its peers without a bound. One call whose message never ends, as after a peer's link is cut or its process is suspended, keeps 'close' waiting, so that the process does not exit and is killed at the end of the grace period. A relayed watch holds up the stop for as long as it waits for events, and its peer does not learn of the stop.

Cause: 'close' ended when every HTTP/2 session had ended, which the peer's side decides. The listener of packages/daemon had the same code.

Why this works: the one listener that both daemons use now aborts the signals of the calls in progress, which ends watches with an answer, lets the other calls end, and destroys the connections that are left when the time is over. The default of 2 s is longer than peers wait for a call; 'close' of the node takes the time that is left of the grace period as an option. A call that is cut off fails for the peer, which treats a write as unclear.

--- a/packages/daemon/src/peers/startPeerListener.ts
+++ b/packages/daemon/src/peers/startPeerListener.ts
@@ -1,12 +1,10 @@
-import { listenOn } from "@balsamward/scheduler/listenOn";
+import { startRpcListener } from "@balsamward/scheduler/startRpcListener";
 import type { CellId, JobId, NodeId } from "@balsamward/schema";
 import { FetchConfigurationResponseSchema, PeerService } from "@balsamward/schema";
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError } from "@connectrpc/connect";
 import type { ConnectRouter } from "@connectrpc/connect";
-import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { createServer } from "node:http2";
-import type { Http2Server, ServerHttp2Session } from "node:http2";
+import type { ServerHttp2Session } from "node:http2";
 import type { OwnedCell } from "../cells/openCell.js";
 import { BYTE_COUNT_INTERVAL_MS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
@@ -33,28 +31,16 @@
     clients: PeerClients,
     address: string,
 ): Promise<PeerListener> {
-    const sessions = new Set<ServerHttp2Session>();
+    const listener = await startRpcListener(router => addRoutes(router, state, clients), address);
     const byteCountTimer = setInterval(
-        () => sessions.forEach(session => countBytes(state, session)),
+        () => listener.sessions.forEach(session => countBytes(state, session)),
         BYTE_COUNT_INTERVAL_MS,
     );
-    const server: Http2Server = createServer(connectNodeAdapter({
-        routes: router => addRoutes(router, state, clients),
-    }));
-    server.on("session", session => {
-        sessions.add(session);
-        session.once("close", () => {
-            sessions.delete(session);
-        });
-    });
-    await listenOn(server, address);
     return {
-        close: () =>
-            new Promise(resolve => {
-                clearInterval(byteCountTimer);
-                server.close(() => resolve());
-                sessions.forEach(session => session.close());
-            }),
+        close: () => {
+            clearInterval(byteCountTimer);
+            return listener.close();
+        },
     };
 }
 
--- a/packages/scheduler/src/cluster/serveCluster.steps.ts
+++ b/packages/scheduler/src/cluster/serveCluster.steps.ts
@@ -10,12 +10,19 @@
 import { collectUnhandledErrors, SETTLING_TURNS } from "../../../../features/support/unhandledErrors.js";
 import { waitTurns } from "../../../../features/support/waitTurns.js";
 import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
+import type { RpcListener } from "../startRpcListener.js";
 import { createPeerClient } from "./createPeerClient.js";
 import { runPeers } from "./runPeers.js";
 import { serveCluster } from "./serveCluster.js";
 
 const CALL_TIMEOUT_MS = 2_000;
 
+/** Well above the duration of a stop, so that one that does not end fails the step. */
+const STOP_TIMEOUT_MS = 5_000;
+
+/** Time for which a watch waits for events that do not come, in milliseconds. */
+const LONG_WAIT_MS = 60_000;
+
 Given("a daemon that serves its peers", async function(this: TestWorld) {
     collectUnhandledErrors(this);
     const cluster = createTestCluster("here", await findFreeAddress());
@@ -26,10 +33,13 @@
     const client = createPeerClient(cluster.address);
     this.notes.set("address", cluster.address);
     this.notes.set("client", client);
+    this.notes.set("listener", listener);
     this.cleanups.push(async () => {
         end.abort();
         client.reset();
-        await listener.close();
+        if (!this.notes.has("stopped")) {
+            await listener.close();
+        }
     });
 });
 
@@ -65,6 +75,41 @@
     await waitTurns(SETTLING_TURNS);
 });
 
+When("a peer sends a call whose message does not end", async function(this: TestWorld) {
+    const stream = openCall(this);
+    await new Promise(resolve => stream.write(Buffer.from([10]), resolve));
+    // The daemon has received the call by the time it answers a later one on the same connection.
+    await new Promise(resolve => stream.session!.ping(resolve));
+});
+
+When("a peer opens a connection and sends nothing", async function(this: TestWorld) {
+    const [host, port] = this.note<string>("address").split(":");
+    const socket = connectTcp(Number(port), host);
+    socket.on("error", () => {});
+    this.cleanups.push(() => void socket.destroy());
+    // The settings of the daemon's session show that the connection has been accepted.
+    await once(socket, "data");
+});
+
+When("a peer relays a watch through the daemon", async function(this: TestWorld) {
+    const { calls } = this.note<ReturnType<typeof createPeerClient>>("client");
+    const call = { case: "watch", value: { prefix: "key", after: 100, waitMs: LONG_WAIT_MS } } as const;
+    const answer = calls.relayStoreCall({ call }, { timeoutMs: LONG_WAIT_MS }).catch(error => error);
+    this.notes.set("relayedWatch", answer);
+    // The daemon has received the watch by the time it answers a later call on the same connection.
+    await calls.fetchConfiguration({}, { timeoutMs: CALL_TIMEOUT_MS });
+});
+
+Then("the daemon stops serving its peers", { timeout: STOP_TIMEOUT_MS }, async function(this: TestWorld) {
+    this.notes.set("stopped", true);
+    await this.note<RpcListener>("listener").close();
+});
+
+Then("the relayed watch is answered", async function(this: TestWorld) {
+    const answer = await this.note<Promise<unknown>>("relayedWatch");
+    assert.ok(!(answer instanceof Error), String(answer));
+});
+
 When("a peer sends a request of another protocol", async function(this: TestWorld) {
     const [host, port] = this.note<string>("address").split(":");
     const socket = connectTcp(Number(port), host);
--- a/packages/scheduler/src/cluster/serveCluster.ts
+++ b/packages/scheduler/src/cluster/serveCluster.ts
@@ -1,11 +1,9 @@
 import { ClusterService } from "@balsamward/schema/scheduling";
 import type { Job, JobState, QueueDepth, RelayStoreCallRequest } from "@balsamward/schema/scheduling";
 import type { ConnectRouter } from "@connectrpc/connect";
-import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { createServer } from "node:http2";
-import type { ServerHttp2Session } from "node:http2";
-import { listenOn } from "../listenOn.js";
 import type { FleetStore } from "../ports/FleetStore.js";
+import type { RpcListener } from "../startRpcListener.js";
+import { startRpcListener } from "../startRpcListener.js";
 import { answerHeartbeat } from "./answerHeartbeat.js";
 import type { Cluster } from "./Cluster.js";
 import { composeHeartbeat } from "./Cluster.js";
@@ -38,9 +36,6 @@
     readonly localOwner: () => OwnerService | undefined;
 };
 
-/** A listener that can be closed. */
-export type Listener = { readonly close: () => Promise<void> };
-
 /**
  * Serves the calls of other daemons over HTTP/2.
  *
@@ -48,21 +43,8 @@
  * @param address - Address to listen on, as `IP:port`.
  * @returns The listener.
  */
-export async function serveCluster(options: ClusterServerOptions, address: string): Promise<Listener> {
-    const sessions = new Set<ServerHttp2Session>();
-    const server = createServer(connectNodeAdapter({ routes: router => addRoutes(router, options) }));
-    server.on("session", session => {
-        sessions.add(session);
-        session.once("close", () => sessions.delete(session));
-    });
-    await listenOn(server, address);
-    return {
-        close: () =>
-            new Promise(resolve => {
-                server.close(() => resolve());
-                sessions.forEach(session => session.close());
-            }),
-    };
+export function serveCluster(options: ClusterServerOptions, address: string): Promise<RpcListener> {
+    return startRpcListener(router => addRoutes(router, options), address);
 }
 
 function addRoutes(router: ConnectRouter, options: ClusterServerOptions): void {
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -10,7 +10,7 @@
 import { runMembership } from "./cluster/runMembership.js";
 import { runOwnership } from "./cluster/runOwnership.js";
 import { notifyPeers, runPeers } from "./cluster/runPeers.js";
-import type { Listener, OwnerService } from "./cluster/serveCluster.js";
+import type { OwnerService } from "./cluster/serveCluster.js";
 import { serveCluster } from "./cluster/serveCluster.js";
 import { watchConfiguration } from "./cluster/watchConfiguration.js";
 import { createWorkerLister } from "./createWorkerLister.js";
@@ -23,6 +23,7 @@
 import type { FleetStore } from "./ports/FleetStore.js";
 import type { MachinePort, WaveRecordFormat } from "./ports/MachinePort.js";
 import type { WorkerPort, WorkerReport } from "./ports/WorkerPort.js";
+import type { CloseOptions } from "./startRpcListener.js";
 
 /** Options of `startNode`: the settings of a daemon and the ports it uses. */
 export type NodeOptions = {
@@ -63,7 +64,8 @@
     readonly addPeers: (addresses: readonly string[]) => void;
     /** Gives up the ownership and leaves the cluster; callers are still answered. */
     readonly leave: () => void;
-    readonly close: () => Promise<void>;
+    /** Ends the exchange with peers, and waits until the calls of peers that are in progress have ended. */
+    readonly close: (options?: CloseOptions) => Promise<void>;
 };
 
 /**
@@ -118,7 +120,7 @@
         : await openHeartbeatSocket(cluster, options.heartbeatPort);
     runPeers(cluster, closing.signal);
     const clusterContext = { cluster, store: options.store, localOwner };
-    const listener: Listener = await serveCluster(clusterContext, options.peerAddress);
+    const listener = await serveCluster(clusterContext, options.peerAddress);
     const addPeers: Node["addPeers"] = addresses =>
         addresses.forEach(address => cluster.addPeer(address, address));
     addPeers(options.seeds);
@@ -144,11 +146,11 @@
             leaving.abort();
             notifyPeers(cluster);
         },
-        close: async () => {
+        close: async options => {
             leaving.abort();
             closing.abort();
             heartbeatSocket?.close();
-            await listener.close();
+            await listener.close(options);
         },
     };
 }
--- /dev/null
+++ b/packages/scheduler/src/startRpcListener.ts
@@ -0,0 +1,64 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { createServer } from "node:http2";
+import type { ServerHttp2Session } from "node:http2";
+import { listenOn } from "./listenOn.js";
+import { startDeadline } from "./startDeadline.js";
+
+/** Options of `RpcListener.close`. */
+export type CloseOptions = {
+    /** Time after which calls that are still in progress are cut off, in milliseconds; 2 seconds by default. */
+    readonly timeoutMs?: number;
+};
+
+/** A listener for the RPCs of other daemons. */
+export type RpcListener = {
+    /** The open connections. */
+    readonly sessions: ReadonlySet<ServerHttp2Session>;
+    /** Accepts no further calls, aborts the signals of those in progress, and waits until they have ended. */
+    readonly close: (options?: CloseOptions) => Promise<void>;
+};
+
+/** Time after which calls that are still in progress are cut off, in milliseconds; longer than peers wait for them. */
+const CLOSE_TIMEOUT_MS = 2_000;
+
+/**
+ * Starts a listener for RPCs over HTTP/2.
+ *
+ * @param addRoutes - Adds the services to the router.
+ * @param address - Address to listen on, as `IP:port`.
+ * @returns The listener, which accepts connections.
+ * @throws The server's error if it cannot listen on the address.
+ *
+ * @example
+ * const listener = await startRpcListener(router => router.service(PeerService, handlers), "127.0.0.1:7400");
+ */
+export async function startRpcListener(
+    addRoutes: (router: ConnectRouter) => void,
+    address: string,
+): Promise<RpcListener> {
+    const closing = new AbortController();
+    const sessions = new Set<ServerHttp2Session>();
+    const server = createServer(connectNodeAdapter({ routes: addRoutes, shutdownSignal: closing.signal }));
+    server.on("session", session => {
+        sessions.add(session);
+        session.once("close", () => sessions.delete(session));
+    });
+    await listenOn(server, address);
+    return {
+        sessions,
+        close: ({ timeoutMs = CLOSE_TIMEOUT_MS } = {}) =>
+            new Promise(resolve => {
+                const endDeadline = startDeadline(
+                    timeoutMs,
+                    () => sessions.forEach(session => session.destroy()),
+                );
+                server.close(() => {
+                    endDeadline();
+                    resolve();
+                });
+                closing.abort();
+                sessions.forEach(session => session.close());
+            }),
+    };
+}
