Peers: A write that a stopping peer has refused is made through another peer

What was seen: a daemon that cannot reach the store relays its writes through a peer. Those that it sends while that peer stops, or after it, end as unclear, although the peer has not processed them. A caller is then told that the outcome is unknown, and no other peer is tried, although one reaches the store.

Cause: any failure of a relayed write counted as unclear. A call that arrives after the peer's GOAWAY is refused with REFUSED_STREAM, which HTTP/2 defines as not processed, and a new connection is refused with ECONNREFUSED.

Evidence, before the change: of 40 writes around the stop of a peer, at each of four intervals, the list of failed writes is [ 'unclear', 'unclear', ... ] in place of [], with and without a second peer (relayThroughPeers.feature, two of three scenarios fail). The third holds before and after: a write that is cut off in the peer stays unclear, and is sent to the store once.

Why this works: the two errors show that the write has had no effect, so it is made through the next peer, or reported as unavailable. Ruled out by the same runs: no call that was refused had its effect, and no write that was answered was missing.

--- a/packages/scheduler/src/cluster/createPeerClient.ts
+++ b/packages/scheduler/src/cluster/createPeerClient.ts
@@ -38,8 +38,23 @@
  * @returns True if the connection was refused.
  */
 export function isConnectionRefused(error: unknown): boolean {
+    return hasCause(error, "ECONNREFUSED");
+}
+
+/**
+ * Returns whether an error means that the peer has not processed the call, which can be made elsewhere then: no process
+ * listens at the address, or the peer has refused the call's stream because it is stopping.
+ *
+ * @param error - Error that a call threw; its causes are checked too.
+ * @returns True if the call certainly had no effect.
+ */
+export function isUnprocessed(error: unknown): boolean {
+    return isConnectionRefused(error) || hasCause(error, "REFUSED_STREAM");
+}
+
+function hasCause(error: unknown, code: string): boolean {
     for (let cause = error; cause instanceof Error; cause = cause.cause) {
-        if ((cause as { code?: unknown }).code === "ECONNREFUSED" || cause.message.includes("ECONNREFUSED")) {
+        if ((cause as { code?: unknown }).code === code || cause.message.includes(code)) {
             return true;
         }
     }
--- a/packages/scheduler/src/cluster/relayThroughPeers.ts
+++ b/packages/scheduler/src/cluster/relayThroughPeers.ts
@@ -4,6 +4,7 @@
 import { RELAY_TIMEOUT_MS } from "../constants.js";
 import type { StoreError } from "../ports/FleetStore.js";
 import type { Cluster, Peer } from "./Cluster.js";
+import { isUnprocessed } from "./createPeerClient.js";
 import { listRelayPeers } from "./listRelayPeers.js";
 import type { RelayedStoreCall } from "./RelayedStoreCall.js";
 import { toStoreItem } from "./toStoreItem.js";
@@ -16,8 +17,9 @@
  *
  * @param cluster - This daemon's view of the cluster, with the peers to relay through.
  * @param storeCall - The call.
- * @returns The result, or the error of the store; `unavailable` if no peer reaches the store, and for a repeatable call
- * also if the peers that were tried do not answer; `unclear` if a call that is not repeatable was not answered.
+ * @returns The result, or the error of the store; `unavailable` if no peer reaches the store, if the peers that were
+ * tried have not processed the call, and for a repeatable call also if they do not answer; `unclear` if a call that is
+ * not repeatable was not answered.
  */
 export async function relayThroughPeers<T>(
     cluster: Cluster,
@@ -54,7 +56,7 @@
     catch (error) {
         cluster.metrics.relayedStoreCalls.inc({ result: "failed" });
         peer.reachesStore = false;
-        const kind = storeCall.isRepeatable ? "unavailable" : "unclear";
+        const kind = storeCall.isRepeatable || isUnprocessed(error) ? "unavailable" : "unclear";
         return err({
             kind,
             message: `The peer '${peer.node}' does not answer (${
