A configuration that may be old refuses no call for good

Callers saw 404 and 401 for queues and keys that had been added: from a daemon that neither the store nor a peer told of the change, and from one that had just started and had its configuration from a peer that was behind.

Cause: a refusal was final whatever the age of the configuration that decided it. A daemon that starts took the first text that anyone gave it for the newest one.

Now a refusal is final only if the configuration was known to be the newest in the last 2 s, the time within which a change has to be in force; otherwise the call gets 503, the reason `configuration-unconfirmed` and a retry time. Calls that the configuration allows are served as before, so that a daemon that starts while the store is away serves by what its peers have.

Evidence: the new scenarios of `resolveCall.feature` failed before, "+ 'no-such-queue' - 'configuration-unconfirmed'" and "+ 'unknown-key' - 'configuration-unconfirmed'".

--- a/packages/scheduler/src/callers/Reply.ts
+++ b/packages/scheduler/src/callers/Reply.ts
@@ -3,6 +3,7 @@
 /** Reason for which a call is refused. */
 export type RefusalReason =
     | "no-configuration"
+    | "configuration-unconfirmed"
     | "no-such-queue"
     | "unknown-key"
     | "bad-job-id"
@@ -48,7 +49,7 @@
  * @returns The reply, with a retry time if the reason is temporary.
  */
 export function refuse(reason: RefusalReason, message: string): RefusalReply {
-    const isTemporary = reason === "no-configuration" || reason === "store-unavailable"
-        || reason === "count-unknown" || reason === "unclear";
+    const isTemporary = reason === "no-configuration" || reason === "configuration-unconfirmed"
+        || reason === "store-unavailable" || reason === "count-unknown" || reason === "unclear";
     return { kind: "refused", reason, message, ...(isTemporary ? { retryAfterS: RETRY_AFTER_S } : {}) };
 }
--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -117,6 +117,16 @@
     };
 }
 
+/** Returns the name of the queue or the reason of the refusal; the key `none` stands for a call without a key. */
+function resolveWithAge(
+    { host, path, key }: { host: string; path: string; key: string },
+    configurationAgeMs: number,
+): string {
+    const call = { host, path, key: key === "none" ? undefined : key };
+    const resolved = resolveCall(createConfiguration(), call, { configurationAgeMs });
+    return resolved.isOk() ? resolved.value.queue.name : resolved.error.reason;
+}
+
 Given("the next store writes have the faults {string}", function(this: TestWorld, faults: string) {
     this.note<FakeFleetStore>("store").writeFaults.push(...faults.split(" ") as WriteFault[]);
 });
@@ -229,19 +239,34 @@
 Then(
     "a call to host {word} and path {word} with key {word} resolves to {word}",
     function(this: TestWorld, host: string, path: string, key: string, answer: string) {
-        const resolved = resolveCall(createConfiguration(), {
-            host,
-            path,
-            key: key === "none" ? undefined : key,
+        assert.equal(resolveWithAge({ host, path, key }, 0), answer);
+    },
+);
+
+Then(
+    "a call to host {word} and path {word} with key {word} by an old configuration resolves to {word}",
+    function(this: TestWorld, host: string, path: string, key: string, answer: string) {
+        assert.equal(resolveWithAge({ host, path, key }, Number.POSITIVE_INFINITY), answer);
+    },
+);
+
+Then(
+    "a call for a queue that is not configured is refused with {word}",
+    function(this: TestWorld, answer: string) {
+        const { configuration } = this.note<Cluster>("cluster");
+        const resolved = resolveCall(configuration.current(), { host: "a", path: "/x/", key: "k1" }, {
+            configurationAgeMs: configuration.getAgeMs(),
         });
-        assert.equal(resolved.isOk() ? resolved.value.queue.name : resolved.error.reason, answer);
+        assert.equal(resolved._unsafeUnwrapErr().reason, answer);
     },
 );
 
 Then(
     "a call before a configuration is loaded is refused with {word}",
     function(this: TestWorld, answer: string) {
-        const resolved = resolveCall(undefined, { host: "a", path: "/x/", key: "k1" });
+        const resolved = resolveCall(undefined, { host: "a", path: "/x/", key: "k1" }, {
+            configurationAgeMs: Number.POSITIVE_INFINITY,
+        });
         assert.equal(resolved._unsafeUnwrapErr().reason, answer);
     },
 );
--- /dev/null
+++ b/packages/scheduler/src/callers/resolveCall.feature
@@ -0,0 +1,33 @@
+Feature: A call is refused for good only by a configuration that is known to be the newest
+
+    Background:
+        Given a daemon with a store
+
+    # CONFIG: a new daemon refused calls by the version of a peer that was behind.
+    Scenario: A daemon that has started does not refuse calls for good by a peer's configuration
+        Given the store holds configuration 5
+        When a peer offers configuration 4
+        Then a call for a queue that is not configured is refused with configuration-unconfirmed
+        When the daemon watches the configuration
+        Then a call for a queue that is not configured is refused with no-such-queue
+
+    # CONFIG: a daemon that nobody told of a change refused calls by the version before it.
+    Scenario: A daemon that does not hear from the store does not refuse calls for good by its last configuration
+        Given the store holds configuration 5
+        When the daemon watches the configuration
+        And 2000 ms pass
+        Then a call for a queue that is not configured is refused with no-such-queue
+        When 1 ms pass
+        Then a call for a queue that is not configured is refused with configuration-unconfirmed
+
+    Scenario Outline: While the configuration is not known to be the newest, calls are served as far as it allows them
+        Then a call to host <host> and path <path> with key <key> by an old configuration resolves to <result>
+
+        Examples:
+            | host | path   | key  | result                    |
+            | a    | /x/1   | k1   | short                     |
+            | a    | /x/y/1 | k2   | long                      |
+            | b    | /x/1   | none | open                      |
+            | a    | /z/1   | k1   | configuration-unconfirmed |
+            | a    | /x/1   | bad  | configuration-unconfirmed |
+            | a    | /x/1   | none | configuration-unconfirmed |
--- a/packages/scheduler/src/callers/resolveCall.ts
+++ b/packages/scheduler/src/callers/resolveCall.ts
@@ -1,7 +1,8 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
+import { MAX_CONFIRMED_CONFIGURATION_AGE_MS } from "../constants.js";
 import type { FleetConfiguration, Queue } from "../FleetConfiguration.js";
-import type { RefusalReply } from "./Reply.js";
+import type { RefusalReason, RefusalReply } from "./Reply.js";
 import { refuse } from "./Reply.js";
 
 /** The parts of a call that determine its queue and its customer. */
@@ -21,18 +22,28 @@
     readonly remainingPath: string;
 };
 
+/** Options of `resolveCall`. */
+export type ResolveCallOptions = {
+    /** Time since the configuration was last known to be the newest, in milliseconds. */
+    readonly configurationAgeMs: number;
+};
+
 /**
  * Finds the queue and the customer of a call.
  *
- * If several queues match, the one with the longest prefix is chosen.
+ * If several queues match, the one with the longest prefix is chosen. A configuration that may no longer be the newest
+ * still serves the calls that it allows, but refuses none for good: the queue or the key may have been added since.
  *
  * @param configuration - The configuration in force; `undefined` if none has been loaded.
  * @param call - Host, path and API key of the call.
- * @returns The resolved call, or a refusal: `no-configuration`, `no-such-queue` or `unknown-key`.
+ * @param options - The age of the configuration.
+ * @returns The resolved call, or a refusal: `no-configuration`, `no-such-queue`, `unknown-key`, or in place of the last
+ * two `configuration-unconfirmed` if the configuration is older than `MAX_CONFIRMED_CONFIGURATION_AGE_MS`.
  */
 export function resolveCall(
     configuration: FleetConfiguration | undefined,
     call: IncomingCall,
+    { configurationAgeMs }: ResolveCallOptions,
 ): Result<ResolvedCall, RefusalReply> {
     if (configuration === undefined) {
         return err(
@@ -42,9 +53,10 @@
     const queue = findQueue(configuration, call);
     if (queue === undefined) {
         return err(
-            refuse(
+            refuseForGood(
                 "no-such-queue",
                 "No queue matches the host and path of this request. Check both against the configuration.",
+                configurationAgeMs,
             ),
         );
     }
@@ -53,15 +65,26 @@
     );
     if (customer === undefined && !queue.open) {
         return err(
-            refuse(
+            refuseForGood(
                 "unknown-key",
                 "The API key belongs to no customer. Send a key that the operator has issued.",
+                configurationAgeMs,
             ),
         );
     }
     return ok({ queue, customer: customer?.name ?? "", remainingPath: call.path.slice(queue.prefix.length) });
 }
 
+/** Refuses a call for good, or for the time being if the configuration may no longer be the newest. */
+function refuseForGood(reason: RefusalReason, message: string, configurationAgeMs: number): RefusalReply {
+    return configurationAgeMs <= MAX_CONFIRMED_CONFIGURATION_AGE_MS
+        ? refuse(reason, message)
+        : refuse(
+            "configuration-unconfirmed",
+            "The daemon's configuration does not allow this request, but may not be the newest. Try again later.",
+        );
+}
+
 function findQueue(configuration: FleetConfiguration, { host, path }: IncomingCall): Queue | undefined {
     const matchingQueues = configuration.queues.filter(queue =>
         queue.host === host && path.startsWith(queue.prefix)
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -85,6 +85,12 @@
 /** Longest time for which the counts of pending jobs that the owner has sent are shown to callers, in milliseconds. */
 export const MAX_QUEUE_DEPTHS_AGE_MS = 2_000;
 
+/**
+ * Longest time since a configuration was known to be the newest for which it refuses calls for good, in milliseconds. A
+ * change has to be in force within this time.
+ */
+export const MAX_CONFIRMED_CONFIGURATION_AGE_MS = 2_000;
+
 /** Number of refused connections in a row after which a daemon's process counts as dead. */
 export const REFUSED_CONNECTIONS_LIMIT = 2;
 
