A job is not run by older terms than those of the daemon that accepted it

A job that was accepted under a newer configuration than the owner's was run by the owner's older one: on the old service of its queue, and with the old number of attempts.

Cause: while a queue of that name is configured, the owner's own terms apply, and the owner could not tell that they are older than those that are stored with the job.

The version of the configuration is now stored with the terms of a job. While the owner's configuration is older, the terms of the acceptance apply, and a line says so. The terms that are stored are those in force when the body has arrived, not those in force when the request began.

--- a/features/support/scheduler/createAcceptedJob.ts
+++ b/features/support/scheduler/createAcceptedJob.ts
@@ -44,7 +44,11 @@
         acceptedAtMs,
         ...(withoutTerm
             ? {}
-            : { termRevision, terms: encodeQueueTerms(findQueue(configuration, queue)) }),
+            : {
+                termRevision,
+                terms: encodeQueueTerms(findQueue(configuration, queue)),
+                termsVersion: configuration.version,
+            }),
         ...(schedule === undefined ? {} : { schedule: create(ScheduleSchema, schedule) }),
     });
 }
--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -10,7 +10,7 @@
 import type { Cluster } from "../cluster/Cluster.js";
 import { composeHeartbeat, receiveHeartbeat, updateOwner } from "../cluster/Cluster.js";
 import { createCluster } from "../cluster/createCluster.js";
-import type { FleetConfiguration } from "../FleetConfiguration.js";
+import type { FleetConfiguration, Queue } from "../FleetConfiguration.js";
 import type { JobId, QueueName } from "../ids.js";
 import { decodeQueueTerms } from "../state/decodeQueueTerms.js";
 import { storeKeys } from "../storeKeys.js";
@@ -144,6 +144,30 @@
     updateOwner(this.note<Cluster>("cluster"), { node: "other", address: "10.0.0.2:1", revision });
 });
 
+/** Replaces the configuration in force; the queues in which calls were found stay as they are. */
+function putIntoForce(world: TestWorld, version: number, queues: readonly Queue[]): void {
+    const cluster = world.note<Cluster>("cluster");
+    const configuration = { ...createTestConfiguration(), version, queues };
+    world.notes.set("cluster", {
+        ...cluster,
+        configuration: { ...cluster.configuration, current: () => configuration },
+    });
+}
+
+Given(
+    "configuration {int} is in force, in which the queue allows {int} attempts",
+    function(this: TestWorld, version: number, attempts: number) {
+        putIntoForce(this, version, [{ ...CONFIGURED_QUEUE, attempts }]);
+    },
+);
+
+Given(
+    "configuration {int} is in force, in which there is no queue",
+    function(this: TestWorld, version: number) {
+        putIntoForce(this, version, []);
+    },
+);
+
 Given("the store is unavailable", function(this: TestWorld) {
     this.note<FakeFleetStore>("store").isDown = true;
     this.note<Cluster>("cluster").reachesStore = false;
@@ -230,6 +254,26 @@
     this.expectSnapshot(decodeQueueTerms(fromBinary(JobSchema, item.value).terms));
 });
 
+function checkStoredTerms(world: TestWorld, attempts: number, version: number | undefined): void {
+    const item = world.note<FakeFleetStore>("store").get(storeKeys.job(JOB_ID))!;
+    const { terms, termsVersion } = fromBinary(JobSchema, item.value);
+    assert.deepEqual({ attempts: terms!.attempts, version: termsVersion }, { attempts, version });
+}
+
+Then(
+    "the job is stored with {int} attempts of configuration {int}",
+    function(this: TestWorld, attempts: number, version: number) {
+        checkStoredTerms(this, attempts, version);
+    },
+);
+
+Then(
+    "the job is stored with {int} attempts of an unknown configuration",
+    function(this: TestWorld, attempts: number) {
+        checkStoredTerms(this, attempts, undefined);
+    },
+);
+
 Then("the job is stored for the latest term", function(this: TestWorld) {
     const store = this.note<FakeFleetStore>("store");
     const job = fromBinary(JobSchema, store.get(storeKeys.job(JOB_ID))!.value);
--- a/packages/scheduler/src/callers/submitJob.feature
+++ b/packages/scheduler/src/callers/submitJob.feature
@@ -8,6 +8,16 @@
         Then the reply is accepted
         And the job is stored: yes
 
+    Scenario: A job is stored with the terms of the configuration in force, though the queue was found in an older one
+        Given configuration 7 is in force, in which the queue allows 5 attempts
+        When ana submits a job with the digest d
+        Then the job is stored with 5 attempts of configuration 7
+
+    Scenario: A job is stored with the terms of the configuration in which its queue was found, if it is removed since
+        Given configuration 7 is in force, in which there is no queue
+        When ana submits a job with the digest d
+        Then the job is stored with 2 attempts of an unknown configuration
+
     # LOST: what a queue promises was known from the configuration only, which may no longer have the queue.
     Scenario: An accepted job is stored without the terms of its queue
         When ana submits a job with the digest d
--- a/packages/scheduler/src/callers/submitJob.ts
+++ b/packages/scheduler/src/callers/submitJob.ts
@@ -37,11 +37,11 @@
     queue: Queue,
     deadline: number,
 ): Promise<Reply> {
-    const terms = encodeQueueTerms(queue);
+    const storedTerms = composeStoredTerms(context, queue);
     const acceptedAtMs = getMedianWallClockMs(context.cluster);
     let termRevision = context.cluster.owner?.revision ?? 0;
     while (true) {
-        const job = { ...submittedJob, terms, acceptedAtMs, termRevision };
+        const job = { ...submittedJob, ...storedTerms, acceptedAtMs, termRevision };
         const commitResult = await commitWithRetries(context, composeAcceptance(job, termRevision), deadline);
         if (commitResult.isOk()) {
             notifyOwner(context, job, commitResult.value, false);
@@ -60,6 +60,15 @@
     }
 }
 
+/** The present terms of the queue are stored: its configuration may have changed while the caller's body arrived. */
+function composeStoredTerms({ cluster }: CallContext, queue: Queue): Pick<Job, "terms" | "termsVersion"> {
+    const configuration = cluster.configuration.current();
+    const present = configuration?.queues.find(({ name }) => name === queue.name);
+    return configuration === undefined || present === undefined
+        ? { terms: encodeQueueTerms(queue) }
+        : { terms: encodeQueueTerms(present), termsVersion: configuration.version };
+}
+
 function composeAcceptance(job: Job, termRevision: number): StoreTransaction {
     return {
         expect: [
--- a/packages/scheduler/src/engine/jobs/createTermsFinder.ts
+++ b/packages/scheduler/src/engine/jobs/createTermsFinder.ts
@@ -20,8 +20,9 @@
  * Creates a function that finds the terms that apply to a job.
  *
  * While a queue with the name of the job's queue is configured, its present terms apply, so that an operator can change
- * them. Otherwise, the terms apply under which the job was accepted: it is run whatever becomes of its queue. A job of
- * an earlier version has none. The last terms of its queue apply if an owner has known them; if not, the job runs at
+ * them. Otherwise, the terms apply under which the job was accepted: it is run whatever becomes of its queue. They also
+ * apply while the configuration is older than that of the daemon that accepted the job. A job of an earlier version has
+ * none. The last terms of its queue apply if an owner has known them; if not, the job runs at
  * the lowest priority on the only service, or waits for its queue if there are several.
  *
  * @param configuration - The configuration in force.
@@ -30,13 +31,16 @@
  * @example
  * const { terms } = createTermsFinder(configuration)(entry);
  */
-export function createTermsFinder({ queues, services }: FleetConfiguration): TermsFinder {
+export function createTermsFinder({ version, queues, services }: FleetConfiguration): TermsFinder {
     const queuesByName = new Map(queues.map(queue => [queue.name, queue]));
     const [service, ...otherServices] = services;
     const assumed = service !== undefined && otherServices.length === 0
         ? { ...ASSUMED_TERMS, service: service.name }
         : undefined;
-    return ({ queue, acceptedTerms, lastTerms }) => {
+    return ({ queue, job, acceptedTerms, lastTerms }) => {
+        if (acceptedTerms !== undefined && (job.termsVersion ?? 0) > version) {
+            return { source: "newer", terms: acceptedTerms };
+        }
         const configured = queuesByName.get(queue);
         if (configured !== undefined) {
             return { source: "configured", terms: configured };
--- a/packages/scheduler/src/engine/jobs/followQueues.ts
+++ b/packages/scheduler/src/engine/jobs/followQueues.ts
@@ -19,7 +19,7 @@
     const { jobsWithoutQueue } = scheduler.metrics;
     jobsWithoutQueue.reset();
     for (const [terms, count] of counts) {
-        if (terms !== "configured") {
+        if (terms !== "configured" && terms !== "newer") {
             jobsWithoutQueue.set({ terms }, count);
         }
     }
@@ -34,10 +34,23 @@
     }
     entry.termsSource = source;
     const details = { job: entry.id, queue: entry.queue, terms: source, service: terms?.service };
-    if (source === "configured") {
-        scheduler.log.info("The queue of a job is configured now.", details);
-    }
-    else {
-        scheduler.log.warn("The queue of a job is not configured.", details);
+    switch (source) {
+        case "configured":
+            scheduler.log.info("The queue of a job is configured now.", details);
+            return;
+        case "newer":
+            scheduler.log.info("A job was accepted under a newer configuration.", {
+                ...details,
+                version: entry.job.termsVersion,
+            });
+            return;
+        case "accepted":
+        case "last-known":
+        case "assumed":
+        case "none":
+            scheduler.log.warn("The queue of a job is not configured.", details);
+            return;
+        default:
+            source satisfies never;
     }
 }
--- a/packages/scheduler/src/engine/jobs/removedQueues.feature
+++ b/packages/scheduler/src/engine/jobs/removedQueues.feature
@@ -87,6 +87,20 @@
         And 1 second passes
         Then 1 task of J runs
 
+    # CONFIG: the owner had an older configuration than the daemon that accepted the job, and used the old service.
+    Scenario: A job is not run on the service to which only an older configuration sends its queue
+        When the next configuration sends the queue normal to other
+        And ana submits the normal job J of "1 x 1" through a daemon with the next configuration
+        And 1 second passes
+        Then 0 tasks of J run
+        When the owner has the next configuration
+        And 1 second passes
+        Then 0 tasks of J run
+        When the next configuration sends the queue normal to service
+        And the owner has the next configuration
+        And 1 second passes
+        Then 1 task of J runs
+
     Scenario: A job that stored no terms keeps those that an owner has known
         When ana submits the normal job J of "1 x 1;1 x 1 after 0" through a daemon that stores no term
         And the configuration has several services
--- a/packages/scheduler/src/engine/scheduler.steps.ts
+++ b/packages/scheduler/src/engine/scheduler.steps.ts
@@ -7,7 +7,7 @@
 import { getHarness, getJobId } from "../../../../features/support/schedulerScenario.js";
 import { SchedulerTestHarness } from "../../../../features/support/SchedulerTestHarness.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
-import type { QueueName, RunEndKind, WorkerId } from "../index.js";
+import type { FleetConfiguration, QueueName, RunEndKind, WorkerId } from "../index.js";
 import { storeKeys } from "../storeKeys.js";
 
 type StepInit = MessageInitShape<typeof StepSchema>;
@@ -79,6 +79,19 @@
     },
 );
 
+When(
+    "{word} submits the {word} job {word} of {string} through a daemon with the next configuration",
+    async function(this: TestWorld, customer: string, queue: string, name: string, steps: string) {
+        const harness = getHarness(this);
+        const ownersConfiguration = harness.configuration;
+        harness.configuration = this.note<FleetConfiguration>("next configuration");
+        const id = harness.submit(queue, customer, steps.split(";").map(parseStep));
+        harness.configuration = ownersConfiguration;
+        this.notes.set(`job ${name}`, id);
+        await harness.advance(100);
+    },
+);
+
 When("{word} is announced to the first owner", async function(this: TestWorld, job: string) {
     getHarness(this).announce(getJobId(this, job), getHarness(this).terms[0]!);
     await getHarness(this).advance(100);
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -119,10 +119,11 @@
 };
 
 /**
- * Where the terms of a job come from: its queue as it is configured, the job's acceptance, the queue as it was last
- * configured, or assumptions; `none` if the job cannot be placed.
+ * Where the terms of a job come from: its queue as it is configured, the job's acceptance, its acceptance under a newer
+ * configuration than the owner's, the queue as it was last configured, or assumptions; `none` if the job cannot be
+ * placed.
  */
-export type TermsSource = "configured" | "accepted" | "last-known" | "assumed" | "none";
+export type TermsSource = "configured" | "accepted" | "newer" | "last-known" | "assumed" | "none";
 
 /** State of a job, as held by the owner. */
 export type JobEntry = {
