--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -10,7 +10,7 @@
 import type { Cluster } from "../cluster/Cluster.js";
 import { composeHeartbeat, receiveHeartbeat, updateOwner } from "../cluster/Cluster.js";
 import { createCluster } from "../cluster/createCluster.js";
-import type { FleetConfiguration } from "../FleetConfiguration.js";
+import type { FleetConfiguration, Queue } from "../FleetConfiguration.js";
 import type { JobId, QueueName } from "../ids.js";
 import { decodeQueueTerms } from "../state/decodeQueueTerms.js";
 import { storeKeys } from "../storeKeys.js";
@@ -117,6 +117,16 @@
     };
 }
 
+/** Returns the name of the queue or the reason of the refusal; the key `none` stands for a call without a key. */
+function resolveWithAge(
+    { host, path, key }: { host: string; path: string; key: string },
+    configurationAgeMs: number,
+): string {
+    const call = { host, path, key: key === "none" ? undefined : key };
+    const resolved = resolveCall(createConfiguration(), call, { configurationAgeMs });
+    return resolved.isOk() ? resolved.value.queue.name : resolved.error.reason;
+}
+
 Given("the next store writes have the faults {string}", function(this: TestWorld, faults: string) {
     this.note<FakeFleetStore>("store").writeFaults.push(...faults.split(" ") as WriteFault[]);
 });
@@ -134,6 +144,30 @@
     updateOwner(this.note<Cluster>("cluster"), { node: "other", address: "10.0.0.2:1", revision });
 });
 
+/** Replaces the configuration in force; the queues in which calls were found stay as they are. */
+function putIntoForce(world: TestWorld, version: number, queues: readonly Queue[]): void {
+    const cluster = world.note<Cluster>("cluster");
+    const configuration = { ...createTestConfiguration(), version, queues };
+    world.notes.set("cluster", {
+        ...cluster,
+        configuration: { ...cluster.configuration, current: () => configuration },
+    });
+}
+
+Given(
+    "configuration {int} is in force, in which the queue allows {int} attempts",
+    function(this: TestWorld, version: number, attempts: number) {
+        putIntoForce(this, version, [{ ...CONFIGURED_QUEUE, attempts }]);
+    },
+);
+
+Given(
+    "configuration {int} is in force, in which there is no queue",
+    function(this: TestWorld, version: number) {
+        putIntoForce(this, version, []);
+    },
+);
+
 Given("the store is unavailable", function(this: TestWorld) {
     this.note<FakeFleetStore>("store").isDown = true;
     this.note<Cluster>("cluster").reachesStore = false;
@@ -220,6 +254,26 @@
     this.expectSnapshot(decodeQueueTerms(fromBinary(JobSchema, item.value).terms));
 });
 
+function checkStoredTerms(world: TestWorld, attempts: number, version: number | undefined): void {
+    const item = world.note<FakeFleetStore>("store").get(storeKeys.job(JOB_ID))!;
+    const { terms, termsVersion } = fromBinary(JobSchema, item.value);
+    assert.deepEqual({ attempts: terms!.attempts, version: termsVersion }, { attempts, version });
+}
+
+Then(
+    "the job is stored with {int} attempts of configuration {int}",
+    function(this: TestWorld, attempts: number, version: number) {
+        checkStoredTerms(this, attempts, version);
+    },
+);
+
+Then(
+    "the job is stored with {int} attempts of an unknown configuration",
+    function(this: TestWorld, attempts: number) {
+        checkStoredTerms(this, attempts, undefined);
+    },
+);
+
 Then("the job is stored for the latest term", function(this: TestWorld) {
     const store = this.note<FakeFleetStore>("store");
     const job = fromBinary(JobSchema, store.get(storeKeys.job(JOB_ID))!.value);
@@ -229,19 +283,34 @@
 Then(
     "a call to host {word} and path {word} with key {word} resolves to {word}",
     function(this: TestWorld, host: string, path: string, key: string, answer: string) {
-        const resolved = resolveCall(createConfiguration(), {
-            host,
-            path,
-            key: key === "none" ? undefined : key,
+        assert.equal(resolveWithAge({ host, path, key }, 0), answer);
+    },
+);
+
+Then(
+    "a call to host {word} and path {word} with key {word} by an old configuration resolves to {word}",
+    function(this: TestWorld, host: string, path: string, key: string, answer: string) {
+        assert.equal(resolveWithAge({ host, path, key }, Number.POSITIVE_INFINITY), answer);
+    },
+);
+
+Then(
+    "a call for a queue that is not configured is refused with {word}",
+    function(this: TestWorld, answer: string) {
+        const { configuration } = this.note<Cluster>("cluster");
+        const resolved = resolveCall(configuration.current(), { host: "a", path: "/x/", key: "k1" }, {
+            configurationAgeMs: configuration.getAgeMs(),
         });
-        assert.equal(resolved.isOk() ? resolved.value.queue.name : resolved.error.reason, answer);
+        assert.equal(resolved._unsafeUnwrapErr().reason, answer);
     },
 );
 
 Then(
     "a call before a configuration is loaded is refused with {word}",
     function(this: TestWorld, answer: string) {
-        const resolved = resolveCall(undefined, { host: "a", path: "/x/", key: "k1" });
+        const resolved = resolveCall(undefined, { host: "a", path: "/x/", key: "k1" }, {
+            configurationAgeMs: Number.POSITIVE_INFINITY,
+        });
         assert.equal(resolved._unsafeUnwrapErr().reason, answer);
     },
 );
