Signals are received before the daemon loads and starts anything

Callers saw a daemon end without a line when the operator sent a SIGHUP soon after its start (signal 1). The handlers were installed last, after all modules were evaluated and all listeners were open; until then both signals have their default effect.

The bundle is split at that place, since the modules of a single file are all evaluated before its own code.

Before the fix, 'A SIGHUP that arrives while the daemon reads its settings is followed by a reload' failed with The daemon has ended without the line: {"end":{"status":null,"signal":"SIGHUP"},"lines":[]}

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,5 @@
-// Builds the packages and bundles the entry daemon into a single file in 'target/'.
+// Builds the packages and bundles the entry daemon into a few files in 'target/': a small one, which is run, and those
+// that it loads.
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { fileURLToPath } from "node:url";
@@ -16,9 +17,12 @@
 
 execFileSync("npx", ["tsc", "--build", "platform"], { stdio: "inherit" });
 await build({
-    entryPoints: ["platform/dist/main.js"],
-    outfile: "target/balsamward-entry.mjs",
+    entryPoints: { "balsamward-entry": "platform/dist/main.js" },
+    outdir: "target",
+    outExtension: { ".js": ".mjs" },
+    chunkNames: "balsamward-entry-[name]",
     bundle: true,
+    splitting: true,
     platform: "node",
     target: "node20",
     format: "esm",
