A SIGTERM during the start ends the daemon before it listens

Callers that connected to a daemon that was stopped during its start were reset: the signal ended the process at once. Since signals are received from the start on, such a SIGTERM had to wait for the whole start and a graceful stop.

Listeners are given a signal that keeps them from listening.

The process ends once its log is written: the last of two lines was still to be written at the exit. 'listenOn' no longer leaves a listener on the server that swallows its first later error.

Before the fix, 'A SIGTERM that arrives while the daemon reads its settings ends it before it listens' failed at And it has not logged "The daemon starts."

--- a/packages/scheduler/src/cluster/serveCluster.ts
+++ b/packages/scheduler/src/cluster/serveCluster.ts
@@ -4,6 +4,7 @@
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { createServer } from "node:http2";
 import type { ServerHttp2Session } from "node:http2";
+import type { ListenOptions } from "../listenOn.js";
 import { listenOn } from "../listenOn.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 import { answerHeartbeat } from "./answerHeartbeat.js";
@@ -36,6 +37,7 @@
     readonly store: FleetStore;
     /** Returns the owner's service if this daemon is the owner and has loaded the state, otherwise `undefined`. */
     readonly localOwner: () => OwnerService | undefined;
+    readonly listenOptions?: ListenOptions;
 };
 
 /** A listener that can be closed. */
@@ -55,7 +57,7 @@
         sessions.add(session);
         session.once("close", () => sessions.delete(session));
     });
-    await listenOn(server, address);
+    await listenOn(server, address, options.listenOptions);
     return {
         close: () =>
             new Promise(resolve => {
--- a/packages/scheduler/src/createBoundedOutput.ts
+++ b/packages/scheduler/src/createBoundedOutput.ts
@@ -32,7 +32,7 @@
  * Creates a stream that never blocks its writer.
  *
  * Lines that the output does not accept yet are buffered up to a limit; further lines are dropped. A write that
- * fails for any other reason than a full output is dropped as well.
+ * fails for any other reason than a full output is dropped as well. The stream finishes once all lines are written.
  *
  * @param onDrop - Called for each line that exceeds the limit, and once for each failed write.
  * @param options - Replacements for the output and the timer.
@@ -44,8 +44,13 @@
     let pending: Buffer[] = [];
     let pendingBytes = 0;
     let isWriting = false;
+    let onAllWritten: (() => void) | undefined;
     const writePending = (): void => {
-        if (isWriting || pending.length === 0) {
+        if (isWriting) {
+            return;
+        }
+        if (pending.length === 0) {
+            onAllWritten?.();
             return;
         }
         isWriting = true;
@@ -83,6 +88,10 @@
             }
             done();
         },
+        final: done => {
+            onAllWritten = done;
+            writePending();
+        },
     });
 }
 
--- a/packages/scheduler/src/listenOn.ts
+++ b/packages/scheduler/src/listenOn.ts
@@ -1,16 +1,27 @@
+import { once } from "node:events";
 import type { Server } from "node:net";
 
+/** Options of `listenOn`. */
+export type ListenOptions = {
+    /** Keeps the server from listening, if it aborts first. */
+    readonly signal?: AbortSignal;
+};
+
 /**
  * Makes a server listen, and waits until it does.
  *
  * @param server - The server.
  * @param address - The address as `IP:port`.
- * @throws The server's error if it cannot listen on the address.
+ * @param options - A signal that gives it up.
+ * @throws The server's error if it cannot listen on the address, or the reason of the signal if that aborts first.
  */
-export async function listenOn(server: Server, address: string): Promise<void> {
+export async function listenOn(
+    server: Server,
+    address: string,
+    { signal }: ListenOptions = {},
+): Promise<void> {
+    signal?.throwIfAborted();
     const [host, port] = address.split(":");
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(Number(port), host, () => resolve());
-    });
+    server.listen(Number(port), host);
+    await once(server, "listening");
 }
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -17,6 +17,7 @@
 import { createOwnerService } from "./engine/createOwnerService.js";
 import { createScheduler, runScheduler } from "./engine/runScheduler.js";
 import type { Ownership, Scheduler, SchedulerBounds } from "./engine/Scheduler.js";
+import type { ListenOptions } from "./listenOn.js";
 import type { Metrics } from "./Metrics.js";
 import { pause } from "./pause.js";
 import type { AdvicePort } from "./ports/AdvicePort.js";
@@ -48,6 +49,8 @@
     readonly configurationKey: string;
     readonly decodeConfiguration: DecodeConfiguration;
     readonly bounds: SchedulerBounds;
+    /** How the daemon comes to listen to its peers. */
+    readonly listenOptions: ListenOptions;
     readonly log: Logger;
     readonly metrics: Metrics;
     readonly clock: () => number;
@@ -117,7 +120,8 @@
         ? undefined
         : await openHeartbeatSocket(cluster, options.heartbeatPort);
     runPeers(cluster, closing.signal);
-    const clusterContext = { cluster, store: options.store, localOwner };
+    const { listenOptions } = options;
+    const clusterContext = { cluster, store: options.store, localOwner, listenOptions };
     const listener: Listener = await serveCluster(clusterContext, options.peerAddress);
     const addPeers: Node["addPeers"] = addresses =>
         addresses.forEach(address => cluster.addPeer(address, address));
