--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -116,13 +116,14 @@
         notifyPeers(cluster);
         scheduler?.requestPass();
     };
-    const heartbeatSocket = options.heartbeatPort === 0
-        ? undefined
-        : await openHeartbeatSocket(cluster, options.heartbeatPort);
     runPeers(cluster, closing.signal);
     const { listenOptions } = options;
     const clusterContext = { cluster, store: options.store, localOwner, listenOptions };
     const listener: Listener = await serveCluster(clusterContext, options.peerAddress);
+    // After the listener, whose address a predecessor gives up last: its port for heartbeats is free then.
+    const heartbeatSocket = options.heartbeatPort === 0
+        ? undefined
+        : await openHeartbeatSocket(cluster, options.heartbeatPort);
     const addPeers: Node["addPeers"] = addresses =>
         addresses.forEach(address => cluster.addPeer(address, address));
     addPeers(options.seeds);
