--- a/packages/scheduler/src/cluster/serveCluster.ts
+++ b/packages/scheduler/src/cluster/serveCluster.ts
@@ -1,6 +1,7 @@
 import { ClusterService } from "@balsamward/schema/scheduling";
 import type { Job, JobState, QueueDepth, RelayStoreCallRequest } from "@balsamward/schema/scheduling";
 import type { ConnectRouter } from "@connectrpc/connect";
+import type { ListenOptions } from "../listenOn.js";
 import type { FleetStore } from "../ports/FleetStore.js";
 import type { RpcListener } from "../startRpcListener.js";
 import { startRpcListener } from "../startRpcListener.js";
@@ -34,6 +35,7 @@
     readonly store: FleetStore;
     /** Returns the owner's service if this daemon is the owner and has loaded the state, otherwise `undefined`. */
     readonly localOwner: () => OwnerService | undefined;
+    readonly listenOptions?: ListenOptions;
 };
 
 /**
@@ -44,7 +46,7 @@
  * @returns The listener.
  */
 export function serveCluster(options: ClusterServerOptions, address: string): Promise<RpcListener> {
-    return startRpcListener(router => addRoutes(router, options), address);
+    return startRpcListener(router => addRoutes(router, options), address, options.listenOptions);
 }
 
 function addRoutes(router: ConnectRouter, options: ClusterServerOptions): void {
--- a/packages/scheduler/src/startRpcListener.ts
+++ b/packages/scheduler/src/startRpcListener.ts
@@ -2,6 +2,7 @@
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { createServer } from "node:http2";
 import type { ServerHttp2Session } from "node:http2";
+import type { ListenOptions } from "./listenOn.js";
 import { listenOn } from "./listenOn.js";
 import { startDeadline } from "./startDeadline.js";
 
@@ -27,6 +28,7 @@
  *
  * @param addRoutes - Adds the services to the router.
  * @param address - Address to listen on, as `IP:port`.
+ * @param options - When to give up the address.
  * @returns The listener, which accepts connections.
  * @throws The server's error if it cannot listen on the address.
  *
@@ -36,6 +38,7 @@
 export async function startRpcListener(
     addRoutes: (router: ConnectRouter) => void,
     address: string,
+    options: ListenOptions = {},
 ): Promise<RpcListener> {
     const closing = new AbortController();
     const sessions = new Set<ServerHttp2Session>();
@@ -44,7 +47,7 @@
         sessions.add(session);
         session.once("close", () => sessions.delete(session));
     });
-    await listenOn(server, address);
+    await listenOn(server, address, options);
     return {
         sessions,
         close: ({ timeoutMs = CLOSE_TIMEOUT_MS } = {}) =>
