A change that a watch leaves out is in force in time

Callers would see old versions until the next change: a store that answers a watch with a later revision, but leaves out the event, was believed.

Cause: the configuration was read only at the start and after a watch that failed.

The owner now reads the configuration again between two watches, at most each 500 ms and about once a second while nothing changes; heartbeats tell the other daemons, which read no more often than before. A text that is in force is not decoded again when it is read.

Evidence: "A change that the store's watches leave out is not in force in time" failed before, "3 !== 5".

Also tested, without a fault: a peer that claims the largest version does not keep newer ones out of force, and is asked once for each of its heartbeats.

--- a/packages/scheduler/src/cluster/createActiveConfiguration.ts
+++ b/packages/scheduler/src/cluster/createActiveConfiguration.ts
@@ -57,7 +57,8 @@
         current: () => current,
         text: () => currentText,
         activateIfNewer: (text, source) => {
-            if (refusedText !== undefined && Buffer.compare(refusedText, text) === 0) {
+            // A large text is not decoded again each time it is read.
+            if (isSameText(text, refusedText) || (current !== undefined && isSameText(text, currentText))) {
                 return;
             }
             const decoded = decodeSafely(() => decode(text));
@@ -93,3 +94,7 @@
     };
     return activeConfiguration;
 }
+
+function isSameText(text: Uint8Array, known: Uint8Array | undefined): boolean {
+    return known !== undefined && Buffer.compare(text, known) === 0;
+}
--- a/packages/scheduler/src/cluster/watchConfiguration.feature
+++ b/packages/scheduler/src/cluster/watchConfiguration.feature
@@ -104,3 +104,36 @@
         Then 1 ignored configuration is counted
         When configuration 6 is written to the store
         Then configuration 6 is in force
+
+    # CONFIG: a version was missed by all daemons until the next one was written.
+    Scenario: A change that the store's watches leave out is not in force in time
+        Given the store holds configuration 3
+        And the daemon knows itself as the owner
+        When the daemon watches the configuration, and the watches leave out changes
+        And configuration 5 is written to the store
+        And 2000 ms pass
+        Then configuration 5 is in force
+
+    Scenario: Daemons other than the owner do not read the configuration again while they watch it
+        Given the store holds configuration 3
+        When the daemon watches the configuration, and the watches leave out changes
+        And 5000 ms pass
+        Then the store was listed 1 time
+
+    Scenario: The owner does not read the configuration again for each change
+        Given the store holds configuration 3
+        And the daemon knows itself as the owner
+        When the daemon watches the configuration
+        And configuration 4 is written to the store
+        And configuration 5 is written to the store
+        Then the store was listed 1 time
+
+    Scenario: A peer that claims the largest version without having it does not keep newer ones out of force
+        Given the store holds configuration 3
+        And a peer that answers fetches of its configuration when it is told to
+        When the daemon watches the configuration
+        And 1 heartbeat of the peer names configuration 9007199254740991
+        And the peer answers with the text of configuration 2 as configuration 9007199254740991
+        And configuration 5 is written to the store
+        Then configuration 5 is in force
+        And the peer has received 1 fetch
--- a/packages/scheduler/src/cluster/watchConfiguration.steps.ts
+++ b/packages/scheduler/src/cluster/watchConfiguration.steps.ts
@@ -1,9 +1,10 @@
 import { HeartbeatSchema } from "@balsamward/schema/scheduling";
 import { create } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { err, ResultAsync } from "neverthrow";
+import { err, ok, ResultAsync } from "neverthrow";
 import assert from "node:assert/strict";
 import { createTestPeer } from "../../../../features/support/createTestPeer.js";
+import type { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { waitTurns } from "../../../../features/support/waitTurns.js";
 import type { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
@@ -11,6 +12,7 @@
 import type { FleetStore } from "../ports/FleetStore.js";
 import { answerHeartbeat } from "./answerHeartbeat.js";
 import type { Cluster } from "./Cluster.js";
+import { updateOwner } from "./Cluster.js";
 import { createRelayingStore } from "./createRelayingStore.js";
 import { watchConfiguration } from "./watchConfiguration.js";
 
@@ -35,6 +37,27 @@
     await waitTurns(EVENT_LOOP_TURNS);
 });
 
+Given("the daemon knows itself as the owner", function(this: TestWorld) {
+    const cluster = this.note<Cluster>("cluster");
+    updateOwner(cluster, { node: cluster.node, address: cluster.address, revision: 1 });
+});
+
+When(
+    "the daemon watches the configuration, and the watches leave out changes",
+    async function(this: TestWorld) {
+        const end = new AbortController();
+        this.cleanups.push(() => end.abort());
+        const clock = this.note<FakeClock>("clock");
+        const store: FleetStore = {
+            ...this.note<FakeFleetStore>("store").createClient(),
+            watch: (_prefix, after, waitMs) =>
+                new ResultAsync(clock.pause(waitMs).then(() => ok({ events: [], revision: after + 1 }))),
+        };
+        void watchConfiguration(this.note("cluster"), store, CONFIGURATION_KEY, end.signal);
+        await waitTurns(EVENT_LOOP_TURNS);
+    },
+);
+
 When("a peer offers configuration {word}", function(this: TestWorld, version: string) {
     this.note<Cluster>("cluster").configuration.activateIfNewer(Buffer.from(version), "peer");
 });
@@ -89,11 +112,14 @@
 
 Given("a peer that answers fetches of its configuration when it is told to", function(this: TestWorld) {
     const fetches: ((version: number) => void)[] = [];
+    const answers: ((answer: object) => void)[] = [];
     this.notes.set("fetches", fetches);
+    this.notes.set("answers", answers);
     const fetchConfiguration = () =>
-        new Promise(resolve =>
-            fetches.push(version => resolve({ text: Buffer.from(String(version)), version }))
-        );
+        new Promise(resolve => {
+            answers.push(resolve);
+            fetches.push(version => resolve({ text: Buffer.from(String(version)), version }));
+        });
     const cluster = this.note<Cluster>("cluster");
     cluster.peers.set("peer", createTestPeer("peer", { fetchConfiguration }));
     cluster.addPeer = address => cluster.peers.get(address);
@@ -117,6 +143,15 @@
     await waitTurns(EVENT_LOOP_TURNS);
 });
 
+When(
+    "the peer answers with the text of configuration {int} as configuration {int}",
+    async function(this: TestWorld, textVersion: number, version: number) {
+        const answer = { text: Buffer.from(String(textVersion)), version };
+        this.note<((answer: object) => void)[]>("answers").at(-1)!(answer);
+        await waitTurns(EVENT_LOOP_TURNS);
+    },
+);
+
 Then(/^the peer has received (\d+) fetch(?:es)?$/, function(this: TestWorld, count: string) {
     assert.equal(this.note<unknown[]>("fetches").length, Number(count));
 });
--- a/packages/scheduler/src/cluster/watchConfiguration.ts
+++ b/packages/scheduler/src/cluster/watchConfiguration.ts
@@ -9,9 +9,17 @@
  */
 const MAX_CONFIGURATION_WATCH_WAIT_MS = 1_000;
 
+/**
+ * Time after which the owner reads the configuration again while it watches it, in milliseconds. A watch that leaves
+ * out a change would otherwise hide it until the next one.
+ */
+const CONFIGURATION_READ_INTERVAL_MS = 500;
+
 /**
  * Watches the operator's configuration in the store and puts each newer version into force.
  *
+ * The owner also reads it from time to time. The other daemons do not: heartbeats tell them of the owner's version.
+ *
  * @param cluster - This daemon's view of the cluster, which holds the configuration in force.
  * @param store - The store.
  * @param key - Key of the configuration in the store.
@@ -24,16 +32,25 @@
     signal: AbortSignal,
 ): Promise<void> {
     let revision: number | undefined;
+    let readAt = cluster.clock();
     while (!signal.aborted) {
-        revision = revision === undefined
-            ? await readConfiguration(cluster, store, key)
-            : await waitForChange(cluster, store, { key, revision, signal });
+        if (revision === undefined || isReadDue(cluster, readAt)) {
+            readAt = cluster.clock();
+            revision = await readConfiguration(cluster, store, key);
+        }
+        else {
+            revision = await waitForChange(cluster, store, { key, revision, signal });
+        }
         if (revision === undefined) {
             await pause(STORE_RETRY_MS, signal);
         }
     }
 }
 
+function isReadDue({ owner, address, clock }: Cluster, readAt: number): boolean {
+    return owner?.address === address && clock() - readAt >= CONFIGURATION_READ_INTERVAL_MS;
+}
+
 /** Reads with a list, which returns the store's revision: the value's own may be older than the retained history. */
 async function readConfiguration(
     cluster: Cluster,
