Stop: A daemon waits until its leases in the store have ended before it is closed

What was seen: 'close' of the node does not wait for the end of the owner's and the member's lease, which the stop begins. A process that exits before their store calls are answered leaves both records behind; the successor waits until the lease of 2 s expires, and peers keep calling the member for up to 10 s. On the way the stop also ended the connections to peers through which these calls may be relayed.

Cause: the background tasks of a daemon were started and forgotten. In the stop of an entry daemon 0.6 of the grace period lies between leaving and closing, which hid it for a store that answers.

Evidence, before the change (startNode.feature, 'The leases of the owner have ended once the daemon is closed'): the records of owner and member are [ true, true ] in place of [ false, false ].

Why this works: 'close' waits for the two tasks and for the calls of peers at the same time, 400 ms at most or the time that it is given, and ends the exchange with peers afterwards. If the store does not answer, a line in the log says so, and the leases expire as before.

--- /dev/null
+++ b/packages/scheduler/src/startNode.steps.ts
@@ -0,0 +1,109 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { ResultAsync } from "neverthrow";
+import assert from "node:assert/strict";
+import winston from "winston";
+import { findFreeAddress } from "../../../features/support/findFreeAddress.js";
+import type { TestWorld } from "../../../features/support/TestWorld.js";
+import { FakeFleetStore } from "../../stand-ins/src/fleet/FakeFleetStore.js";
+import { createMetrics } from "./Metrics.js";
+import { pause } from "./pause.js";
+import type { FleetStore, StoreError } from "./ports/FleetStore.js";
+import type { Node } from "./startNode.js";
+import { startNode } from "./startNode.js";
+import { storeKeys } from "./storeKeys.js";
+
+const NODE = "here";
+
+const POLL_INTERVAL_MS = 10;
+
+/** Well above the duration of a stop, so that one that does not end fails the step. */
+const STOP_TIMEOUT_MS = 10_000;
+
+/** A store whose calls take a time, or do not end at all. */
+type SlowStore = { readonly backend: FakeFleetStore; readonly client: FleetStore; isSilent: boolean };
+
+function createSlowStore(delayMs: number): SlowStore {
+    const backend = new FakeFleetStore(() => performance.now());
+    const direct = backend.createClient();
+    const call = <T>(start: () => ResultAsync<T, StoreError>): ResultAsync<T, StoreError> =>
+        new ResultAsync((async () => {
+            await (slowStore.isSilent ? new Promise<never>(() => {}) : pause(delayMs));
+            return start();
+        })());
+    const client: FleetStore = {
+        read: key => call(() => direct.read(key)),
+        list: (prefix, options) => call(() => direct.list(prefix, options)),
+        commit: transaction => call(() => direct.commit(transaction)),
+        watch: (prefix, after, waitMs, signal) => call(() => direct.watch(prefix, after, waitMs, signal)),
+        grantLease: ttlMs => call(() => direct.grantLease(ttlMs)),
+        renewLease: lease => call(() => direct.renewLease(lease)),
+        endLease: lease => call(() => direct.endLease(lease)),
+    };
+    const slowStore: SlowStore = { backend, client, isSilent: false };
+    return slowStore;
+}
+
+Given("a store that answers after {int} ms", function(this: TestWorld, delayMs: number) {
+    this.notes.set("slowStore", createSlowStore(delayMs));
+});
+
+function hasRecords(world: TestWorld): readonly boolean[] {
+    const { backend } = world.note<SlowStore>("slowStore");
+    return [storeKeys.owner, storeKeys.member(NODE)].map(key => backend.get(key) !== undefined);
+}
+
+Given("a daemon that is the owner", async function(this: TestWorld) {
+    const node = await startNode({
+        node: NODE,
+        peerAddress: await findFreeAddress(),
+        heartbeatPort: 0,
+        processorCores: 0,
+        seeds: [],
+        store: this.note<SlowStore>("slowStore").client,
+        workers: {} as never,
+        advice: {} as never,
+        machines: { list: async () => [], beginUpkeep: async () => ({ kind: "busy" }) },
+        waveRecordFormat: {
+            prefix: "waves/",
+            decode: () => undefined,
+            statusKey: wave => `status/${wave}`,
+            encodeStatus: state => Buffer.from(state),
+        },
+        workersPrefix: "workers/",
+        decodeWorkerReport: () => undefined,
+        configurationKey: "configuration",
+        decodeConfiguration: () => {
+            throw new Error("No configuration is expected.");
+        },
+        bounds: { maxHoldMs: 10_000, stateRetentionMs: 120_000 },
+        log: winston.createLogger({ silent: true }),
+        metrics: createMetrics(),
+        clock: () => performance.now(),
+    });
+    this.notes.set("node", node);
+    while (!hasRecords(this).every(Boolean) || node.callContext.localOwner() === undefined) {
+        await pause(POLL_INTERVAL_MS);
+    }
+});
+
+When("the store stops answering", function(this: TestWorld) {
+    this.note<SlowStore>("slowStore").isSilent = true;
+});
+
+When(
+    "the daemon leaves and is closed at once",
+    { timeout: STOP_TIMEOUT_MS },
+    async function(this: TestWorld) {
+        const node = this.note<Node>("node");
+        node.leave();
+        await node.close();
+    },
+);
+
+Then("the store holds neither the owner's record nor the member's", function(this: TestWorld) {
+    assert.deepEqual(hasRecords(this), [false, false]);
+});
+
+Then("the store still holds the member's record", function(this: TestWorld) {
+    assert.equal(hasRecords(this)[1], true);
+});
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -8,6 +8,7 @@
 import { getMedianWallClockMs } from "./cluster/getMedianWallClockMs.js";
 import { openHeartbeatSocket } from "./cluster/openHeartbeatSocket.js";
 import { runMembership } from "./cluster/runMembership.js";
+import type { OwnershipOptions } from "./cluster/runOwnership.js";
 import { runOwnership } from "./cluster/runOwnership.js";
 import { notifyPeers, runPeers } from "./cluster/runPeers.js";
 import type { OwnerService } from "./cluster/serveCluster.js";
@@ -24,6 +25,10 @@
 import type { MachinePort, WaveRecordFormat } from "./ports/MachinePort.js";
 import type { WorkerPort, WorkerReport } from "./ports/WorkerPort.js";
 import type { CloseOptions } from "./startRpcListener.js";
+import { waitAtMost } from "./waitAtMost.js";
+
+/** Time after which a close no longer waits, in milliseconds; short, as it comes at the end of a grace period. */
+const CLOSE_TIMEOUT_MS = 400;
 
 /** Options of `startNode`: the settings of a daemon and the ports it uses. */
 export type NodeOptions = {
@@ -64,7 +69,7 @@
     readonly addPeers: (addresses: readonly string[]) => void;
     /** Gives up the ownership and leaves the cluster; callers are still answered. */
     readonly leave: () => void;
-    /** Ends the exchange with peers, and waits until the calls of peers that are in progress have ended. */
+    /** Waits until the leases in the store and the calls of peers have ended, and ends the exchange with peers. */
     readonly close: (options?: CloseOptions) => Promise<void>;
 };
 
@@ -124,19 +129,7 @@
     const addPeers: Node["addPeers"] = addresses =>
         addresses.forEach(address => cluster.addPeer(address, address));
     addPeers(options.seeds);
-    const runInBackground = (name: string, task: () => Promise<void>, signal: AbortSignal): void =>
-        void keepRunning(name, task, signal, { log, pause });
-    runInBackground("membership", () => runMembership(cluster, store, leaving.signal), leaving.signal);
-    runInBackground(
-        "configuration",
-        () => watchConfiguration(cluster, store, options.configurationKey, closing.signal),
-        closing.signal,
-    );
-    runInBackground(
-        "ownership",
-        () => runOwnership({ cluster, store, schedule }, leaving.signal),
-        leaving.signal,
-    );
+    const leasesEnded = startBackgroundTasks({ ...options, cluster, store, schedule }, leaving, closing);
     return {
         callContext: { cluster, store, localOwner, pause },
         isReady: () => cluster.configuration.current() !== undefined && !leaving.signal.aborted,
@@ -146,11 +139,44 @@
             leaving.abort();
             notifyPeers(cluster);
         },
-        close: async options => {
+        close: async ({ timeoutMs = CLOSE_TIMEOUT_MS } = {}) => {
             leaving.abort();
+            const [haveLeasesEnded] = await Promise.all([
+                waitAtMost(timeoutMs, leasesEnded),
+                listener.close({ timeoutMs }),
+            ]);
+            if (!haveLeasesEnded) {
+                log.warn("The leases in the store are not ended; they expire.", { timeoutMs });
+            }
+            // Only now: the last calls to the store may have been relayed through peers.
             closing.abort();
             heartbeatSocket?.close();
-            await listener.close(options);
         },
     };
 }
+
+/** What the background tasks of a daemon use. */
+type BackgroundContext = OwnershipOptions & Pick<NodeOptions, "configurationKey" | "log">;
+
+/**
+ * Starts the tasks that keep the daemon a member, watch the configuration and claim the ownership.
+ *
+ * @returns Resolves when the daemon has left and has ended its leases in the store.
+ */
+function startBackgroundTasks(
+    { cluster, store, schedule, configurationKey, log }: BackgroundContext,
+    leaving: AbortController,
+    closing: AbortController,
+): Promise<unknown> {
+    const run = (name: string, task: (signal: AbortSignal) => Promise<void>, end: AbortController) =>
+        keepRunning(name, () => task(end.signal), end.signal, { log, pause });
+    void run(
+        "configuration",
+        signal => watchConfiguration(cluster, store, configurationKey, signal),
+        closing,
+    );
+    return Promise.all([
+        run("membership", signal => runMembership(cluster, store, signal), leaving),
+        run("ownership", signal => runOwnership({ cluster, store, schedule }, signal), leaving),
+    ]);
+}
--- a/packages/scheduler/src/startRpcListener.ts
+++ b/packages/scheduler/src/startRpcListener.ts
@@ -5,9 +5,9 @@
 import { listenOn } from "./listenOn.js";
 import { startDeadline } from "./startDeadline.js";
 
-/** Options of `RpcListener.close`. */
+/** Options of a close. */
 export type CloseOptions = {
-    /** Time after which calls that are still in progress are cut off, in milliseconds; 2 seconds by default. */
+    /** Time after which what is still in progress is cut off, in milliseconds. */
     readonly timeoutMs?: number;
 };
 
