Log: Lines that the output has not accepted yet can be flushed before the exit

What was seen: a process that exits loses the lines that are waiting in the bounded output, so that "The daemon has stopped." and the lines of the last answers are missing in the log that is read after an incident. Each line is written asynchronously, so this takes no full output, only a busy process.

The scenarios of the flush (createBoundedOutput.feature) had nothing to call before.

Why this works: 'flush' of the logger resolves once no line is waiting or being written, or at its timeout with false, so that a reader that has stopped reading does not hold up the exit. It does not end the logger: background tasks may still log.

--- a/packages/scheduler/src/createBoundedOutput.feature
+++ b/packages/scheduler/src/createBoundedOutput.feature
@@ -21,3 +21,25 @@
         Given an output that never completes a write
         When 200000 log lines are written
         Then some lines were dropped
+
+    # A process that exits loses the lines that its output has not accepted yet, the last one of a stop among them.
+    Scenario: A flush waits until a full output has accepted all lines
+        Given an output that is full for the first 20 writes
+        When 3 log lines are written and flushed
+        Then the lines are flushed
+        And the output holds the lines "line 0, line 1, line 2"
+
+    Scenario: A flush without lines ends at once
+        Given an output that completes each write asynchronously
+        When 0 log lines are written and flushed
+        Then the lines are flushed
+
+    Scenario: A flush waits for a write in progress
+        Given an output that completes each write asynchronously
+        When 1 log line is written and flushed
+        Then the lines are flushed
+
+    Scenario: A flush gives up at its timeout
+        Given an output that never completes a write
+        When 3 log lines are written and flushed
+        Then the lines are not flushed
--- a/packages/scheduler/src/createBoundedOutput.steps.ts
+++ b/packages/scheduler/src/createBoundedOutput.steps.ts
@@ -1,18 +1,21 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import type { TestWorld } from "../../../features/support/TestWorld.js";
-import type { WriteBytes } from "./createBoundedOutput.js";
+import type { BoundedOutput, WriteBytes } from "./createBoundedOutput.js";
 import { createBoundedOutput } from "./createBoundedOutput.js";
 
+const FLUSH_TIMEOUT_MS = 500;
+
 type Output = { text: string; dropped: number; readonly writes: string[] };
 
 function openStream(world: TestWorld, createWriteBytes: (output: Output) => WriteBytes): void {
     const output: Output = { text: "", dropped: 0, writes: [] };
-    const stream = createBoundedOutput(() => {
+    const { stream, flush } = createBoundedOutput(() => {
         output.dropped += 1;
     }, { writeBytes: createWriteBytes(output), retryLater: callback => setImmediate(callback) });
     world.notes.set("output", output);
     world.notes.set("stream", stream);
+    world.notes.set("flush", flush);
 }
 
 Given("an output that is full for the first {int} writes", function(this: TestWorld, times: number) {
@@ -57,6 +60,18 @@
     }
 });
 
+When("{int} log line(s) is/are written and flushed", async function(this: TestWorld, count: number) {
+    const stream = this.note<NodeJS.WritableStream>("stream");
+    for (let number = 0; number < count; number++) {
+        stream.write(`line ${number}\n`);
+    }
+    this.notes.set("isFlushed", await this.note<BoundedOutput["flush"]>("flush")(FLUSH_TIMEOUT_MS));
+});
+
+Then(/^the lines (are|are not) flushed$/, function(this: TestWorld, expected: string) {
+    assert.equal(this.note<boolean>("isFlushed"), expected === "are");
+});
+
 Then("the output holds the lines {string}", function(this: TestWorld, lines: string) {
     assert.equal(this.note<Output>("output").text, lines.split(", ").map(line => `${line}\n`).join(""));
 });
--- a/packages/scheduler/src/createBoundedOutput.ts
+++ b/packages/scheduler/src/createBoundedOutput.ts
@@ -1,5 +1,6 @@
 import { write } from "node:fs";
 import { Writable } from "node:stream";
+import { waitAtMost } from "./waitAtMost.js";
 
 /** Maximum size of the lines that are waiting to be written, in bytes. */
 export const MAX_PENDING_BYTES = 1_000_000;
@@ -20,6 +21,13 @@
     done: (error: NodeJS.ErrnoException | null, written: number) => void,
 ) => void;
 
+/** A stream that never blocks its writer, and drops lines that exceed its buffer. */
+export type BoundedOutput = {
+    readonly stream: Writable;
+    /** Waits until all buffered lines are written, but not longer than a timeout; returns whether they are. */
+    readonly flush: (timeoutMs: number) => Promise<boolean>;
+};
+
 /** Options of `createBoundedOutput`. */
 export type CreateBoundedOutputOptions = {
     /** Writes to the output; defaults to standard output. */
@@ -29,23 +37,31 @@
 };
 
 /**
- * Creates a stream that never blocks its writer.
+ * Creates an output whose stream never blocks its writer.
  *
  * Lines that the output does not accept yet are buffered up to a limit; further lines are dropped. A write that
  * fails for any other reason than a full output is dropped as well.
  *
  * @param onDrop - Called for each line that exceeds the limit, and once for each failed write.
  * @param options - Replacements for the output and the timer.
- * @returns The stream.
+ * @returns The output.
  */
-export function createBoundedOutput(onDrop: () => void, options: CreateBoundedOutputOptions = {}): Writable {
+export function createBoundedOutput(
+    onDrop: () => void,
+    options: CreateBoundedOutputOptions = {},
+): BoundedOutput {
     const writeBytes = options.writeBytes ?? ((bytes, done) => write(STDOUT, bytes, done));
     const retryLater = options.retryLater ?? (callback => setTimeout(callback, FULL_OUTPUT_PAUSE_MS).unref());
     let pending: Buffer[] = [];
     let pendingBytes = 0;
     let isWriting = false;
+    const waiters: (() => void)[] = [];
     const writePending = (): void => {
-        if (isWriting || pending.length === 0) {
+        if (isWriting) {
+            return;
+        }
+        if (pending.length === 0) {
+            waiters.splice(0).forEach(resolve => resolve());
             return;
         }
         isWriting = true;
@@ -71,7 +87,7 @@
             }
         });
     };
-    return new Writable({
+    const stream = new Writable({
         write: (chunk: Buffer, _encoding, done) => {
             if (pendingBytes + chunk.length > MAX_PENDING_BYTES) {
                 onDrop();
@@ -84,6 +100,17 @@
             done();
         },
     });
+    return {
+        stream,
+        flush: timeoutMs =>
+            waitAtMost(
+                timeoutMs,
+                new Promise<void>(resolve => {
+                    waiters.push(resolve);
+                    writePending();
+                }),
+            ),
+    };
 }
 
 /** Takes whole lines for one write, so that lines of other processes on the same output do not get between them. */
