--- a/packages/scheduler/src/startNode.steps.ts
+++ b/packages/scheduler/src/startNode.steps.ts
@@ -78,6 +78,7 @@
         bounds: { maxHoldMs: 10_000, stateRetentionMs: 120_000 },
         log: winston.createLogger({ silent: true }),
         metrics: createMetrics(),
+        listenOptions: {},
         clock: () => performance.now(),
     });
     this.notes.set("node", node);
