The product's daemon handles signals from its start on, and waits for addresses in use

The daemon 'balsamwardd' had the same faults as that on the platform: SIGTERM and SIGHUP ended it without a line until its modules were loaded and its settings read, SIGHUP at any later time as well; a second SIGTERM ended a graceful stop; a SIGTERM while its listeners were started was never followed by a stop, since the wait for it began after that; an address in use ended it.

It uses the same receiver, log lines and 'listenOn' options. SIGHUP is logged and has no other effect: the daemon does not reload its settings. A SIGTERM before it listens to callers ends it with status 0.

Before the fix, of real processes: 'A SIGHUP that arrives while the daemon reads its settings does not end it' failed with The daemon has ended without the line: {"end":{"status":null,"signal":"SIGHUP"},"lines":[]} 'A SIGTERM that arrives while the daemon reads its settings ends it before it listens' with the signal SIGTERM in place of status 0, and 'A daemon that waits for an address in use is stopped by SIGTERM' with a stack trace of EADDRINUSE in place of the line.

--- a/features/support/startDaemonProcess.ts
+++ b/features/support/startDaemonProcess.ts
@@ -25,31 +25,33 @@
 export type StartDaemonProcessOptions = {
     /** Environment variables; it gets no others. */
     readonly env?: NodeJS.ProcessEnv;
+    /** The output that its log is written to; by default standard output. */
+    readonly logOutput?: "stdout" | "stderr";
 };
 
 /**
  * Starts a daemon as a process of its own, with the Node.js of this process.
  *
  * @param parameters - Parameters of Node.js: its options, the file to run and the file's parameters.
- * @param options - Its environment.
+ * @param options - Its environment, and where its log is.
  * @returns The process, which may not run any of the daemon's code yet.
  */
 export function startDaemonProcess(
     parameters: readonly string[],
-    { env = {} }: StartDaemonProcessOptions = {},
+    { env = {}, logOutput = "stdout" }: StartDaemonProcessOptions = {},
 ): DaemonProcess {
     const child = spawn(process.execPath, parameters, { env, stdio: ["ignore", "pipe", "pipe"] });
     const lines: LogLine[] = [];
     const changes = new EventEmitter();
     let end: ProcessEnd | undefined;
     let partialLine = "";
-    child.stdout.setEncoding("utf8").on("data", (text: string) => {
+    child[logOutput].setEncoding("utf8").on("data", (text: string) => {
         const texts = (partialLine + text).split("\n");
         partialLine = texts.pop()!;
         lines.push(...texts.map(line => JSON.parse(line) as LogLine));
         changes.emit("change");
     });
-    child.stderr.setEncoding("utf8").on("data", (text: string) => process.stderr.write(text));
+    child[logOutput === "stdout" ? "stderr" : "stdout"].pipe(process.stderr, { end: false });
     child.once("close", (status, signal) => {
         end = { status, signal };
         changes.emit("change");
--- a/packages/daemon/src/callers/startCallersListener.ts
+++ b/packages/daemon/src/callers/startCallersListener.ts
@@ -1,3 +1,4 @@
+import type { ListenOptions } from "@balsamward/scheduler/listenOn";
 import { listenOn } from "@balsamward/scheduler/listenOn";
 import { Outcome, outcomeName, Reason, reasonName } from "@balsamward/schema";
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from "node:http";
@@ -33,6 +34,7 @@
  * @param state - The daemon's state.
  * @param router - The router to the owners of cells.
  * @param address - The address to listen on as `IP:port`.
+ * @param options - How the server comes to listen.
  * @returns The listener.
  *
  * @example
@@ -42,6 +44,7 @@
     state: DaemonState,
     router: CellRouter,
     address: string,
+    options: ListenOptions = {},
 ): Promise<CallersListener> {
     const dispatcher = new Agent({ connections: ENDPOINT_CONNECTIONS, pipelining: 1 });
     const app = polka();
@@ -55,7 +58,7 @@
     app.delete("/v1/jobs/:id", toRoute((req, id) => handleJobCancellation(state, router, req, id)));
     const server: Server = createServer(app.handler as unknown as RequestListener);
     server.requestTimeout = CLIENT_REQUEST_TIMEOUT_MS;
-    await listenOn(server, address);
+    await listenOn(server, address, options);
     return {
         // 'close' of the HTTP server also closes idle connections and would lose a request that is just arriving.
         drain: () => void NetServer.prototype.close.call(server),
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -108,3 +108,6 @@
 
 /** Sampling interval in milliseconds of the event loop delay metric. */
 export const EVENT_LOOP_SAMPLE_INTERVAL_MS = 500;
+
+/** Time in milliseconds for which a daemon that starts waits for an address that its predecessor still uses. */
+export const ADDRESS_WAIT_TIMEOUT_MS = 40_000;
--- a/packages/daemon/src/operations/startOperationsListener.ts
+++ b/packages/daemon/src/operations/startOperationsListener.ts
@@ -1,4 +1,5 @@
 import type { Environment } from "@balsamward/coordination";
+import type { ListenOptions } from "@balsamward/scheduler/listenOn";
 import { listenOn } from "@balsamward/scheduler/listenOn";
 import { Reason, sha256Hex } from "@balsamward/schema";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
@@ -22,6 +23,8 @@
 export type StartOperationsListenerOptions = {
     /** SHA-256 digest of the operators' bearer token. */
     readonly tokenSha256: string;
+    /** How the server comes to listen. */
+    readonly listenOptions?: ListenOptions;
 };
 
 /**
@@ -30,7 +33,7 @@
  * @param state - The daemon's state.
  * @param router - The router to the owners of cells.
  * @param address - The address to listen on as `IP:port`.
- * @param options - The digest of the operators' token.
+ * @param options - The digest of the operators' token, and how the server comes to listen.
  * @returns The listener.
  *
  * @example
@@ -46,7 +49,7 @@
     addHealthRoutes(app, state);
     addOperatorRoutes(app, state, router, options);
     const server = createServer(app.handler as unknown as RequestListener);
-    await listenOn(server, address);
+    await listenOn(server, address, options.listenOptions);
     return {
         close: () =>
             new Promise(resolve => {
--- a/packages/daemon/src/peers/startPeerListener.ts
+++ b/packages/daemon/src/peers/startPeerListener.ts
@@ -1,3 +1,4 @@
+import type { ListenOptions } from "@balsamward/scheduler/listenOn";
 import { listenOn } from "@balsamward/scheduler/listenOn";
 import type { CellId, JobId, NodeId } from "@balsamward/schema";
 import { FetchConfigurationResponseSchema, PeerService } from "@balsamward/schema";
@@ -23,6 +24,7 @@
  * @param state - The daemon's state.
  * @param clients - The clients of the connected peers.
  * @param address - The address to listen on as `IP:port`.
+ * @param options - How the server comes to listen.
  * @returns The listener.
  *
  * @example
@@ -32,6 +34,7 @@
     state: DaemonState,
     clients: PeerClients,
     address: string,
+    options: ListenOptions = {},
 ): Promise<PeerListener> {
     const sessions = new Set<ServerHttp2Session>();
     const byteCountTimer = setInterval(
@@ -47,7 +50,7 @@
             sessions.delete(session);
         });
     });
-    await listenOn(server, address);
+    await listenOn(server, address, options);
     return {
         close: () =>
             new Promise(resolve => {
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -8,6 +8,7 @@
 import { updateLimitShares } from "./callers/updateLimitShares.js";
 import { runCellOwnership } from "./cells/runCellOwnership.js";
 import {
+    ADDRESS_WAIT_TIMEOUT_MS,
     DRAIN_POLL_INTERVAL_MS,
     DRAIN_TIMEOUT_MS,
     IDLE_CONNECTION_GRACE_MS,
@@ -17,14 +18,39 @@
 import type { DaemonState } from "./DaemonState.js";
 import { pollVmList } from "./fleet/pollVmList.js";
 import { updateVms } from "./fleet/updateVms.js";
+import type { OperationsListener } from "./operations/startOperationsListener.js";
 import { startOperationsListener } from "./operations/startOperationsListener.js";
+import type { CellRouter } from "./peers/CellRouter.js";
 import { createCellRouter } from "./peers/CellRouter.js";
 import { createPeerConnections } from "./peers/createPeerConnections.js";
 import type { PeerClients } from "./peers/maintainPeerConnection.js";
+import type { PeerListener } from "./peers/startPeerListener.js";
 import { startPeerListener } from "./peers/startPeerListener.js";
 import { watchControlKeys } from "./peers/watchControlKeys.js";
 import { registerMember } from "./registerMember.js";
 
+/** Options of `runDaemon`. */
+export type RunDaemonOptions = {
+    /** Called once the daemon listens on all its addresses. */
+    readonly onStarted?: () => void;
+};
+
+/** The listeners of a daemon. */
+type Listeners = {
+    readonly peerListener: PeerListener;
+    readonly operationsListener: OperationsListener;
+    readonly callersListener: CallersListener;
+};
+
+/** What the listeners of a daemon need. */
+type ListenersOptions = {
+    readonly state: DaemonState;
+    readonly clients: PeerClients;
+    readonly router: CellRouter;
+    /** Ends the start. */
+    readonly signal: AbortSignal;
+};
+
 /**
  * Runs a daemon until the signal aborts and then stops it gracefully.
  *
@@ -33,27 +59,31 @@
  *
  * @param settings - The validated settings.
  * @param log - The logger.
- * @param signal - Starts the graceful stop.
+ * @param signal - Starts the graceful stop; before the daemon listens to callers, it ends the start.
+ * @param options - A callback for the end of the start.
  *
  * @example
  * await runDaemon(settings, log, signal);
  */
-export async function runDaemon(settings: DaemonSettings, log: Logger, signal: AbortSignal): Promise<void> {
+export async function runDaemon(
+    settings: DaemonSettings,
+    log: Logger,
+    signal: AbortSignal,
+    { onStarted = () => {} }: RunDaemonOptions = {},
+): Promise<void> {
     const state = createDaemonState(settings, log);
     const clients: PeerClients = new Map();
     const router = createCellRouter(state, clients);
     const shutdown = new AbortController();
     const ownershipAbort = new AbortController();
     const peerConnections = createPeerConnections(state, clients, shutdown.signal);
-    const { listeners, platform, operators } = settings;
-    const peerListener = await startPeerListener(state, clients, listeners!.peers);
-    const operationsListener = await startOperationsListener(
-        state,
-        router,
-        listeners!.operations,
-        operators!,
-    );
-    const callersListener = await startCallersListener(state, router, listeners!.callers);
+    const { platform } = settings;
+    const listeners = await startListeners(settings, { state, clients, router, signal });
+    if (listeners === undefined) {
+        log.info("The daemon has stopped.", { stage: "starting" });
+        return;
+    }
+    const { peerListener, operationsListener, callersListener } = listeners;
     const onControlChange = () => {
         peerConnections.reconcile();
         updateLimitShares(state);
@@ -61,6 +91,7 @@
     startBackgroundTasks(state, platform!.vmList, onControlChange, shutdown.signal);
     const ownershipTask = runCellOwnership(state, ownershipAbort.signal);
     log.info("The daemon is running.", { incarnation: state.incarnation });
+    onStarted();
     await waitForAbort(signal);
     log.info("The daemon stops.");
     state.isStopping = true;
@@ -75,6 +106,37 @@
     log.info("The daemon has stopped.");
 }
 
+/** Starts the listeners, that for callers last; returns `undefined` if the start is ended before. */
+async function startListeners(
+    { listeners, operators }: DaemonSettings,
+    { state, clients, router, signal }: ListenersOptions,
+): Promise<Listeners | undefined> {
+    const addressWait = {
+        timeoutMs: ADDRESS_WAIT_TIMEOUT_MS,
+        log: state.log,
+        pause,
+        clock: () => performance.now(),
+    };
+    const listenOptions = { signal, addressWait };
+    const { peers, operations, callers } = listeners!;
+    try {
+        return {
+            peerListener: await startPeerListener(state, clients, peers, listenOptions),
+            operationsListener: await startOperationsListener(state, router, operations, {
+                ...operators!,
+                listenOptions,
+            }),
+            callersListener: await startCallersListener(state, router, callers, listenOptions),
+        };
+    }
+    catch (error) {
+        if (signal.aborted) {
+            return undefined;
+        }
+        throw error;
+    }
+}
+
 /** Starts the tasks that keep the daemon's lease and its view of the control keys and the VM list up to date. */
 function startBackgroundTasks(
     state: DaemonState,
@@ -98,6 +160,9 @@
 }
 
 async function waitForAbort(signal: AbortSignal): Promise<void> {
+    if (signal.aborted) {
+        return;
+    }
     await new Promise<void>(resolve => {
         signal.addEventListener("abort", () => resolve(), { once: true });
     });
--- a/packages/scheduler/src/logSignals.ts
+++ b/packages/scheduler/src/logSignals.ts
@@ -33,5 +33,6 @@
         lastLines.set(key, { loggedAt: clock(), notLogged: 0 });
     };
     signals.handle("SIGTERM", logSignal);
+    signals.handle("SIGINT", logSignal);
     signals.handle("SIGHUP", logSignal);
 }
--- a/packages/scheduler/src/receiveSignals.ts
+++ b/packages/scheduler/src/receiveSignals.ts
@@ -1,5 +1,7 @@
+import { setImmediate as nextTurn } from "node:timers/promises";
+
 /** A signal that the process handles. */
-export type SignalName = "SIGTERM" | "SIGHUP";
+export type SignalName = "SIGTERM" | "SIGINT" | "SIGHUP";
 
 /** Stage of the process's life at which a signal arrives. */
 export type ProcessStage = "starting" | "running" | "stopping";
@@ -14,10 +16,12 @@
 
 /** Takes the signals of the process, also before anything handles them. */
 export type SignalReceiver = {
-    /** Aborts at the first SIGTERM. */
+    /** Aborts at the first SIGTERM or SIGINT. */
     readonly stopSignal: AbortSignal;
     /** Calls a handler for each signal of a name, and at once for the first one that arrived before this call. */
     readonly handle: (name: SignalName, handler: (signal: ReceivedSignal) => void) => void;
+    /** Waits until the signals that have arrived so far are delivered, which needs turns of the event loop. */
+    readonly deliver: () => Promise<void>;
     /** Tells that the start has ended: signals arrive at a running daemon from now on. */
     readonly finishStart: () => void;
     /** Leaves the signals to the system's defaults again. */
@@ -26,7 +30,7 @@
 
 /** Options of `receiveSignals`. */
 export type ReceiveSignalsOptions = {
-    /** Names of the signals to receive; the others keep their effect. */
+    /** Names of the signals to receive, by default SIGTERM and SIGHUP; the others keep their effect. */
     readonly names?: readonly SignalName[];
 };
 
@@ -34,7 +38,7 @@
  * Takes the signals of the process. They end it from its creation until this call, so that a daemon calls this
  * before it loads or starts anything else.
  *
- * @param options - Names of the signals, by default all.
+ * @param options - Names of the signals.
  * @returns The receiver, which keeps the first signal of each name for handlers that are added later.
  *
  * @example
@@ -55,7 +59,7 @@
         if (!firstSignals.has(name)) {
             firstSignals.set(name, signal);
         }
-        if (name === "SIGTERM") {
+        if (name !== "SIGHUP") {
             stopping.abort();
         }
         handlers.get(name)?.forEach(handler => handler(signal));
@@ -71,6 +75,11 @@
                 handler(first);
             }
         },
+        deliver: async () => {
+            // The rest of this turn, and a whole one.
+            await nextTurn();
+            await nextTurn();
+        },
         finishStart: () => {
             hasStarted = true;
         },
