--- a/packages/daemon/src/peers/startPeerListener.ts
+++ b/packages/daemon/src/peers/startPeerListener.ts
@@ -1,3 +1,4 @@
+import type { ListenOptions } from "@balsamward/scheduler/listenOn";
 import { startRpcListener } from "@balsamward/scheduler/startRpcListener";
 import type { CellId, JobId, NodeId } from "@balsamward/schema";
 import { FetchConfigurationResponseSchema, PeerService } from "@balsamward/schema";
@@ -21,6 +22,7 @@
  * @param state - The daemon's state.
  * @param clients - The clients of the connected peers.
  * @param address - The address to listen on as `IP:port`.
+ * @param options - How the server comes to listen.
  * @returns The listener.
  *
  * @example
@@ -30,8 +32,9 @@
     state: DaemonState,
     clients: PeerClients,
     address: string,
+    options: ListenOptions = {},
 ): Promise<PeerListener> {
-    const listener = await startRpcListener(router => addRoutes(router, state, clients), address);
+    const listener = await startRpcListener(router => addRoutes(router, state, clients), address, options);
     const byteCountTimer = setInterval(
         () => listener.sessions.forEach(session => countBytes(state, session)),
         BYTE_COUNT_INTERVAL_MS,
