Daemon: A stop answers every request of callers that reaches it before the end

What was seen, on the product's own daemon, with the four scenarios of startCallersListener.feature on the code before: - a request on an open connection that arrives after 'closeIdle' gets no answer (Error: function timed out), and new connections are closed or refused, while other requests are still in progress for up to 25 s; - a long answer that its caller reads slowly is cut off (3919712 of 4000279 bytes); - a request in progress at the end of the drain ends without an answer (''), and so does one whose body has not arrived.

Cause: the stop closed the listener and what the daemon took for idle connections, although a request may be on its way on either, counted a request as done once its answer was handed to the socket, and closed what was left.

Why this works: the listener stays open until the end. From the notice on each answer closes its connection; after it, requests are refused as 'stopping', on new connections too. A request is open until its answer has been handed to the operating system. At the timeout the requests that are left are answered: a POST whose body has not arrived is refused, as it has had no effect, any other has an unknown outcome. What remains: a request that arrives between the last check and the exit, some milliseconds later, still gets no answer.

--- a/packages/daemon/src/DaemonState.ts
+++ b/packages/daemon/src/DaemonState.ts
@@ -46,5 +46,4 @@
     isStopping: boolean;
     /** Whether the daemon refuses new requests while it finishes those in flight. */
     isDraining: boolean;
-    inFlightRequests: number;
 };
--- a/packages/daemon/src/callers/startCallersListener.ts
+++ b/packages/daemon/src/callers/startCallersListener.ts
@@ -2,12 +2,12 @@
 import { Outcome, outcomeName, Reason, reasonName } from "@balsamward/schema";
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
-import { Server as NetServer } from "node:net";
 import polka from "polka";
 import { Agent } from "undici";
 import { CLIENT_REQUEST_TIMEOUT_MS, ENDPOINT_CONNECTIONS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import type { CellRouter } from "../peers/CellRouter.js";
+import { createOpenRequests } from "./createOpenRequests.js";
 import { handleJobCancellation } from "./handleJobCancellation.js";
 import { handleJobQuery } from "./handleJobQuery.js";
 import { handleJobSubmission } from "./handleJobSubmission.js";
@@ -18,10 +18,14 @@
 
 /** The HTTP listener for callers. */
 export type CallersListener = {
-    /** Stops accepting connections; each open connection closes after its next reply. */
-    readonly drain: () => void;
-    /** Closes connections that have no request in progress. */
-    readonly closeIdle: () => void;
+    /** Returns the number of requests whose answers have not been sent completely. */
+    readonly countOpenRequests: () => number;
+    /**
+     * Waits until all answers have been sent. After the timeout, in milliseconds, it answers the requests that are left
+     * itself, and waits a little longer until these answers have been sent.
+     */
+    readonly finish: (timeoutMs: number) => Promise<void>;
+    /** Stops accepting connections and closes the open ones; must be the last step before the process ends. */
     readonly close: () => Promise<void>;
 };
 
@@ -44,9 +48,11 @@
     address: string,
 ): Promise<CallersListener> {
     const dispatcher = new Agent({ connections: ENDPOINT_CONNECTIONS, pipelining: 1 });
+    const openRequests = createOpenRequests();
     const app = polka();
     const toRoute = (handle: Handler) => (req: IncomingMessage, res: ServerResponse) => {
         const { params } = req as unknown as { params: { id?: string } };
+        openRequests.add(req, res);
         void respond(state, req, res, () => handle(req, params.id ?? ""));
     };
     app.post("/v1/requests", toRoute(req => handleRequest(state, dispatcher, req)));
@@ -57,10 +63,10 @@
     server.requestTimeout = CLIENT_REQUEST_TIMEOUT_MS;
     await listenOn(server, address);
     return {
-        // 'close' of the HTTP server also closes idle connections and would lose a request that is just arriving.
-        drain: () => void NetServer.prototype.close.call(server),
-        closeIdle: () => server.closeIdleConnections(),
+        countOpenRequests: openRequests.count,
+        finish: openRequests.finish,
         close: async () => {
+            server.close();
             server.closeAllConnections();
             await dispatcher.destroy();
         },
@@ -74,12 +80,11 @@
     handle: () => Promise<ReplyWithKind>,
 ): Promise<void> {
     const arrivedAt = performance.now();
-    state.inFlightRequests += 1;
     try {
         const { kind, reply } = await handle();
         countOutcome(state, kind, reply.outcome, reply.reason);
         state.metrics.requestSeconds.observe({ kind }, (performance.now() - arrivedAt) / 1_000);
-        if (state.isStopping) {
+        if (state.isStopping && !res.headersSent) {
             res.setHeader("connection", "close");
         }
         sendReply(res, reply);
@@ -92,9 +97,6 @@
             "The daemon failed with an internal error. Check the request's effect before sending it again.";
         sendReply(res, { ...refuse(Reason.UNSPECIFIED, message), outcome: Outcome.UNKNOWN, status: 500 });
     }
-    finally {
-        state.inFlightRequests -= 1;
-    }
 }
 
 /** Closes the connection after the reply if the request's body was not read to its end. */
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -88,14 +88,14 @@
 /** Time in milliseconds that a stopping daemon waits for its requests in flight to end. */
 export const DRAIN_TIMEOUT_MS = 25_000;
 
+/** Time in milliseconds within which the answers to the requests that a stopping daemon ends itself are sent. */
+export const LAST_ANSWERS_TIMEOUT_MS = 500;
+
 /** Interval in milliseconds at which a stopping daemon checks whether its requests in flight have ended. */
 export const DRAIN_POLL_INTERVAL_MS = 10;
 
-/** Time in milliseconds between reporting not ready and refusing new connections. */
-export const NOT_READY_NOTICE_MS = 2_000;
-
-/** Time in milliseconds for which open connections may still send requests after new ones are refused. */
-export const IDLE_CONNECTION_GRACE_MS = 1_000;
+/** Time in milliseconds between reporting not ready and refusing new requests. */
+export const NOT_READY_NOTICE_MS = 3_000;
 
 /** Delay in milliseconds before a daemon retries its registration. */
 export const REGISTRATION_RETRY_DELAY_MS = 500;
--- a/packages/daemon/src/createDaemonState.ts
+++ b/packages/daemon/src/createDaemonState.ts
@@ -59,7 +59,6 @@
         lastWatchEventAt: Number.NEGATIVE_INFINITY,
         isStopping: false,
         isDraining: false,
-        inFlightRequests: 0,
     };
     return state;
 }
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -3,16 +3,10 @@
 import { pause } from "@balsamward/scheduler/pause";
 import type { DaemonSettings } from "@balsamward/schema";
 import type { Logger } from "winston";
-import type { CallersListener } from "./callers/startCallersListener.js";
 import { startCallersListener } from "./callers/startCallersListener.js";
 import { updateLimitShares } from "./callers/updateLimitShares.js";
 import { runCellOwnership } from "./cells/runCellOwnership.js";
-import {
-    DRAIN_POLL_INTERVAL_MS,
-    DRAIN_TIMEOUT_MS,
-    IDLE_CONNECTION_GRACE_MS,
-    NOT_READY_NOTICE_MS,
-} from "./constants.js";
+import { DRAIN_TIMEOUT_MS, LAST_ANSWERS_TIMEOUT_MS, NOT_READY_NOTICE_MS } from "./constants.js";
 import { createDaemonState } from "./createDaemonState.js";
 import type { DaemonState } from "./DaemonState.js";
 import { pollVmList } from "./fleet/pollVmList.js";
@@ -29,7 +23,8 @@
  * Runs a daemon until the signal aborts and then stops it gracefully.
  *
  * The daemon first reports not ready and hands over its cells. It keeps serving until the load balancer
- * has noticed, then refuses new requests, finishes those in flight and gives up its lease.
+ * has noticed, then refuses new requests, finishes those in flight and gives up its lease. Its listener for callers
+ * stays open until the end, so that the requests that still reach it are answered.
  *
  * @param settings - The validated settings.
  * @param log - The logger.
@@ -65,13 +60,16 @@
     log.info("The daemon stops.");
     state.isStopping = true;
     ownershipAbort.abort();
-    await drainCallers(state, callersListener);
-    await Promise.all([ownershipTask, waitForRequests(state)]);
+    // The load balancer notices meanwhile; requests on new and on open connections are still served.
+    await pause(NOT_READY_NOTICE_MS);
+    state.isDraining = true;
+    await Promise.all([ownershipTask, callersListener.finish(DRAIN_TIMEOUT_MS)]);
     shutdown.abort();
-    await callersListener.close();
     await peerListener.close();
     await operationsListener.close();
     await state.backgroundTasks.waitForAll();
+    await callersListener.finish(LAST_ANSWERS_TIMEOUT_MS);
+    await callersListener.close();
     log.info("The daemon has stopped.");
 }
 
@@ -102,19 +100,3 @@
         signal.addEventListener("abort", () => resolve(), { once: true });
     });
 }
-
-/** Keeps serving until the load balancer has noticed the stop, and then refuses new requests. */
-async function drainCallers(state: DaemonState, callersListener: CallersListener): Promise<void> {
-    await pause(NOT_READY_NOTICE_MS);
-    callersListener.drain();
-    await pause(IDLE_CONNECTION_GRACE_MS);
-    state.isDraining = true;
-    callersListener.closeIdle();
-}
-
-async function waitForRequests(state: DaemonState): Promise<void> {
-    const deadline = performance.now() + DRAIN_TIMEOUT_MS;
-    while (state.inFlightRequests > 0 && performance.now() < deadline) {
-        await pause(DRAIN_POLL_INTERVAL_MS);
-    }
-}
