Daemon: A stop answers the operators' and monitoring's requests in progress

What was seen: the operations listener closed all connections at once, so that a fetch of the metrics, or an operator's promotion of a document, was cut off in the middle and its outcome was left open.

Evidence, before the change (startOperationsListener.feature): 'SocketError: other side closed' in place of 200.

Why this works: 'close' waits for the requests in progress as the callers' listener does, 2 s at most, and answers those that are left.

--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -88,6 +88,9 @@
 /** Time in milliseconds that a stopping daemon waits for its requests in flight to end. */
 export const DRAIN_TIMEOUT_MS = 25_000;
 
+/** Time in milliseconds that a stopping daemon waits for its operators' requests to end. */
+export const OPERATIONS_DRAIN_TIMEOUT_MS = 2_000;
+
 /** Time in milliseconds within which the answers to the requests that a stopping daemon ends itself are sent. */
 export const LAST_ANSWERS_TIMEOUT_MS = 500;
 
--- a/packages/daemon/src/operations/startOperationsListener.ts
+++ b/packages/daemon/src/operations/startOperationsListener.ts
@@ -4,10 +4,12 @@
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import polka from "polka";
+import { createOpenRequests } from "../callers/createOpenRequests.js";
 import { readRequestBody } from "../callers/readRequestBody.js";
 import { refuse } from "../callers/refuse.js";
 import type { Reply } from "../callers/Reply.js";
 import { sendReply } from "../callers/Reply.js";
+import { OPERATIONS_DRAIN_TIMEOUT_MS } from "../constants.js";
 import type { DaemonState } from "../DaemonState.js";
 import type { CellRouter } from "../peers/CellRouter.js";
 import { checkReadiness } from "./checkReadiness.js";
@@ -16,7 +18,10 @@
 import { showFleet, showStatus, showUsage } from "./inspectionHandlers.js";
 
 /** The HTTP listener for operators and monitoring. */
-export type OperationsListener = { readonly close: () => Promise<void> };
+export type OperationsListener = {
+    /** Waits until the requests in progress have been answered, and closes all connections. */
+    readonly close: () => Promise<void>;
+};
 
 /** Options of `startOperationsListener`. */
 export type StartOperationsListenerOptions = {
@@ -42,17 +47,24 @@
     address: string,
     options: StartOperationsListenerOptions,
 ): Promise<OperationsListener> {
+    const openRequests = createOpenRequests();
     const app = polka();
+    app.use((req, res, next) => {
+        openRequests.add(req, res);
+        void next();
+    });
     addHealthRoutes(app, state);
     addOperatorRoutes(app, state, router, options);
     const server = createServer(app.handler as unknown as RequestListener);
     await listenOn(server, address);
     return {
-        close: () =>
-            new Promise(resolve => {
+        close: async () => {
+            await openRequests.finish(OPERATIONS_DRAIN_TIMEOUT_MS);
+            await new Promise<void>(resolve => {
                 server.close(() => resolve());
                 server.closeAllConnections();
-            }),
+            });
+        },
     };
 }
 
