Peers: Many calls in progress on one listener cause no warning of a leak

What was seen: since the listener for peers aborts the signals of calls in progress, eleven calls at the same time print 'MaxListenersExceededWarning: Possible EventTarget memory leak detected. 11 abort listeners added' (whole run of the tests, relayThroughPeers.feature).

Cause: each call in progress listens to the one signal. It is no leak: after 450 calls, among them malformed, reset and timed-out ones, 0 listeners are left.

Why this works: the signal has no limit, as that of a term.

--- a/packages/scheduler/src/startRpcListener.ts
+++ b/packages/scheduler/src/startRpcListener.ts
@@ -1,5 +1,6 @@
 import type { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { setMaxListeners } from "node:events";
 import { createServer } from "node:http2";
 import type { ServerHttp2Session } from "node:http2";
 import { listenOn } from "./listenOn.js";
@@ -38,6 +39,8 @@
     address: string,
 ): Promise<RpcListener> {
     const closing = new AbortController();
+    // Each call in progress listens to the signal: more than the default limit.
+    setMaxListeners(0, closing.signal);
     const sessions = new Set<ServerHttp2Session>();
     const server = createServer(connectNodeAdapter({ routes: addRoutes, shutdownSignal: closing.signal }));
     server.on("session", session => {
