Tests: A soak of real daemon processes under seeded faults, first part

No test ran the bundled daemon as processes with clients on real sockets.

The runner in platform/soak starts the bundle as the deploy file says, with stand-ins of the store, workers, machine control and advice in its own process, clients of five kinds, and a plan of faults that a seed repeats. A whole request that ends without an answer is a violation unless the process was killed or suspended, was gone, or exited within 10 ms of the sending ('at-exit', counted).

A pipelined request is lost if an answer before it announces the close: the daemon executes it and logs the answer, also that a job is accepted, but closes the connection first.

--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -2,6 +2,7 @@
     paths: [
         "packages/*/src/**/*.feature",
         "platform/src/**/*.feature",
+        "platform/soak/*.feature",
         "features/**/*.feature",
         "specs/**/*.feature",
     ],
@@ -9,6 +10,7 @@
         "features/support/**/*.ts",
         "packages/*/src/**/*.steps.ts",
         "platform/src/**/*.steps.ts",
+        "platform/soak/*.steps.ts",
         "features/**/*.steps.ts",
         "specs/**/*.steps.ts",
     ],
--- a/features/support/SilenceableProxy.ts
+++ b/features/support/SilenceableProxy.ts
@@ -30,6 +30,11 @@
         this.relays.forEach(relay => relay.isSilent = true);
     }
 
+    /** Resets all open connections; later ones are relayed. */
+    reset(): void {
+        this.relays.splice(0).forEach(({ sockets }) => sockets.forEach(socket => socket.resetAndDestroy()));
+    }
+
     /** Closes all connections and stops accepting them. */
     close(): void {
         this.relays.forEach(({ sockets }) => sockets.forEach(socket => socket.destroy()));
