--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -3,6 +3,7 @@
 import { pause } from "@balsamward/scheduler/pause";
 import type { DaemonSettings } from "@balsamward/schema";
 import type { Logger } from "winston";
+import type { CallersListener } from "./callers/startCallersListener.js";
 import { startCallersListener } from "./callers/startCallersListener.js";
 import { updateLimitShares } from "./callers/updateLimitShares.js";
 import { runCellOwnership } from "./cells/runCellOwnership.js";
