Stop: A daemon is closed only after some peers have learnt that it leaves

What was seen: a daemon that leaves and is closed soon after is still listed by its peers for relayed store calls and heartbeats, until calls to it fail.

Cause: the notice of the leave was sent and not awaited, so that 'close' ended the socket and the connections before it was out.

Why this works: 'close' also waits for the answers to the notice, at most for its timeout. Of a large cluster, peers beyond the four that are notified learn it by their next heartbeat, or when a call fails; a write that is refused then is made through another peer.

--- a/packages/scheduler/src/cluster/runPeers.ts
+++ b/packages/scheduler/src/cluster/runPeers.ts
@@ -201,8 +201,9 @@
  * interval.
  *
  * @param cluster - This daemon's view of the cluster.
+ * @returns Resolves when the peers have answered, or have not answered in time.
  */
-export function notifyPeers(cluster: Cluster): void {
-    sample(listActivePeers(cluster), NOTIFIED_PEER_COUNT, Math.random)
-        .forEach(peer => void exchangeHeartbeats(cluster, peer));
+export async function notifyPeers(cluster: Cluster): Promise<void> {
+    const notifiedPeers = sample(listActivePeers(cluster), NOTIFIED_PEER_COUNT, Math.random);
+    await Promise.all(notifiedPeers.map(peer => exchangeHeartbeats(cluster, peer)));
 }
--- a/packages/scheduler/src/startNode.feature
+++ b/packages/scheduler/src/startNode.feature
@@ -12,3 +12,14 @@
         When the store stops answering
         And the daemon leaves and is closed at once
         Then the store still holds the member's record
+
+    Scenario Outline: The peers of a daemon learn that it leaves, even if it is closed at once
+        Given a store that answers after 1 ms
+        And a daemon that exchanges heartbeats with a peer <way>
+        When the daemon leaves and is closed at once
+        Then the peer neither relays store calls through the daemon nor calls it of its own accord
+
+        Examples:
+            | way          |
+            | by datagrams |
+            | by RPC       |
--- a/packages/scheduler/src/startNode.steps.ts
+++ b/packages/scheduler/src/startNode.steps.ts
@@ -5,10 +5,13 @@
 import { findFreeAddress } from "../../../features/support/findFreeAddress.js";
 import type { TestWorld } from "../../../features/support/TestWorld.js";
 import { FakeFleetStore } from "../../stand-ins/src/fleet/FakeFleetStore.js";
+import type { Cluster } from "./cluster/Cluster.js";
+import { listActivePeers } from "./cluster/listActivePeers.js";
+import { listRelayPeers } from "./cluster/listRelayPeers.js";
 import { createMetrics } from "./Metrics.js";
 import { pause } from "./pause.js";
 import type { FleetStore, StoreError } from "./ports/FleetStore.js";
-import type { Node } from "./startNode.js";
+import type { Node, NodeOptions } from "./startNode.js";
 import { startNode } from "./startNode.js";
 import { storeKeys } from "./storeKeys.js";
 
@@ -52,14 +55,18 @@
     return [storeKeys.owner, storeKeys.member(NODE)].map(key => backend.get(key) !== undefined);
 }
 
-Given("a daemon that is the owner", async function(this: TestWorld) {
-    const node = await startNode({
-        node: NODE,
+async function startTestNode(
+    world: TestWorld,
+    name: string,
+    options: Partial<NodeOptions> = {},
+): Promise<Node> {
+    return startNode({
+        node: name,
         peerAddress: await findFreeAddress(),
         heartbeatPort: 0,
         processorCores: 0,
         seeds: [],
-        store: this.note<SlowStore>("slowStore").client,
+        store: world.note<SlowStore>("slowStore").client,
         workers: {} as never,
         advice: {} as never,
         machines: { list: async () => [], beginUpkeep: async () => ({ kind: "busy" }) },
@@ -79,13 +86,40 @@
         log: winston.createLogger({ silent: true }),
         metrics: createMetrics(),
         clock: () => performance.now(),
+        ...options,
     });
-    this.notes.set("node", node);
-    while (!hasRecords(this).every(Boolean) || node.callContext.localOwner() === undefined) {
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+    while (!condition()) {
         await pause(POLL_INTERVAL_MS);
     }
+}
+
+Given("a daemon that is the owner", async function(this: TestWorld) {
+    const node = await startTestNode(this, NODE);
+    this.notes.set("node", node);
+    await waitUntil(() => hasRecords(this).every(Boolean) && node.callContext.localOwner() !== undefined);
 });
 
+Given(
+    /^a daemon that exchanges heartbeats with a peer (by datagrams|by RPC)$/,
+    async function(this: TestWorld, way: string) {
+        const [, port] = (await findFreeAddress()).split(":");
+        const heartbeatPort = way === "by RPC" ? 0 : Number(port);
+        const node = await startTestNode(this, NODE, { peerAddress: `127.0.0.1:${port}`, heartbeatPort });
+        const peer = await startTestNode(this, "there", {
+            peerAddress: `127.0.0.2:${port}`,
+            heartbeatPort,
+            seeds: [`127.0.0.1:${port}`],
+        });
+        this.cleanups.push(() => peer.close());
+        this.notes.set("node", node);
+        this.notes.set("peer", peer.callContext.cluster);
+        await waitUntil(() => listRelayPeers(peer.callContext.cluster).length > 0);
+    },
+);
+
 When("the store stops answering", function(this: TestWorld) {
     this.note<SlowStore>("slowStore").isSilent = true;
 });
@@ -107,3 +141,12 @@
 Then("the store still holds the member's record", function(this: TestWorld) {
     assert.equal(hasRecords(this)[1], true);
 });
+
+Then(
+    "the peer neither relays store calls through the daemon nor calls it of its own accord",
+    function(this: TestWorld) {
+        const peer = this.note<Cluster>("peer");
+        assert.equal(peer.peers.size, 1);
+        assert.deepEqual([listRelayPeers(peer), listActivePeers(peer)], [[], []]);
+    },
+);
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -69,7 +69,10 @@
     readonly addPeers: (addresses: readonly string[]) => void;
     /** Gives up the ownership and leaves the cluster; callers are still answered. */
     readonly leave: () => void;
-    /** Waits until the leases in the store and the calls of peers have ended, and ends the exchange with peers. */
+    /**
+     * Waits until the leases in the store and the calls of peers have ended and some peers know that the daemon leaves,
+     * and ends the exchange with peers.
+     */
     readonly close: (options?: CloseOptions) => Promise<void>;
 };
 
@@ -117,7 +120,7 @@
         scheduler = undefined;
     };
     cluster.configuration.onChange = () => {
-        notifyPeers(cluster);
+        void notifyPeers(cluster);
         scheduler?.requestPass();
     };
     const heartbeatSocket = options.heartbeatPort === 0
@@ -130,6 +133,7 @@
         addresses.forEach(address => cluster.addPeer(address, address));
     addPeers(options.seeds);
     const leasesEnded = startBackgroundTasks({ ...options, cluster, store, schedule }, leaving, closing);
+    let notice: Promise<void> | undefined;
     return {
         callContext: { cluster, store, localOwner, pause },
         isReady: () => cluster.configuration.current() !== undefined && !leaving.signal.aborted,
@@ -137,13 +141,14 @@
         leave: () => {
             cluster.leaving = true;
             leaving.abort();
-            notifyPeers(cluster);
+            notice = notifyPeers(cluster);
         },
         close: async ({ timeoutMs = CLOSE_TIMEOUT_MS } = {}) => {
             leaving.abort();
             const [haveLeasesEnded] = await Promise.all([
                 waitAtMost(timeoutMs, leasesEnded),
                 listener.close({ timeoutMs }),
+                waitAtMost(timeoutMs, Promise.resolve(notice)),
             ]);
             if (!haveLeasesEnded) {
                 log.warn("The leases in the store are not ended; they expire.", { timeoutMs });
