--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -120,7 +120,7 @@
     const { listenOptions } = options;
     const clusterContext = { cluster, store: options.store, localOwner, listenOptions };
     const listener: Listener = await serveCluster(clusterContext, options.peerAddress);
-    // After the listener, whose address a predecessor gives up last: its port for heartbeats is free then.
+    // After the listener, since a predecessor that still has its address has the port for heartbeats as well.
     const heartbeatSocket = options.heartbeatPort === 0
         ? undefined
         : await openHeartbeatSocket(cluster, options.heartbeatPort);
