A change of the configuration does not make it seem old

Shortly after a change, calls with unknown keys would get 503 in place of 401, although the store answers each watch.

Cause: a watch that is answered with a change shows nothing of the time since it was sent, as the answer may have waited. The next watch waited for a whole second, so that the configuration was up to 2 s and two answers old.

A watch now waits only until the configuration is 1 s old, 200 ms at least: one more call after a change. A connection that goes silent after a change is noticed at the same age as at other times.

--- a/packages/scheduler/src/cluster/watchConfiguration.feature
+++ b/packages/scheduler/src/cluster/watchConfiguration.feature
@@ -68,6 +68,12 @@
         And configuration 6 is written to the store
         Then the age of the configuration is 100 ms
 
+    # CONFIG: calls were refused with a retry time for want of an answer that was not due yet.
+    Scenario: After a change the configuration seems too old to refuse calls, though the store answers all watches
+        Given the store holds configuration 3
+        When the daemon watches the configuration, which changes 900 ms into a watch, and answers take 150 ms
+        Then the configuration is at most 2000 ms old for 5000 ms
+
     Scenario: A change is in force after the store's connection has gone silent, though peers do not answer either
         Given the store holds configuration 3
         And a peer that reaches the store and answers no calls
--- a/packages/scheduler/src/cluster/watchConfiguration.steps.ts
+++ b/packages/scheduler/src/cluster/watchConfiguration.steps.ts
@@ -9,7 +9,7 @@
 import { waitTurns } from "../../../../features/support/waitTurns.js";
 import type { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
 import { pause } from "../pause.js";
-import type { FleetStore } from "../ports/FleetStore.js";
+import type { FleetStore, StoreEvent } from "../ports/FleetStore.js";
 import { answerHeartbeat } from "./answerHeartbeat.js";
 import type { Cluster } from "./Cluster.js";
 import { updateOwner } from "./Cluster.js";
@@ -58,6 +58,41 @@
     },
 );
 
+When(
+    "the daemon watches the configuration, which changes {int} ms into a watch, and answers take {int} ms",
+    async function(this: TestWorld, changeMs: number, answerMs: number) {
+        const end = new AbortController();
+        this.cleanups.push(() => end.abort());
+        const clock = this.note<FakeClock>("clock");
+        const answer = (afterMs: number, revision: number, events: readonly StoreEvent[]) =>
+            new ResultAsync(clock.pause(afterMs + answerMs).then(() => ok({ events, revision })));
+        let isChanged = false;
+        const watch: FleetStore["watch"] = (_prefix, after, waitMs) => {
+            if (isChanged) {
+                return answer(waitMs, after, []);
+            }
+            isChanged = true;
+            const event = { key: CONFIGURATION_KEY, revision: after + 1, value: Buffer.from("5") };
+            return answer(changeMs, after + 1, [event]);
+        };
+        const store = { ...this.note<FakeFleetStore>("store").createClient(), watch };
+        void watchConfiguration(this.note("cluster"), store, CONFIGURATION_KEY, end.signal);
+        await waitTurns(EVENT_LOOP_TURNS);
+    },
+);
+
+Then(
+    "the configuration is at most {int} ms old for {int} ms",
+    async function(this: TestWorld, ageMs: number, durationMs: number) {
+        const { configuration } = this.note<Cluster>("cluster");
+        let maxAgeMs = 0;
+        await this.note<FakeClock>("clock").advance(durationMs, () => {
+            maxAgeMs = Math.max(maxAgeMs, configuration.getAgeMs());
+        });
+        assert.ok(maxAgeMs <= ageMs, `The configuration was ${maxAgeMs} ms old.`);
+    },
+);
+
 When("a peer offers configuration {word}", function(this: TestWorld, version: string) {
     this.note<Cluster>("cluster").configuration.activateIfNewer(Buffer.from(version), "peer");
 });
--- a/packages/scheduler/src/cluster/watchConfiguration.ts
+++ b/packages/scheduler/src/cluster/watchConfiguration.ts
@@ -9,6 +9,9 @@
  */
 const MAX_CONFIGURATION_WATCH_WAIT_MS = 1_000;
 
+/** Minimum time for which a watch of the configuration waits for changes, in milliseconds. */
+const MIN_CONFIGURATION_WATCH_WAIT_MS = 200;
+
 /**
  * Time after which the owner reads the configuration again while it watches it, in milliseconds. A watch that leaves
  * out a change would otherwise hide it until the next one.
@@ -79,7 +82,12 @@
     { key, revision, signal }: WatchedKey,
 ): Promise<number | undefined> {
     const sentAt = clock();
-    const watched = await store.watch(key, revision, MAX_CONFIGURATION_WATCH_WAIT_MS, signal);
+    // An answer with a change tells nothing of the time since the watch was sent, so that the next one is due earlier.
+    const waitMs = Math.max(
+        MIN_CONFIGURATION_WATCH_WAIT_MS,
+        MAX_CONFIGURATION_WATCH_WAIT_MS - Math.ceil(configuration.getAgeMs()),
+    );
+    const watched = await store.watch(key, revision, waitMs, signal);
     if (watched.isErr()) {
         const ageMs = Math.round(configuration.getAgeMs());
         log.warn("The watch of the configuration is interrupted.", { reason: watched.error.kind, ageMs });
@@ -89,8 +97,6 @@
     events.filter(event => event.key === key && event.value !== undefined)
         .forEach(event => configuration.activateIfNewer(event.value!, "store"));
     // Without events, the store answers after the whole wait.
-    configuration.confirm(
-        events.length > 0 ? sentAt : Math.min(clock(), sentAt + MAX_CONFIGURATION_WATCH_WAIT_MS),
-    );
+    configuration.confirm(events.length > 0 ? sentAt : Math.min(clock(), sentAt + waitMs));
     return watched.value.revision;
 }
