Requests in progress are answered before a stop ends the process

Seen by callers: submissions with 20 s to their deadlines, SIGTERM while the store does not answer: 10 of 10 ended with ECONNRESET at 0.9 of the grace period. Cause: nothing but the end of the process ended them.

A signal in the bounds of a call tells the functions of the callers; a pure function decides the outcome from what the attempts have found.

The new scenarios were not seen to fail by themselves: on the earlier code their wait for a response does not end.

--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -14,6 +14,7 @@
 import type { JobId, QueueName } from "../ids.js";
 import { decodeQueueTerms } from "../state/decodeQueueTerms.js";
 import { storeKeys } from "../storeKeys.js";
+import type { CallBounds } from "./CallBounds.js";
 import type { CallContext } from "./CallContext.js";
 import { countPendingJobs } from "./countPendingJobs.js";
 import { describeJob } from "./describeJob.js";
@@ -43,8 +44,12 @@
     return world.note<FakeClock>("clock");
 }
 
-function getDeadline(world: TestWorld): number {
-    return world.note<Cluster>("cluster").clock() + CALLER_TIMEOUT_MS;
+function getBounds(world: TestWorld): CallBounds {
+    const signal = world.notes.get("callSignal") as AbortSignal | undefined;
+    return {
+        deadline: world.note<Cluster>("cluster").clock() + CALLER_TIMEOUT_MS,
+        signal: signal ?? new AbortController().signal,
+    };
 }
 
 function beginOtherTerm(world: TestWorld): void {
@@ -121,6 +126,16 @@
     this.note<FakeFleetStore>("store").writeFaults.push(...faults.split(" ") as WriteFault[]);
 });
 
+Given("calls must be answered at once after {int} ms", function(this: TestWorld, ms: number) {
+    const ending = new AbortController();
+    this.notes.set("callSignal", ending.signal);
+    if (ms === 0) {
+        ending.abort();
+        return;
+    }
+    void getClock(this).pause(ms - 1).then(() => ending.abort());
+});
+
 Given("a term of another owner has begun", function(this: TestWorld) {
     beginOtherTerm(this);
 });
@@ -150,7 +165,7 @@
             spec: "s",
             steps: [{ taskCount: 1 }],
         });
-        await awaitReply(this, submitJob(createCallContext(this), job, CONFIGURED_QUEUE, getDeadline(this)));
+        await awaitReply(this, submitJob(createCallContext(this), job, CONFIGURED_QUEUE, getBounds(this)));
     },
 );
 
@@ -159,7 +174,7 @@
 });
 
 When("{word} cancels the job", async function(this: TestWorld, customer: string) {
-    await awaitReply(this, requestCancellation(createCallContext(this), JOB_ID, customer, getDeadline(this)));
+    await awaitReply(this, requestCancellation(createCallContext(this), JOB_ID, customer, getBounds(this)));
 });
 
 Given(/^(?:the|a new) owner has reported (\d+) pending jobs$/, function(this: TestWorld, pending: number) {
@@ -255,3 +270,7 @@
     const tookMs = this.note<number>("tookMs");
     assert.ok(tookMs <= limitMs, `The reply took ${tookMs} ms.`);
 });
+
+Then("{int} store write(s) has/have been sent", function(this: TestWorld, count: number) {
+    assert.equal(this.note<FakeFleetStore>("store").callCounts.get("commit") ?? 0, count);
+});
--- a/packages/scheduler/src/callers/commitWithRetries.ts
+++ b/packages/scheduler/src/callers/commitWithRetries.ts
@@ -2,6 +2,7 @@
 import { err } from "neverthrow";
 import { createWakeSignal } from "../_lib/createWakeSignal.js";
 import type { StoreError, StoreTransaction } from "../ports/FleetStore.js";
+import type { CallBounds } from "./CallBounds.js";
 import type { CallContext } from "./CallContext.js";
 
 /** Time without an answer after which a write is sent again while the first is still pending, in milliseconds. */
@@ -13,6 +14,9 @@
 /** Fraction of the caller's remaining time that is spent on retries of an unclear write. */
 const RETRY_TIME_SHARE = 0.5;
 
+/** Error of a write of which no attempt has been made. */
+const NOT_SENT: StoreError = { kind: "unavailable", message: "The write is not sent. Send it later." };
+
 /** Outcome of the attempts so far. */
 type Findings = {
     /** An answer that settles the write. */
@@ -34,14 +38,14 @@
  *
  * @param context - The services that the call uses.
  * @param transaction - The transaction.
- * @param deadline - Monotonic time at which the caller stops waiting, in milliseconds.
+ * @param bounds - The deadline, and the signal on which the outcome is reported by what is known.
  * @returns The revision of the commit, or an error: `conflict`, which an earlier attempt may have caused;
  * `unclear` if the outcome is unknown; any other error if no attempt had an effect.
  */
 export async function commitWithRetries(
     context: CallContext,
     transaction: StoreTransaction,
-    deadline: number,
+    { deadline, signal }: CallBounds,
 ): Promise<Result<number, StoreError>> {
     const { clock } = context.cluster;
     const startedAt = clock();
@@ -53,21 +57,28 @@
         mayBeCommitted: false,
         unanswered: 0,
     };
-    const neverAborted = new AbortController().signal;
-    while (true) {
+    while (!signal.aborted) {
         void attemptCommit(context, transaction, findings).then(attemptEnded.notify);
-        await attemptEnded.wait(RESEND_AFTER_MS, neverAborted);
-        if (findings.finalResult !== undefined) {
-            return findings.finalResult;
-        }
-        if (findings.unanswered === 0 && !findings.mayBeCommitted && findings.refusal !== undefined) {
-            return findings.refusal;
+        await attemptEnded.wait(RESEND_AFTER_MS, signal);
+        const outcome = findOutcome(findings);
+        if (outcome !== undefined) {
+            return outcome;
         }
         if (clock() + RETRY_PAUSE_MS >= giveUpAt) {
-            return err({ kind: "unclear", message: "The store's answers are lost. Send the write again." });
+            break;
         }
-        await context.pause(RETRY_PAUSE_MS);
+        await context.pause(RETRY_PAUSE_MS, signal);
     }
+    return findOutcome(findings)
+        ?? err({ kind: "unclear", message: "The store's answers are lost. Send the write again." });
+}
+
+/** Returns the outcome of a write if it is certain; no attempt must be made after a refusal. */
+function findOutcome(
+    { finalResult, refusal, unanswered, mayBeCommitted }: Findings,
+): Result<number, StoreError> | undefined {
+    const mayTakeEffect = unanswered > 0 || mayBeCommitted;
+    return finalResult ?? (mayTakeEffect ? undefined : refusal ?? err(NOT_SENT));
 }
 
 async function attemptCommit(
--- a/packages/scheduler/src/callers/requestCancellation.ts
+++ b/packages/scheduler/src/callers/requestCancellation.ts
@@ -1,7 +1,9 @@
 import { CancellationRecordSchema, JobSchema } from "@balsamward/schema/scheduling";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { awaitUnlessAborted } from "../awaitUnlessAborted.js";
 import type { JobId } from "../ids.js";
 import { storeKeys } from "../storeKeys.js";
+import type { CallBounds } from "./CallBounds.js";
 import type { CallContext } from "./CallContext.js";
 import { commitWithRetries } from "./commitWithRetries.js";
 import { notifyOwner } from "./notifyOwner.js";
@@ -14,7 +16,7 @@
  * @param context - The services that the call uses.
  * @param id - Id of the job.
  * @param customer - The calling customer; jobs of other customers are reported as missing.
- * @param deadline - Monotonic time at which the caller stops waiting, in milliseconds.
+ * @param bounds - The deadline, and the signal on which the call is answered by what is known.
  * @returns `cancelled` once the cancellation is stored, or a refusal: `no-such-job`, `store-unavailable` or
  * `unclear`.
  */
@@ -22,9 +24,16 @@
     context: CallContext,
     id: JobId,
     customer: string,
-    deadline: number,
+    bounds: CallBounds,
 ): Promise<Reply> {
-    const item = await context.store.read(storeKeys.job(id));
+    const item = await awaitUnlessAborted(
+        context.store.read(storeKeys.job(id)),
+        bounds.signal,
+        () => undefined,
+    );
+    if (item === undefined) {
+        return refuse("store-unavailable", "The daemon stops. The job is not cancelled. Send it again.");
+    }
     if (item.isErr()) {
         return refuse("store-unavailable", "The job cannot be read from the store. Try again later.");
     }
@@ -38,7 +47,7 @@
         puts: [{ key: storeKeys.cancellation(id), value: toBinary(CancellationRecordSchema, record) }],
         removals: [],
     };
-    const commitResult = await commitWithRetries(context, transaction, deadline);
+    const commitResult = await commitWithRetries(context, transaction, bounds);
     if (commitResult.isOk()) {
         notifyOwner(context, job, item.value.revision, true);
         return { kind: "cancelled" };
--- a/packages/scheduler/src/callers/submitJob.feature
+++ b/packages/scheduler/src/callers/submitJob.feature
@@ -147,3 +147,27 @@
 
     Scenario: Calls are refused until a configuration is loaded
         Then a call before a configuration is loaded is refused with no-configuration
+
+    # Submissions in progress at the end of a stop got no answer.
+    Scenario: A call that must be answered at once before its write is sent has no effect
+        Given calls must be answered at once after 0 ms
+        When ana submits a job with the digest d
+        Then the reply is store-unavailable
+        And the reply gives a retry time
+        And 0 store writes have been sent
+
+    Scenario: A call that must be answered at once while its write is unanswered is unclear
+        Given the next store writes have the faults "silent"
+        And calls must be answered at once after 100 ms
+        When ana submits a job with the digest d
+        Then the reply is unclear
+        And the reply arrived within 150 ms
+        And 1 store write has been sent
+        And the job is stored: yes
+
+    Scenario: A call that must be answered at once after a lost answer is unclear, and is not sent again
+        Given the next store writes have the faults "late"
+        And calls must be answered at once after 50 ms
+        When ana submits a job with the digest d
+        Then the reply is unclear
+        And 1 store write has been sent
--- a/packages/scheduler/src/callers/submitJob.ts
+++ b/packages/scheduler/src/callers/submitJob.ts
@@ -6,6 +6,7 @@
 import type { StoreError, StoreItem, StoreTransaction } from "../ports/FleetStore.js";
 import { encodeQueueTerms } from "../state/encodeQueueTerms.js";
 import { storeKeys } from "../storeKeys.js";
+import type { CallBounds } from "./CallBounds.js";
 import type { CallContext } from "./CallContext.js";
 import { commitWithRetries } from "./commitWithRetries.js";
 import { notifyOwner } from "./notifyOwner.js";
@@ -27,7 +28,7 @@
  * @param submittedJob - The job to store; its time, its term of ownership and the terms of its queue are set by this
  * function.
  * @param queue - The queue of the job. Its terms are stored with the job, which keeps them if the queue is removed.
- * @param deadline - Monotonic time at which the caller stops waiting, in milliseconds.
+ * @param bounds - The deadline, and the signal on which the call is answered by what is known.
  * @returns `accepted` once the job is stored, or a refusal: `bad-job`, `other-job`, `store-unavailable` or
  * `unclear`. Only `unclear` leaves open whether the job is stored.
  */
@@ -35,14 +36,14 @@
     context: CallContext,
     submittedJob: Job,
     queue: Queue,
-    deadline: number,
+    bounds: CallBounds,
 ): Promise<Reply> {
     const terms = encodeQueueTerms(queue);
     const acceptedAtMs = getMedianWallClockMs(context.cluster);
     let termRevision = context.cluster.owner?.revision ?? 0;
     while (true) {
         const job = { ...submittedJob, terms, acceptedAtMs, termRevision };
-        const commitResult = await commitWithRetries(context, composeAcceptance(job, termRevision), deadline);
+        const commitResult = await commitWithRetries(context, composeAcceptance(job, termRevision), bounds);
         if (commitResult.isOk()) {
             notifyOwner(context, job, commitResult.value, false);
             return { kind: "accepted" };
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,3 +1,5 @@
+export * from "./awaitUnlessAborted.js";
+export * from "./callers/CallBounds.js";
 export * from "./callers/CallContext.js";
 export * from "./callers/countPendingJobs.js";
 export * from "./callers/describeJob.js";
