A peer's error text is no proof that it has not processed a write

Seen with a program: a peer that makes a relayed write and then fails with an RPC error whose text names ECONNREFUSED or REFUSED_STREAM counts as not having processed it, so that the write is made through another peer or refused with 'The job is not stored and will not run'. Cause: the text of the RPC's error was searched, which the peer writes, as well as its causes.

Only errors of this process count now.

--- a/packages/scheduler/src/cluster/createPeerClient.ts
+++ b/packages/scheduler/src/cluster/createPeerClient.ts
@@ -1,6 +1,6 @@
 import { ClusterService } from "@balsamward/schema/scheduling";
 import type { Client } from "@connectrpc/connect";
-import { createClient } from "@connectrpc/connect";
+import { ConnectError, createClient } from "@connectrpc/connect";
 import type { PeerTransport } from "../createPeerTransport.js";
 import { createPeerTransport } from "../createPeerTransport.js";
 
@@ -52,9 +52,11 @@
     return isConnectionRefused(error) || hasCause(error, "REFUSED_STREAM");
 }
 
+/** Returns whether a cause is an error of this process. The text of an RPC's error may come from the peer. */
 function hasCause(error: unknown, code: string): boolean {
     for (let cause = error; cause instanceof Error; cause = cause.cause) {
-        if ((cause as { code?: unknown }).code === code || cause.message.includes(code)) {
+        const isOwn = !(cause instanceof ConnectError);
+        if (isOwn && ((cause as { code?: unknown }).code === code || cause.message.includes(code))) {
             return true;
         }
     }
--- a/packages/scheduler/src/cluster/relayThroughPeers.feature
+++ b/packages/scheduler/src/cluster/relayThroughPeers.feature
@@ -17,3 +17,13 @@
         When the peer that the daemon prefers is cut off during a write
         Then the write is unclear, and is sent to the store only once
         And no error was left unhandled
+
+    Scenario Outline: A write is not taken for unprocessed because of what a peer says
+        Given two peers that reach the store, and a daemon that relays its writes through them
+        When the peer that the daemon prefers makes a write, and fails with the message "<message>"
+        Then the write is unclear, and is sent to the store only once
+
+        Examples:
+            | message                                          |
+            | connect ECONNREFUSED 127.0.0.1:1                 |
+            | Stream closed with error code REFUSED_STREAM     |
--- a/packages/scheduler/src/cluster/relayThroughPeers.steps.ts
+++ b/packages/scheduler/src/cluster/relayThroughPeers.steps.ts
@@ -1,3 +1,4 @@
+import { Code, ConnectError } from "@connectrpc/connect";
 import { Given, Then, When } from "@cucumber/cucumber";
 import type { Result } from "neverthrow";
 import { ResultAsync } from "neverthrow";
@@ -9,7 +10,7 @@
 import { collectUnhandledErrors, SETTLING_TURNS } from "../../../../features/support/unhandledErrors.js";
 import { waitTurns } from "../../../../features/support/waitTurns.js";
 import { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
-import type { FleetStore, StoreError } from "../ports/FleetStore.js";
+import type { FleetStore, StoreError, StoreTransaction } from "../ports/FleetStore.js";
 import type { RpcListener } from "../startRpcListener.js";
 import { createPeerClient } from "./createPeerClient.js";
 import { createRelayingStore } from "./createRelayingStore.js";
@@ -36,13 +37,20 @@
 /** A write that was sent, by its key. */
 type Write = { readonly key: string; readonly result: Result<number, StoreError> };
 
-/** Delays writes as a store on another machine does, so that a peer may stop while it makes one. */
-function delayWrites(client: FleetStore): FleetStore {
-    return {
-        ...client,
-        commit: transaction =>
-            new ResultAsync(waitTurns(WRITE_DELAY_TURNS).then(() => client.commit(transaction))),
+/**
+ * Delays writes as a store on another machine does, so that a peer may stop while it makes one. A write fails after it
+ * has taken effect if the scenario has the note `peerError`.
+ */
+function delayWrites(world: TestWorld, client: FleetStore): FleetStore {
+    const commit = async (transaction: StoreTransaction): Promise<Result<number, StoreError>> => {
+        await waitTurns(WRITE_DELAY_TURNS);
+        const result = await client.commit(transaction);
+        if (world.notes.has("peerError")) {
+            throw world.note<Error>("peerError");
+        }
+        return result;
     };
+    return { ...client, commit: transaction => new ResultAsync(commit(transaction)) };
 }
 
 async function startRelay(world: TestWorld, peerCount: number): Promise<Relay> {
@@ -51,7 +59,7 @@
     const listeners: RpcListener[] = [];
     for (let number = 0; number < peerCount; number++) {
         const peerCluster = createTestCluster(`peer-${number}`, await findFreeAddress());
-        const store = delayWrites(backend.createClient());
+        const store = delayWrites(world, backend.createClient());
         const listener = await serveCluster(
             { cluster: peerCluster, store, localOwner: () => undefined },
             peerCluster.address,
@@ -129,6 +137,15 @@
     this.notes.set("written", await written);
 });
 
+When(
+    "the peer that the daemon prefers makes a write, and fails with the message {string}",
+    async function(this: TestWorld, message: string) {
+        const [relay] = this.note<readonly Relay[]>("relays");
+        this.notes.set("peerError", new ConnectError(message, Code.Unavailable));
+        this.notes.set("written", await write(relay!, "failed"));
+    },
+);
+
 /** Returns the failed writes, with the error and whether the store holds the value all the same. */
 function listFailures(world: TestWorld): readonly string[] {
     const relays = world.note<readonly Relay[]>("relays");
