The product's daemon answers a caller that has ended its side of the connection

Seen: the connection ended without an answer, as at the entry daemon: Node's HTTP server ends a connection as soon as the other side has ended its own, although answers are due. The daemon now ends it after the last answer.

Evidence: the new scenario of startCallersListener.feature fails before the change, 'The input did not match the regular expression' with an empty input.

--- a/packages/daemon/src/callers/startCallersListener.feature
+++ b/packages/daemon/src/callers/startCallersListener.feature
@@ -22,3 +22,10 @@
         When a caller sends a part of a submission
         And the daemon finishes its requests and closes the listener
         Then the caller is told the outcome "refused" and the reason "stopping"
+
+    # The daemon ended the connection as well, without the answer.
+    Scenario: A caller that ends its side of the connection after a request is answered
+        When a caller requests a job whose owner does not answer
+        And the caller ends its side of the connection
+        And the daemon finishes its requests and closes the listener
+        Then the caller is told the outcome "unknown" and the reason "stopping"
--- a/packages/daemon/src/callers/startCallersListener.steps.ts
+++ b/packages/daemon/src/callers/startCallersListener.steps.ts
@@ -22,6 +22,9 @@
 /** Well above the duration of a step, so that one that does not end fails. */
 const STEP_TIMEOUT_MS = 10_000;
 
+/** Turns of the event loop within which the end of a connection reaches the other side. */
+const CONNECTION_END_TURNS = 20;
+
 const SILENT_JOB = "silent";
 const AUTHORIZATION = "Authorization: Bearer token";
 const QUERY = `GET /v1/jobs/job HTTP/1.1\r\nHost: here\r\n${AUTHORIZATION}\r\n\r\n`;
@@ -135,6 +138,11 @@
     await sendAndWait(this, QUERY_OF_SILENT_JOB, () => this.notes.has("isAsked"));
 });
 
+When("the caller ends its side of the connection", async function(this: TestWorld) {
+    this.note<Socket>("caller").end();
+    await waitTurns(CONNECTION_END_TURNS);
+});
+
 When("a caller sends a part of a submission", async function(this: TestWorld) {
     const listener = this.note<CallersListener>("listener");
     await sendAndWait(this, PART_OF_SUBMISSION, () => listener.countOpenRequests() > 0);
--- a/packages/daemon/src/callers/startCallersListener.ts
+++ b/packages/daemon/src/callers/startCallersListener.ts
@@ -64,6 +64,8 @@
     app.delete("/v1/jobs/:id", toRoute((req, id) => handleJobCancellation(state, router, req, id)));
     const server: Server = createServer(app.handler as unknown as RequestListener);
     server.requestTimeout = CLIENT_REQUEST_TIMEOUT_MS;
+    // A caller that ends its side of a connection may still wait for an answer. The types lack this property.
+    Object.assign(server, { httpAllowHalfOpen: true });
     await listenOn(server, address, options);
     return {
         countOpenRequests: openRequests.count,
