The time for which a signal has waited is part of the grace period

It was killed 6 s after the sending, with its listener open, and a new connection got ECONNRESET.

Cause: the stop counted the grace period from the arrival of the signal, which waits while the process is suspended, or while it starts.

The process notes ten times a second that it runs, and the stop begins at the last turn that is certainly before the sending.

--- a/packages/scheduler/src/receiveSignals.ts
+++ b/packages/scheduler/src/receiveSignals.ts
@@ -1,4 +1,5 @@
 import { setImmediate as nextTurn } from "node:timers/promises";
+import { createTurnLog } from "./createTurnLog.js";
 
 /** A signal that the process handles. */
 export type SignalName = "SIGTERM" | "SIGINT" | "SIGHUP";
@@ -12,6 +13,8 @@
     readonly stage: ProcessStage;
     /** Time since the process was created, in milliseconds. */
     readonly processAgeMs: number;
+    /** Monotonic time after which it was sent, in milliseconds; long ago if the process was suspended meanwhile. */
+    readonly sentAfter: number;
 };
 
 /** Takes the signals of the process, also before anything handles them. */
@@ -34,6 +37,9 @@
     readonly names?: readonly SignalName[];
 };
 
+/** Interval at which the process notes that it runs, in milliseconds. */
+const TURN_INTERVAL_MS = 100;
+
 /**
  * Takes the signals of the process. They end it from its creation until this call, so that a daemon calls this
  * before it loads or starts anything else.
@@ -51,11 +57,18 @@
     const stopping = new AbortController();
     const firstSignals = new Map<SignalName, ReceivedSignal>();
     const handlers = new Map<SignalName, ((signal: ReceivedSignal) => void)[]>();
+    const turns = createTurnLog(() => performance.now());
+    const turnTimer = setInterval(turns.note, TURN_INTERVAL_MS).unref();
     let hasStarted = false;
     const getStage = (): ProcessStage =>
         stopping.signal.aborted ? "stopping" : hasStarted ? "running" : "starting";
     const receive = (name: SignalName): void => {
-        const signal = { name, stage: getStage(), processAgeMs: Math.round(process.uptime() * 1_000) };
+        const signal = {
+            name,
+            stage: getStage(),
+            processAgeMs: Math.round(process.uptime() * 1_000),
+            sentAfter: turns.getLastTurnAt(),
+        };
         if (!firstSignals.has(name)) {
             firstSignals.set(name, signal);
         }
@@ -83,6 +96,9 @@
         finishStart: () => {
             hasStarted = true;
         },
-        close: () => names.forEach(name => process.off(name, onSignal)),
+        close: () => {
+            clearInterval(turnTimer);
+            names.forEach(name => process.off(name, onSignal));
+        },
     };
 }
