--- a/review/lib2/Machines.mjs
+++ b/review/lib2/Machines.mjs
@@ -11,8 +11,6 @@
     lives = 0;
     /** Upkeeps that have begun: machine, and how many machines of the wave were in theirs before. */
     begins = [];
-    /** Decides what happens to an order: `undefined` for the usual, `{ kind: "late", afterMs }` for a late one. */
-    disturb = () => undefined;
 
     constructor({ workers, record }) {
         this.workers = new Map(workers.map(worker => [worker.options.machine, worker]));
@@ -33,7 +31,7 @@
             case "GET /v1/machines":
                 return { status: 200, body: { machines: this.list(), nextToken: null } };
             case "POST /v1/machine-upkeep":
-                return this.order(call);
+                return this.carryOut(call);
             default:
                 return { status: 400 };
         }
@@ -51,15 +49,6 @@
         }));
     }
 
-    order(call) {
-        const disturbance = this.disturb(call.body.machine);
-        if (disturbance?.kind === "late") {
-            setTimeout(() => this.carryOut(call), disturbance.afterMs);
-            return undefined;
-        }
-        return this.carryOut(call);
-    }
-
     carryOut({ headers, body: { machine, wave } }) {
         const answer = this.decide(machine, wave, Number(headers["fencing-token"]));
         this.record.note("order for upkeep is carried out", {
@@ -91,12 +80,17 @@
     }
 
     begin(machine, wave) {
-        const downBefore = this.states.size;
-        this.begins.push({ machine, downBefore });
+        const downBefore = [...this.states.values()].filter(state => state === "upkeep").length;
+        const worker = this.workers.get(machine);
+        this.begins.push({
+            machine,
+            downBefore,
+            at: performance.now(),
+            running: [...worker.running.values()],
+        });
         this.record.note("upkeep begins", { machine, downBefore });
         this.done.add(`${wave} ${machine}`);
         this.states.set(machine, "upkeep");
-        const worker = this.workers.get(machine);
         void worker.leave();
         setTimeout(() => void this.end(machine, worker), UPKEEP_MS);
     }
--- a/review/lib2/Worker.mjs
+++ b/review/lib2/Worker.mjs
@@ -5,10 +5,21 @@
 const MAX_LISTED_ENDS = 500;
 const STOP_MS = 300;
 
+/** Time after which a task that lasts is at work, in milliseconds. */
+const STARTUP_MS = 300;
+
+/** Returns the progress of a task; one that lasts is at 100 once it is at work. */
+export function getPercent(elapsedMs, workMs) {
+    if (workMs === Infinity) {
+        return elapsedMs >= STARTUP_MS ? 100 : 0;
+    }
+    return Math.min(100, Math.floor(100 * elapsedMs / workMs));
+}
+
 /**
  * Runs tasks under a lease. `options` are `id`, `machine`, `host`, `service`, `zone`, `store`, `record`, `capacity`,
  * `labels`, `slots` (how many runs it takes; infinite if it doesn't guard its capacity), `maxHoldMs`, and
- * `workMsOf(spec)`, the time that a task works.
+ * `workMsOf(spec)`, the time that a task works; infinite for one that lasts.
  */
 export class Worker {
     running = new Map();
@@ -213,7 +224,7 @@
                     task,
                     run,
                     "",
-                    Math.min(100, Math.floor(100 * (now - begunAt) / workMs)),
+                    getPercent(now - begunAt, workMs),
                     0,
                 ]),
                 ended: this.ends.slice(0, MAX_LISTED_ENDS),
