Review: case 6, a late start is carried out by the next life of its worker

Claims: a start that is left unanswered and carried out 8 s later runs its task a second time if its worker has restarted under its id meanwhile, beside the run that the owner has started elsewhere.

--- a/review/lib2/Worker.mjs
+++ b/review/lib2/Worker.mjs
@@ -31,6 +31,8 @@
     leaseEndMs = 0;
     beats = 0;
     isUp = false;
+    /** Decides what happens to a call: `undefined` for the usual, `{ kind: "late", afterMs }` to carry it out late. */
+    disturb = () => undefined;
 
     constructor(options) {
         this.options = options;
@@ -41,7 +43,7 @@
         this.isUp = true;
         this.born = Date.now();
         this.bornAt = performance.now();
-        this.server = await startJsonServer(this.options.host, call => this.handle(call), port);
+        this.server = await startJsonServer(this.options.host, call => this.receive(call), port);
         this.register();
         this.timers = [
             setInterval(() => this.register(), HEARTBEAT_INTERVAL_MS),
@@ -129,6 +131,29 @@
         return Math.floor(performance.now() - this.bornAt);
     }
 
+    receive(call) {
+        const disturbance = this.disturb(call);
+        if (disturbance?.kind === "late") {
+            setTimeout(() => void this.carryOutLate(call), disturbance.afterMs);
+            return undefined;
+        }
+        return this.handle(call);
+    }
+
+    /** Carries out an order that had no answer, if the worker is up then. */
+    async carryOutLate(call) {
+        if (this.isUp) {
+            const answer = await this.handle(call);
+            const { task, run } = call.body;
+            this.options.record.note("late order is carried out", {
+                worker: this.options.id,
+                task,
+                run,
+                ...answer,
+            });
+        }
+    }
+
     handle({ url, headers, body }) {
         const target = headers["target-instance"];
         if (target !== undefined && target !== this.options.id) {
