--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Starts the case; see claim.txt. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." && exec node review/9/run.mjs
