--- a/review/lib2/Case.mjs
+++ b/review/lib2/Case.mjs
@@ -3,7 +3,7 @@
 import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { Daemon, findFreePort } from "./Daemon.mjs";
+import { Daemon, findFreePort, isFree } from "./Daemon.mjs";
 import { Store } from "./Store.mjs";
 
 /** Time for which a script may run, in milliseconds. */
@@ -14,6 +14,9 @@
 export const SERVICE = "reservas";
 const START_TIMEOUT_MS = 25_000;
 
+/** Port of the metrics in the settings template, the only fixed one. */
+const METRICS_PORT = 7_015;
+
 /** Exit codes of a script. */
 const HELD = 0;
 const BROKEN = 1;
@@ -166,6 +169,16 @@
     return status === 200;
 }
 
+/** Finds a second byte of loopback addresses under which nothing uses the port of the daemons' metrics. */
+async function findNetwork() {
+    while (true) {
+        const network = 64 + Math.floor(Math.random() * 120);
+        if (await isFree(`127.${network}.1.1`, METRICS_PORT)) {
+            return network;
+        }
+    }
+}
+
 /**
  * Runs a case and ends the process with its result: 1 if the rule was broken, 0 if it held, 2 if it could not run.
  *
@@ -178,7 +191,7 @@
     const directory = mkdtempSync(join(tmpdir(), "balsamward-review-"));
     const store = new Store();
     const closers = [];
-    const network = 64 + process.pid % 60;
+    const network = await findNetwork();
     let status = NOT_RUN;
     const guard = setTimeout(() => void finish(), MAX_MS);
     const finish = async () => {
--- a/review/lib2/Daemon.mjs
+++ b/review/lib2/Daemon.mjs
@@ -16,6 +16,22 @@
     return port;
 }
 
+/** Returns whether nothing listens on a port of a loopback address. */
+export async function isFree(host, port) {
+    const server = createServer();
+    try {
+        server.listen(port, host);
+        await once(server, "listening");
+        return true;
+    }
+    catch {
+        return false;
+    }
+    finally {
+        server.close();
+    }
+}
+
 /** Renders the settings template as the platform does. */
 function renderSettings(fields) {
     const template = readFileSync("deploy/settings.ini.template", "utf8");
