--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -14,6 +14,8 @@
 const DAEMONS = 3;
 const WORKERS = 4;
 const CANCEL_MS = 3_000;
+/** Time without disruption after which the store counts as stable, and the machines as in touch again. */
+const STABLE_MS = 3_000;
 const DUE_AFTER_MS = 16_000;
 const OTHER_JOBS = 16;
 /** Times after which the unanswered writes are carried out; the pages allow 1 to 6 s. */
@@ -44,9 +46,10 @@
     }
 }
 
-/** Leaves the answers to the writes of one job away for a while, and carries them out late. */
+/** Leaves the answers to the writes of one job away for a while, and carries them out late; returns when that ends. */
 function loseWrites({ record, store }) {
     let lost = 0;
+    const disruption = { endsAt: 0 };
     store.disturb = ({ method, url, body }) => {
         const isOfJob = method === "POST" && url.pathname === "/v1/kv-txn"
             && (body.puts ?? []).some(({ key }) => key.includes(JOB));
@@ -55,9 +58,11 @@
         }
         const afterMs = LATE_MS[lost];
         lost += 1;
+        disruption.endsAt = Math.max(disruption.endsAt, record.now() + afterMs);
         record.note("store leaves a write unanswered and carries it out late", { number: lost, afterMs });
         return { kind: "late", afterMs };
     };
+    return disruption;
 }
 
 /** Other jobs in the same seconds, whose writes are answered. */
@@ -92,9 +97,7 @@
         await waitUntil(`${daemon.node} is ready`, () => isReady(daemon));
     }
     await pause(4_000);
-    if (hasTrouble) {
-        loseWrites(context);
-    }
+    const disruption = hasTrouble ? loseWrites(context) : { endsAt: 0 };
     const others = sendOtherJobs(record, daemons);
     const body = {
         spec: "to be cancelled",
@@ -110,7 +113,10 @@
     await call(record, daemons[2].front, "GET", `/jobs/${JOB}`);
     record.note("summary", { submitted: submitted.status, cancelled: cancelled.status });
     return record.starts
-        .filter(({ task, at }) => task.startsWith(JOB) && at > cancelled.at + CANCEL_MS)
+        .filter(({ task, at }) =>
+            task.startsWith(JOB) && at > cancelled.at + CANCEL_MS
+            && at > disruption.endsAt + STABLE_MS
+        )
         .map(({ task, run, at }) =>
             `UNASKED: task ${task} run ${run} starts ${
                 Math.round(at - cancelled.at)
