--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -1,92 +1,30 @@
-import { HeartbeatSchema, JobSchema, QueueDepthSchema } from "@balsamward/schema/scheduling";
+import { JobSchema } from "@balsamward/schema/scheduling";
 import { create, fromBinary } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createTestConfiguration } from "../../../../features/support/createTestConfiguration.js";
-import { createTestPeer } from "../../../../features/support/createTestPeer.js";
-import type { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import type { FakeFleetStore, WriteFault } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
 import type { Cluster } from "../cluster/Cluster.js";
-import { composeHeartbeat, receiveHeartbeat, updateOwner } from "../cluster/Cluster.js";
-import { createCluster } from "../cluster/createCluster.js";
-import type { FleetConfiguration, Queue } from "../FleetConfiguration.js";
-import type { JobId, QueueName } from "../ids.js";
+import { updateOwner } from "../cluster/Cluster.js";
+import type { Queue } from "../FleetConfiguration.js";
+import type { JobId } from "../ids.js";
 import { decodeQueueTerms } from "../state/decodeQueueTerms.js";
 import { storeKeys } from "../storeKeys.js";
-import type { CallBounds } from "./CallBounds.js";
-import type { CallContext } from "./CallContext.js";
-import { countPendingJobs } from "./countPendingJobs.js";
+import { awaitReply, createCallContext, getBounds, getClock } from "./callerFixture.steps.js";
 import { describeJob } from "./describeJob.js";
 import type { Reply } from "./Reply.js";
 import { requestCancellation } from "./requestCancellation.js";
-import { resolveCall } from "./resolveCall.js";
 import { submitJob } from "./submitJob.js";
 
 const JOB_ID = "00000000000000ab" as JobId;
 const CONFIGURED_QUEUE = createTestConfiguration().queues[0]!;
-const CALLER_TIMEOUT_MS = 3_000;
-const CLOCK_STEP_MS = 50;
 const REFUSED_WRITE_COUNT = 100;
-const MS_PER_SECOND = 1_000;
-const QUEUE = "short" as QueueName;
-
-function createCallContext(world: TestWorld): CallContext {
-    return {
-        cluster: world.note<Cluster>("cluster"),
-        store: world.note<FakeFleetStore>("store").createClient(),
-        localOwner: () => undefined,
-        pause: getClock(world).pause,
-    };
-}
-
-function getClock(world: TestWorld): FakeClock {
-    return world.note<FakeClock>("clock");
-}
-
-function getBounds(world: TestWorld): CallBounds {
-    const signal = world.notes.get("callSignal") as AbortSignal | undefined;
-    return {
-        deadline: world.note<Cluster>("cluster").clock() + CALLER_TIMEOUT_MS,
-        signal: signal ?? new AbortController().signal,
-    };
-}
 
 function beginOtherTerm(world: TestWorld): void {
     world.note<FakeFleetStore>("store").put(storeKeys.term, new Uint8Array());
 }
 
-/** Advances the logical clock until the reply arrives, and records the reply and the time it took. */
-async function awaitReply(world: TestWorld, reply: Promise<Reply>): Promise<void> {
-    const clock = getClock(world);
-    let isAnswered = false;
-    void reply.finally(() => isAnswered = true);
-    const startedAt = clock.now;
-    while (!isAnswered) {
-        await clock.advance(CLOCK_STEP_MS);
-    }
-    world.notes.set("reply", await reply);
-    world.notes.set("tookMs", clock.now - startedAt);
-}
-
-/** Delivers a heartbeat of a new owner, whose count is `undefined` until it has loaded its state. */
-function receiveHeartbeatOfNewOwner(world: TestWorld, pending: number | undefined): void {
-    const cluster = world.note<Cluster>("cluster");
-    const revision = (cluster.owner?.revision ?? 0) + 1;
-    const owner = createCluster({
-        ...cluster,
-        node: `owner-${revision}`,
-        address: `10.0.0.2:${revision}`,
-        decodeConfiguration: () => {
-            throw new Error("No configuration is expected.");
-        },
-    });
-    owner.owner = { node: owner.node, address: owner.address, revision };
-    owner.countQueueDepths = () =>
-        pending === undefined ? undefined : [create(QueueDepthSchema, { queue: QUEUE, jobs: pending })];
-    receiveHeartbeat(cluster, create(HeartbeatSchema, composeHeartbeat(owner)));
-}
-
 function summarizeReply(reply: Reply): string {
     switch (reply.kind) {
         case "refused":
@@ -100,38 +38,6 @@
     }
 }
 
-function createConfiguration(): FleetConfiguration {
-    const queue = {
-        service: "service",
-        priority: 0,
-        attempts: 2,
-        stretch: 2,
-        objectiveMs: 100,
-        advice: undefined,
-    };
-    return {
-        version: 1,
-        queues: [
-            { ...queue, name: "short" as QueueName, host: "a", prefix: "/x/", open: false },
-            { ...queue, name: "long" as QueueName, host: "a", prefix: "/x/y/", open: false },
-            { ...queue, name: "open" as QueueName, host: "b", prefix: "/x/", open: true },
-        ],
-        customers: [{ name: "ana", keys: ["k1", "k2"], guaranteedAccelerators: 0 }],
-        services: [],
-        maxBodyBytes: 1_000,
-    };
-}
-
-/** Returns the name of the queue or the reason of the refusal; the key `none` stands for a call without a key. */
-function resolveWithAge(
-    { host, path, key }: { host: string; path: string; key: string },
-    configurationAgeMs: number,
-): string {
-    const call = { host, path, key: key === "none" ? undefined : key };
-    const resolved = resolveCall(createConfiguration(), call, { configurationAgeMs });
-    return resolved.isOk() ? resolved.value.queue.name : resolved.error.reason;
-}
-
 Given("the next store writes have the faults {string}", function(this: TestWorld, faults: string) {
     this.note<FakeFleetStore>("store").writeFaults.push(...faults.split(" ") as WriteFault[]);
 });
@@ -211,35 +117,6 @@
     await awaitReply(this, requestCancellation(createCallContext(this), JOB_ID, customer, getBounds(this)));
 });
 
-Given(/^(?:the|a new) owner has reported (\d+) pending jobs$/, function(this: TestWorld, pending: number) {
-    receiveHeartbeatOfNewOwner(this, Number(pending));
-});
-
-Given("a new owner that has not loaded its state has sent a heartbeat", function(this: TestWorld) {
-    receiveHeartbeatOfNewOwner(this, undefined);
-});
-
-Given("the owner now has {int} pending jobs", function(this: TestWorld, pending: number) {
-    const cluster = this.note<Cluster>("cluster");
-    const { node, address, revision } = cluster.owner!;
-    const heartbeat = create(HeartbeatSchema, {
-        sender: { node, address },
-        owner: { node, address },
-        ownerRevision: revision,
-        depths: [{ queue: QUEUE, jobs: pending }],
-    });
-    const calls = { exchange: async () => ({ heartbeat }) };
-    cluster.peers.set(address, createTestPeer(address, calls, { node }));
-});
-
-When("{float} second(s) pass without a heartbeat", async function(this: TestWorld, seconds: number) {
-    await getClock(this).advance(seconds * MS_PER_SECOND);
-});
-
-When("ana counts the pending jobs", async function(this: TestWorld) {
-    this.notes.set("reply", await countPendingJobs(createCallContext(this), QUEUE));
-});
-
 When("the store applies its delayed writes", function(this: TestWorld) {
     this.note<FakeFleetStore>("store").applyDelayedTransactions();
 });
@@ -248,10 +125,6 @@
     assert.equal(summarizeReply(this.note<Reply>("reply")), name);
 });
 
-Then("the reply counts {int} pending jobs", function(this: TestWorld, pending: number) {
-    assert.deepEqual(this.note<Reply>("reply"), { kind: "depth", pending });
-});
-
 Then("the reply gives a retry time", function(this: TestWorld) {
     const reply = this.note<Reply>("reply");
     assert.equal(reply.kind === "refused" && reply.retryAfterS !== undefined, true);
@@ -295,41 +168,6 @@
     assert.equal(job.termRevision, store.get(storeKeys.term)!.revision);
 });
 
-Then(
-    "a call to host {word} and path {word} with key {word} resolves to {word}",
-    function(this: TestWorld, host: string, path: string, key: string, answer: string) {
-        assert.equal(resolveWithAge({ host, path, key }, 0), answer);
-    },
-);
-
-Then(
-    "a call to host {word} and path {word} with key {word} by an old configuration resolves to {word}",
-    function(this: TestWorld, host: string, path: string, key: string, answer: string) {
-        assert.equal(resolveWithAge({ host, path, key }, Number.POSITIVE_INFINITY), answer);
-    },
-);
-
-Then(
-    "a call for a queue that is not configured is refused with {word}",
-    function(this: TestWorld, answer: string) {
-        const { configuration } = this.note<Cluster>("cluster");
-        const resolved = resolveCall(configuration.current(), { host: "a", path: "/x/", key: "k1" }, {
-            configurationAgeMs: configuration.getAgeMs(),
-        });
-        assert.equal(resolved._unsafeUnwrapErr().reason, answer);
-    },
-);
-
-Then(
-    "a call before a configuration is loaded is refused with {word}",
-    function(this: TestWorld, answer: string) {
-        const resolved = resolveCall(undefined, { host: "a", path: "/x/", key: "k1" }, {
-            configurationAgeMs: Number.POSITIVE_INFINITY,
-        });
-        assert.equal(resolved._unsafeUnwrapErr().reason, answer);
-    },
-);
-
 Given("the store is unreachable after the first write", function(this: TestWorld) {
     const faults = Array.from({ length: REFUSED_WRITE_COUNT }, (): WriteFault => "refused");
     this.note<FakeFleetStore>("store").writeFaults.push(...faults);
--- a/packages/scheduler/src/callers/resolveCall.feature
+++ b/packages/scheduler/src/callers/resolveCall.feature
@@ -31,3 +31,19 @@
             | a    | /z/1   | k1   | configuration-unconfirmed |
             | a    | /x/1   | bad  | configuration-unconfirmed |
             | a    | /x/1   | none | configuration-unconfirmed |
+
+    Scenario Outline: The host, the longest matching prefix and the key determine the queue
+        Then a call to host <host> and path <path> with key <key> resolves to <result>
+
+        Examples:
+            | host | path    | key  | result        |
+            | a    | /x/1    | k1   | short         |
+            | a    | /x/y/1  | k2   | long          |
+            | a    | /z/1    | k1   | no-such-queue |
+            | c    | /x/1    | k1   | no-such-queue |
+            | a    | /x/1    | none | unknown-key   |
+            | a    | /x/1    | bad  | unknown-key   |
+            | b    | /x/1    | none | open          |
+
+    Scenario: Calls are refused until a configuration is loaded
+        Then a call before a configuration is loaded is refused with no-configuration
--- a/packages/scheduler/src/callers/submitJob.feature
+++ b/packages/scheduler/src/callers/submitJob.feature
@@ -112,28 +112,6 @@
         When bob requests the job's state
         Then the reply is no-such-job
 
-    Scenario: A cancelled job is reported as cancelled, and only its customer can cancel it
-        When ana submits a job with the digest d
-        And bob cancels the job
-        Then the reply is no-such-job
-        When ana cancels the job
-        Then the reply is cancelled
-        When ana requests the job's state
-        Then the reply is cancelled
-
-    Scenario: A cancellation whose write is refused is refused with a retry time
-        When ana submits a job with the digest d
-        And the next store writes have the faults "refused"
-        And ana cancels the job
-        Then the reply is store-unavailable
-        And the reply gives a retry time
-
-    Scenario: A cancellation whose answer is lost is sent again
-        When ana submits a job with the digest d
-        And the next store writes have the faults "lost-answer"
-        And ana cancels the job
-        Then the reply is cancelled
-
     Scenario: Replies give a retry time while the store is unavailable
         Given the store is unavailable
         When ana submits a job with the digest d
@@ -142,22 +120,6 @@
         When ana requests the job's state
         Then the reply is store-unavailable
 
-    Scenario Outline: The host, the longest matching prefix and the key determine the queue
-        Then a call to host <host> and path <path> with key <key> resolves to <result>
-
-        Examples:
-            | host | path    | key  | result        |
-            | a    | /x/1    | k1   | short         |
-            | a    | /x/y/1  | k2   | long          |
-            | a    | /z/1    | k1   | no-such-queue |
-            | c    | /x/1    | k1   | no-such-queue |
-            | a    | /x/1    | none | unknown-key   |
-            | a    | /x/1    | bad  | unknown-key   |
-            | b    | /x/1    | none | open          |
-
-    Scenario: Calls are refused until a configuration is loaded
-        Then a call before a configuration is loaded is refused with no-configuration
-
     # Submissions in progress at the end of a stop got no answer.
     Scenario: A call that must be answered at once before its write is sent has no effect
         Given calls must be answered at once after 0 ms
