A job whose cancellation was acknowledged with 410 is not stored by a late write

Cause: a cancellation that found no job answered from one read and stored nothing, and an acceptance expected only that the job's key is absent and its term the latest. An unanswered write of the acceptance could be carried out after the answer.

Ruled out: that the first daemon goes on sending, and that a stored cancellation gets lost.

Why it works: the cancellation now stores a withdrawal for id and customer, expecting the job's key as it was read, and each acceptance expects that there is none. Whichever the store carries out first, the other fails. Another customer's submission under the id is not affected.

--- a/packages/scheduler/src/callers/Reply.ts
+++ b/packages/scheduler/src/callers/Reply.ts
@@ -12,6 +12,7 @@
     | "wrong-method"
     | "no-such-job"
     | "other-job"
+    | "withdrawn"
     | "store-unavailable"
     | "count-unknown"
     | "unclear"
--- a/packages/scheduler/src/callers/callerFixture.steps.ts
+++ b/packages/scheduler/src/callers/callerFixture.steps.ts
@@ -2,23 +2,48 @@
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import type { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
 import type { Cluster } from "../cluster/Cluster.js";
+import type { JobId } from "../ids.js";
+import type { FleetStore } from "../ports/FleetStore.js";
 import type { CallBounds } from "./CallBounds.js";
 import type { CallContext } from "./CallContext.js";
+import type { SharedLease } from "./createSharedLease.js";
+import { createSharedLease } from "./createSharedLease.js";
 import type { Reply } from "./Reply.js";
 
+export const JOB_ID = "00000000000000ab" as JobId;
+
 const CALLER_TIMEOUT_MS = 3_000;
 const CLOCK_STEP_MS = 50;
 
-/** Creates the services of a daemon that is not the owner. */
+/** Creates the services of a daemon that is not the owner; all contexts of a scenario are of the same daemon. */
 export function createCallContext(world: TestWorld): CallContext {
+    const cluster = world.note<Cluster>("cluster");
+    const store = createStoreClient(world);
+    const withdrawalLease = world.note<SharedLease | undefined>("withdrawalLease")
+        ?? createSharedLease(store, cluster.clock);
+    world.notes.set("withdrawalLease", withdrawalLease);
     return {
-        cluster: world.note<Cluster>("cluster"),
-        store: world.note<FakeFleetStore>("store").createClient(),
+        cluster,
+        store,
+        withdrawalLease,
         localOwner: () => undefined,
         pause: getClock(world).pause,
     };
 }
 
+/** Creates a client that carries out the note `afterRead`, if there is one, once its next read is answered. */
+function createStoreClient(world: TestWorld): FleetStore {
+    const client = world.note<FakeFleetStore>("store").createClient();
+    return {
+        ...client,
+        read: key =>
+            client.read(key).andTee(() => {
+                world.note<(() => void) | undefined>("afterRead")?.();
+                world.notes.delete("afterRead");
+            }),
+    };
+}
+
 /** Returns the logical clock of the scenario. */
 export function getClock(world: TestWorld): FakeClock {
     return world.note<FakeClock>("clock");
--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -8,18 +8,15 @@
 import type { Cluster } from "../cluster/Cluster.js";
 import { updateOwner } from "../cluster/Cluster.js";
 import type { Queue } from "../FleetConfiguration.js";
-import type { JobId } from "../ids.js";
 import { decodeQueueTerms } from "../state/decodeQueueTerms.js";
 import { storeKeys } from "../storeKeys.js";
-import { awaitReply, createCallContext, getBounds, getClock } from "./callerFixture.steps.js";
+import { awaitReply, createCallContext, getBounds, getClock, JOB_ID } from "./callerFixture.steps.js";
 import { describeJob } from "./describeJob.js";
 import type { Reply } from "./Reply.js";
-import { requestCancellation } from "./requestCancellation.js";
 import { submitJob } from "./submitJob.js";
 
-const JOB_ID = "00000000000000ab" as JobId;
 const CONFIGURED_QUEUE = createTestConfiguration().queues[0]!;
-const REFUSED_WRITE_COUNT = 100;
+const FAULTY_WRITE_COUNT = 100;
 
 function beginOtherTerm(world: TestWorld): void {
     world.note<FakeFleetStore>("store").put(storeKeys.term, new Uint8Array());
@@ -113,8 +110,13 @@
     await awaitReply(this, describeJob(createCallContext(this), JOB_ID, customer));
 });
 
-When("{word} cancels the job", async function(this: TestWorld, customer: string) {
-    await awaitReply(this, requestCancellation(createCallContext(this), JOB_ID, customer, getBounds(this)));
+Given("the store carries out writes late and without an answer", function(this: TestWorld) {
+    const faults = Array.from({ length: FAULTY_WRITE_COUNT }, (): WriteFault => "late");
+    this.note<FakeFleetStore>("store").writeFaults.push(...faults);
+});
+
+When("the store answers writes again", function(this: TestWorld) {
+    this.note<FakeFleetStore>("store").writeFaults.length = 0;
 });
 
 When("the store applies its delayed writes", function(this: TestWorld) {
@@ -130,6 +132,11 @@
     assert.equal(reply.kind === "refused" && reply.retryAfterS !== undefined, true);
 });
 
+Then("the reply gives no retry time", function(this: TestWorld) {
+    const reply = this.note<Reply>("reply");
+    assert.equal(reply.kind === "refused" && reply.retryAfterS === undefined, true);
+});
+
 Then("the job is stored: {word}", function(this: TestWorld, answer: string) {
     assert.equal(
         this.note<FakeFleetStore>("store").get(storeKeys.job(JOB_ID)) !== undefined,
@@ -169,7 +176,7 @@
 });
 
 Given("the store is unreachable after the first write", function(this: TestWorld) {
-    const faults = Array.from({ length: REFUSED_WRITE_COUNT }, (): WriteFault => "refused");
+    const faults = Array.from({ length: FAULTY_WRITE_COUNT }, (): WriteFault => "refused");
     this.note<FakeFleetStore>("store").writeFaults.push(...faults);
 });
 
--- a/packages/scheduler/src/callers/requestCancellation.ts
+++ b/packages/scheduler/src/callers/requestCancellation.ts
@@ -1,7 +1,9 @@
+import type { Job } from "@balsamward/schema/scheduling";
 import { CancellationRecordSchema, JobSchema } from "@balsamward/schema/scheduling";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { awaitUnlessAborted } from "../awaitUnlessAborted.js";
 import type { JobId } from "../ids.js";
+import type { StoreError } from "../ports/FleetStore.js";
 import { storeKeys } from "../storeKeys.js";
 import type { CallBounds } from "./CallBounds.js";
 import type { CallContext } from "./CallContext.js";
@@ -9,16 +11,22 @@
 import { notifyOwner } from "./notifyOwner.js";
 import type { Reply } from "./Reply.js";
 import { refuse } from "./Reply.js";
+import type { UnstoredJob } from "./withdrawSubmission.js";
+import { withdrawSubmission } from "./withdrawSubmission.js";
+
+/** Reply to an attempt to cancel a job; `outdated` if what the attempt has read has changed since. */
+type AttemptReply = Reply | "outdated";
 
 /**
- * Stores the cancellation of a job and notifies the owner.
+ * Stores the cancellation of a job and notifies the owner. After either acknowledgement the job does not run: one
+ * that is not stored is withdrawn, so that a submission which is still on its way does not store it either.
  *
  * @param context - The services that the call uses.
  * @param id - Id of the job.
  * @param customer - The calling customer; jobs of other customers are reported as missing.
  * @param bounds - The deadline, and the signal on which the call is answered by what is known.
- * @returns `cancelled` once the cancellation is stored, or a refusal: `no-such-job`, `store-unavailable` or
- * `unclear`.
+ * @returns `cancelled` once the cancellation is stored, or a refusal: `no-such-job` once the withdrawal is stored,
+ * `store-unavailable` or `unclear`.
  */
 export async function requestCancellation(
     context: CallContext,
@@ -26,6 +34,22 @@
     customer: string,
     bounds: CallBounds,
 ): Promise<Reply> {
+    let reply: AttemptReply;
+    do {
+        reply = await attemptCancellation(context, id, customer, bounds);
+    }
+    while (reply === "outdated" && context.cluster.clock() < bounds.deadline);
+    return reply === "outdated"
+        ? refuse("store-unavailable", "The job changes all the time. It is not cancelled. Send it again.")
+        : reply;
+}
+
+async function attemptCancellation(
+    context: CallContext,
+    id: JobId,
+    customer: string,
+    bounds: CallBounds,
+): Promise<AttemptReply> {
     const item = await awaitUnlessAborted(
         context.store.read(storeKeys.job(id)),
         bounds.signal,
@@ -38,31 +62,60 @@
         return refuse("store-unavailable", "The job cannot be read from the store. Try again later.");
     }
     const job = item.value === undefined ? undefined : fromBinary(JobSchema, item.value.value);
-    if (item.value === undefined || job === undefined || job.customer !== customer) {
-        return refuse("no-such-job", "No job of this caller has this id. Check the id.");
-    }
-    const record = create(CancellationRecordSchema, { job: id });
-    const transaction = {
-        expect: [{ key: storeKeys.job(id), revision: item.value.revision }],
-        puts: [{ key: storeKeys.cancellation(id), value: toBinary(CancellationRecordSchema, record) }],
+    const revision = item.value?.revision ?? 0;
+    return job?.customer === customer
+        ? cancelStoredJob(context, job, revision, bounds)
+        : cancelUnstoredJob(context, { id, customer, otherRevision: revision }, bounds);
+}
+
+async function cancelStoredJob(
+    context: CallContext,
+    job: Job,
+    revision: number,
+    bounds: CallBounds,
+): Promise<AttemptReply> {
+    const record = create(CancellationRecordSchema, { job: job.id });
+    const committed = await commitWithRetries(context, {
+        expect: [{ key: storeKeys.job(job.id), revision }],
+        puts: [{ key: storeKeys.cancellation(job.id), value: toBinary(CancellationRecordSchema, record) }],
         removals: [],
-    };
-    const commitResult = await commitWithRetries(context, transaction, bounds);
-    if (commitResult.isOk()) {
-        notifyOwner(context, job, item.value.revision, true);
-        return { kind: "cancelled" };
+    }, bounds);
+    if (committed.isErr()) {
+        return resolveError(committed.error);
+    }
+    notifyOwner(context, job, revision, true);
+    return { kind: "cancelled" };
+}
+
+async function cancelUnstoredJob(
+    context: CallContext,
+    job: UnstoredJob,
+    bounds: CallBounds,
+): Promise<AttemptReply> {
+    const withdrawn = await withdrawSubmission(context, job, bounds);
+    if (withdrawn.isErr()) {
+        return resolveError(withdrawn.error);
     }
-    switch (commitResult.error.kind) {
+    context.cluster.log.info("A job that is not stored is withdrawn.", {
+        job: job.id,
+        customer: job.customer,
+        revision: withdrawn.value,
+    });
+    return refuse(
+        "no-such-job",
+        "No job of this caller has this id, and none is accepted under it for some minutes. Check the id.",
+    );
+}
+
+function resolveError(error: StoreError): AttemptReply {
+    switch (error.kind) {
         case "conflict":
-            return refuse(
-                "no-such-job",
-                "The job has been removed from the store. There is nothing left to cancel.",
-            );
+        case "lease-ended":
+            return "outdated";
         case "unclear":
             return refuse("unclear", "It is unknown whether the cancellation is stored. Send it again.");
         case "unavailable":
         case "compacted":
-        case "lease-ended":
         case "invalid":
             return refuse("store-unavailable", "The cancellation is not stored. Try again later.");
     }
--- a/packages/scheduler/src/callers/submitJob.ts
+++ b/packages/scheduler/src/callers/submitJob.ts
@@ -24,12 +24,14 @@
  * a newer term, the write is sent again for that term; earlier sends can no longer take effect, since the term's
  * record never returns to an earlier revision.
  *
+ * The write expects, too, that the customer has not withdrawn the job by cancelling it before it was stored.
+ *
  * @param context - The services that the call uses.
  * @param submittedJob - The job to store; its time, its term of ownership and the terms of its queue are set by this
  * function.
  * @param queue - The queue of the job. Its terms are stored with the job, which keeps them if the queue is removed.
  * @param bounds - The deadline, and the signal on which the call is answered by what is known.
- * @returns `accepted` once the job is stored, or a refusal: `bad-job`, `other-job`, `store-unavailable` or
+ * @returns `accepted` once the job is stored, or a refusal: `bad-job`, `other-job`, `withdrawn`, `store-unavailable` or
  * `unclear`. Only `unclear` leaves open whether the job is stored.
  */
 export async function submitJob(
@@ -74,6 +76,7 @@
     return {
         expect: [
             { key: storeKeys.job(job.id), revision: 0 },
+            { key: storeKeys.withdrawal(job.id, job.customer), revision: 0 },
             { key: storeKeys.term, revision: termRevision },
         ],
         puts: [{ key: storeKeys.job(job.id), value: toBinary(JobSchema, job) }],
@@ -83,7 +86,8 @@
 
 /** Returns the revision of the current term if that alone prevented the write, otherwise `undefined`. */
 function findOtherTerm(job: Job, termRevision: number, error: StoreError): number | undefined {
-    if (error.kind !== "conflict" || findItem(error.items, storeKeys.job(job.id)) !== undefined) {
+    const otherKeys = [storeKeys.job(job.id), storeKeys.withdrawal(job.id, job.customer)];
+    if (error.kind !== "conflict" || otherKeys.some(key => findItem(error.items, key) !== undefined)) {
         return undefined;
     }
     const currentRevision = findItem(error.items, storeKeys.term)?.revision ?? 0;
@@ -97,7 +101,7 @@
 function resolveError(context: CallContext, job: Job, error: StoreError): Reply {
     switch (error.kind) {
         case "conflict":
-            return resolveIdConflict(context, job, findItem(error.items, storeKeys.job(job.id)));
+            return resolveConflict(context, job, error.items);
         case "invalid":
             return refuse("bad-job", "The store rejects the job. Submit a smaller job.");
         case "unclear":
@@ -112,10 +116,21 @@
     }
 }
 
-function resolveIdConflict(context: CallContext, job: Job, item: StoreItem | undefined): Reply {
-    if (item === undefined) {
-        return refuse("unclear", "It is unknown whether the job is stored. Send it again under the same id.");
+/** Resolves a conflict that no other term explains; a job that is stored takes precedence over a withdrawal. */
+function resolveConflict(context: CallContext, job: Job, items: readonly StoreItem[]): Reply {
+    const stored = findItem(items, storeKeys.job(job.id));
+    if (stored !== undefined) {
+        return resolveIdConflict(context, job, stored);
     }
+    return findItem(items, storeKeys.withdrawal(job.id, job.customer)) === undefined
+        ? refuse("unclear", "It is unknown whether the job is stored. Send it again under the same id.")
+        : refuse(
+            "withdrawn",
+            "The job was cancelled before it was stored, and does not run. Choose a new id to submit it after all.",
+        );
+}
+
+function resolveIdConflict(context: CallContext, job: Job, item: StoreItem): Reply {
     const existing = fromBinary(JobSchema, item.value);
     if (existing.customer !== job.customer || existing.digest !== job.digest) {
         return refuse("other-job", "A different job already has this id. Choose a new id.");
--- a/packages/scheduler/src/cluster/cluster.steps.ts
+++ b/packages/scheduler/src/cluster/cluster.steps.ts
@@ -53,7 +53,7 @@
     this.notes.set("clock", clock);
     const startedAt = clock.now;
     this.notes.set("cluster", createTestCluster(() => clock.now - startedAt));
-    this.notes.set("store", new FakeFleetStore(() => 0));
+    this.notes.set("store", new FakeFleetStore(() => clock.now));
     this.notes.set("direct", new FakeFleetStore(() => 0));
 });
 
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./callers/CallBounds.js";
 export * from "./callers/CallContext.js";
 export * from "./callers/countPendingJobs.js";
+export * from "./callers/createSharedLease.js";
 export * from "./callers/describeJob.js";
 export * from "./callers/Reply.js";
 export * from "./callers/requestCancellation.js";
--- a/packages/scheduler/src/startNode.ts
+++ b/packages/scheduler/src/startNode.ts
@@ -1,25 +1,20 @@
 import type { Logger } from "winston";
 import { keepRunning } from "./_lib/keepRunning.js";
 import type { CallContext } from "./callers/CallContext.js";
-import { couldMissNewOwner } from "./cluster/couldMissNewOwner.js";
+import { createSharedLease } from "./callers/createSharedLease.js";
 import type { DecodeConfiguration } from "./cluster/createActiveConfiguration.js";
 import { createCluster } from "./cluster/createCluster.js";
 import { createRelayingStore } from "./cluster/createRelayingStore.js";
-import { getMedianWallClockMs } from "./cluster/getMedianWallClockMs.js";
 import { openHeartbeatSocket } from "./cluster/openHeartbeatSocket.js";
 import type { OperatorKeys } from "./cluster/OperatorKeys.js";
-import { readOperatorKeys } from "./cluster/readOperatorKeys.js";
 import { runMembership } from "./cluster/runMembership.js";
 import type { OwnershipOptions } from "./cluster/runOwnership.js";
 import { runOwnership } from "./cluster/runOwnership.js";
 import { notifyPeers, runPeers } from "./cluster/runPeers.js";
-import type { OwnerService } from "./cluster/serveCluster.js";
 import { serveCluster } from "./cluster/serveCluster.js";
 import { watchConfiguration } from "./cluster/watchConfiguration.js";
-import { createWorkerLister } from "./createWorkerLister.js";
-import { createOwnerService } from "./engine/createOwnerService.js";
-import { createScheduler, runScheduler } from "./engine/runScheduler.js";
-import type { Ownership, Scheduler, SchedulerBounds } from "./engine/Scheduler.js";
+import { createTermRunner } from "./createTermRunner.js";
+import type { SchedulerBounds } from "./engine/Scheduler.js";
 import type { ListenOptions } from "./listenOn.js";
 import type { Metrics } from "./Metrics.js";
 import { pause } from "./pause.js";
@@ -88,49 +83,19 @@
  * @returns The running daemon.
  */
 export async function startNode(options: NodeOptions): Promise<Node> {
-    const { log, metrics, clock } = options;
+    const { log, clock } = options;
     const closing = new AbortController();
     const leaving = new AbortController();
     const cluster = createCluster({ ...options, address: options.peerAddress });
     const store = createRelayingStore(options.store, cluster);
-    const listWorkers = createWorkerLister(store, options);
-    let scheduler: Scheduler | undefined;
-    let ownerService: OwnerService | undefined;
-    const localOwner = (): OwnerService | undefined =>
-        scheduler?.isLoaded && !scheduler.ownership.signal.aborted ? ownerService : undefined;
+    const termRunner = createTermRunner(options, cluster, store);
+    const { localOwner, requestPass } = termRunner;
     cluster.countQueueDepths = () => localOwner()?.countQueueDepths();
-    const schedule = async (ownership: Ownership): Promise<void> => {
-        scheduler = createScheduler({
-            store,
-            workers: options.workers,
-            node: options.node,
-            advice: options.advice,
-            machines: options.machines,
-            waveRecordFormat: options.waveRecordFormat,
-            listWorkers,
-            configuration: cluster.configuration.current,
-            evacuatedDataCentres: cluster.evacuations.current,
-            readEvacuations: async () =>
-                await readOperatorKeys(cluster, store, options.operatorKeys) !== undefined,
-            log,
-            metrics,
-            pause,
-            clock,
-            wallClock: () => getMedianWallClockMs(cluster),
-            machineWallClock: () => Date.now(),
-            bounds: options.bounds,
-        }, ownership);
-        ownerService = createOwnerService(scheduler, {
-            couldMissJobs: () => cluster.reachesStore || couldMissNewOwner(cluster),
-        });
-        await runScheduler(scheduler);
-        scheduler = undefined;
-    };
     cluster.configuration.onChange = () => {
         void notifyPeers(cluster);
-        scheduler?.requestPass();
+        requestPass();
     };
-    cluster.evacuations.onChange = () => scheduler?.requestPass();
+    cluster.evacuations.onChange = requestPass;
     runPeers(cluster, closing.signal);
     const { listenOptions } = options;
     const clusterContext = { cluster, store: options.store, localOwner, listenOptions };
@@ -142,10 +107,20 @@
     const addPeers: Node["addPeers"] = addresses =>
         addresses.forEach(address => cluster.addPeer(address, address));
     addPeers(options.seeds);
-    const leasesEnded = startBackgroundTasks({ ...options, cluster, store, schedule }, leaving, closing);
+    const leasesEnded = startBackgroundTasks(
+        { ...options, cluster, store, schedule: termRunner.schedule },
+        leaving,
+        closing,
+    );
     let notice: Promise<void> | undefined;
     return {
-        callContext: { cluster, store, localOwner, pause },
+        callContext: {
+            cluster,
+            store,
+            withdrawalLease: createSharedLease(store, clock),
+            localOwner,
+            pause,
+        },
         isReady: () => cluster.configuration.current() !== undefined && !leaving.signal.aborted,
         addPeers,
         leave: () => {
--- a/packages/scheduler/src/storeKeys.ts
+++ b/packages/scheduler/src/storeKeys.ts
@@ -1,3 +1,5 @@
+import { sha256Hex } from "@balsamward/schema/sha256Hex";
+
 /** Keys and key prefixes in the store. Keys of records of one kind share a prefix. */
 export const storeKeys = {
     owner: "balsamward/owner",
@@ -9,6 +11,10 @@
     jobPrefix: "balsamward/jobs/",
     job: (id: string): string => `balsamward/jobs/${id}`,
     cancellation: (id: string): string => `balsamward/jobs/${id}/cancellation`,
+    withdrawalPrefix: "balsamward/withdrawals/",
+    /** Key of a customer's withdrawal of a job; the name of a customer may be longer than a key. */
+    withdrawal: (id: string, customer: string): string =>
+        `balsamward/withdrawals/${id}/${sha256Hex(customer)}`,
     progressPrefix: "balsamward/progress/",
     progress: (id: string): string => `balsamward/progress/${id}`,
     progressPartPrefix: (id: string): string => `balsamward/progress/${id}/`,
--- a/packages/stand-ins/src/fleet/FakeFleetStore.ts
+++ b/packages/stand-ins/src/fleet/FakeFleetStore.ts
@@ -90,12 +90,17 @@
     /** Applies the transactions delayed by the fault `late`, unless their expectations no longer hold. */
     applyDelayedTransactions(): void {
         this.delayedTransactions.splice(0).forEach(transaction => {
-            if (this.findConflicts(transaction).length === 0) {
+            if (this.findConflicts(transaction).length === 0 && this.hasLeases(transaction)) {
                 this.applyTransaction(transaction);
             }
         });
     }
 
+    /** Ends all leases before their time, as a store may that was unavailable. */
+    endAllLeases(): void {
+        [...this.leases.keys()].forEach(id => this.end(id));
+    }
+
     /** Compacts the event history; watches from earlier revisions fail. */
     compact(): void {
         this.compactedRevision = this.revision;
@@ -138,6 +143,9 @@
             const items = transaction.expect.flatMap(({ key }) => this.rows.get(key) ?? []);
             return err({ kind: "conflict", message: "A value has changed. Read it again.", items });
         }
+        if (!this.hasLeases(transaction)) {
+            return err({ kind: "lease-ended", message: "The lease has ended. Take a new one." });
+        }
         const revision = this.applyTransaction(transaction);
         return fault === "lost-answer"
             ? err({ kind: "unclear", message: "The response to the write is lost. Read the value back." })
@@ -159,6 +167,11 @@
             .map(({ key }) => key);
     }
 
+    /** Returns whether all leases that a transaction names last. */
+    private hasLeases({ puts }: StoreTransaction): boolean {
+        return puts.every(({ lease }) => lease === undefined || this.leases.has(lease));
+    }
+
     private applyTransaction({ puts, removals }: StoreTransaction): number {
         this.revision += 1;
         for (const { key, value, lease } of puts) {
