Text comes out of records and calls between daemons as it went in

What callers saw: tasks of a job whose spec begins with a byte order mark are started without it after a takeover, or at once if another daemon than the owner accepted the job (UNASKED).

Cause: the protobuf library's default TextDecoder drops a byte order mark at the start of each text, in records and in calls. Its TextEncoder replaces halves of surrogate pairs, which JSON strings may contain, with U+FFFD.

Random texts found the surrogates.

Why it works: the package of the messages sets a lossless text encoding for the process that loads it, so that every way out of the store or from another daemon has it. Well-formed text has the same bytes as before; nothing else in the records changes.

--- a/features/support/scheduler/createAcceptedJob.ts
+++ b/features/support/scheduler/createAcceptedJob.ts
@@ -8,6 +8,8 @@
 
 /** Options of `createAcceptedJob`. */
 export type CreateAcceptedJobOptions = {
+    /** Text that is passed to the tasks. */
+    readonly spec?: string | undefined;
     readonly schedule?: MessageInitShape<typeof ScheduleSchema> | undefined;
     /** Whether the accepting daemon is of a build that stores neither a term nor the terms of the queue with a job. */
     readonly withoutTerm?: boolean | undefined;
@@ -28,18 +30,18 @@
  * Creates the record of a job, as a daemon does that accepts it.
  *
  * @param submission - The submission. The daemon also knows the queues of the test configuration.
- * @param options - The schedule, and whether the daemon is of an earlier build.
+ * @param options - The spec, the schedule, and whether the daemon is of an earlier build.
  * @returns The job.
  */
 export function createAcceptedJob(
     { id, queue, customer, steps, acceptedAtMs, termRevision, configuration }: Submission,
-    { schedule, withoutTerm = false }: CreateAcceptedJobOptions = {},
+    { spec = "spec", schedule, withoutTerm = false }: CreateAcceptedJobOptions = {},
 ): Job {
     return create(JobSchema, {
         id,
         queue,
         customer,
-        spec: "spec",
+        spec,
         steps: steps.map(step => create(StepSchema, step)),
         acceptedAtMs,
         ...(withoutTerm
--- a/packages/scheduler/src/cluster/serveCluster.feature
+++ b/packages/scheduler/src/cluster/serveCluster.feature
@@ -14,6 +14,11 @@
         Then a heartbeat to the daemon is answered
         And no error was left unhandled
 
+    # UNASKED: the owner started tasks without the byte order mark of a spec that another daemon had accepted.
+    Scenario: A job that a peer announces reaches the owner as the peer has stored it
+        When a peer announces a job with the spec "\ufeff7;\ud83d" to the owner
+        Then the owner has a job with the spec "\ufeff7;\ud83d"
+
     Scenario: A connection that does not speak HTTP/2
         When a peer sends a request of another protocol
         Then a heartbeat to the daemon is answered
--- a/packages/scheduler/src/cluster/serveCluster.steps.ts
+++ b/packages/scheduler/src/cluster/serveCluster.steps.ts
@@ -1,3 +1,5 @@
+import { JobSchema } from "@balsamward/schema/scheduling";
+import { create } from "@bufbuild/protobuf";
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { once } from "node:events";
@@ -13,6 +15,7 @@
 import type { RpcListener } from "../startRpcListener.js";
 import { createPeerClient } from "./createPeerClient.js";
 import { runPeers } from "./runPeers.js";
+import type { OwnerService } from "./serveCluster.js";
 import { serveCluster } from "./serveCluster.js";
 
 const CALL_TIMEOUT_MS = 2_000;
@@ -29,7 +32,8 @@
     const end = new AbortController();
     runPeers(cluster, end.signal);
     const store = new FakeFleetStore(() => 0).createClient();
-    const listener = await serveCluster({ cluster, store, localOwner: () => undefined }, cluster.address);
+    const localOwner = (): OwnerService | undefined => this.note("localOwner");
+    const listener = await serveCluster({ cluster, store, localOwner }, cluster.address);
     const client = createPeerClient(cluster.address);
     this.notes.set("address", cluster.address);
     this.notes.set("client", client);
@@ -43,6 +47,21 @@
     });
 });
 
+When(
+    "a peer announces a job with the spec {string} to the owner",
+    async function(this: TestWorld, spec: string) {
+        const addJob: OwnerService["addJob"] = job => this.notes.set("spec", job.spec);
+        this.notes.set("localOwner", { addJob });
+        const job = create(JobSchema, { spec: JSON.parse(`"${spec}"`) as string });
+        const { calls } = this.note<ReturnType<typeof createPeerClient>>("client");
+        await calls.announceJob({ job }, { timeoutMs: CALL_TIMEOUT_MS });
+    },
+);
+
+Then("the owner has a job with the spec {string}", function(this: TestWorld, spec: string) {
+    assert.equal(this.note("spec"), JSON.parse(`"${spec}"`));
+});
+
 /** Opens a call on a connection of its own, which lasts until the scenario ends. */
 function openCall(world: TestWorld): ClientHttp2Stream {
     const session = connect(`http://${world.note<string>("address")}`);
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./generated/balsamward/v1/state_pb.js";
 export * from "./identifier.js";
 export * from "./InputError.js";
+export * from "./losslessTextEncoding.js";
 export * from "./parseDocument.js";
 export * from "./reasonName.js";
 export * from "./sha256Hex.js";
--- a/packages/stand-ins/src/fleet/ExecutedStart.ts
+++ b/packages/stand-ins/src/fleet/ExecutedStart.ts
@@ -4,6 +4,7 @@
 export type ExecutedStart = {
     readonly task: TaskName;
     readonly run: number;
+    readonly spec: string;
     readonly checkpoint: string;
     readonly ticket: string;
 };
--- a/packages/stand-ins/src/fleet/FakeWorker.ts
+++ b/packages/stand-ins/src/fleet/FakeWorker.ts
@@ -249,7 +249,7 @@
         if (current !== undefined || this.endedRuns.isRejected(name, order.run)) {
             return { kind: "old-run", clockMs };
         }
-        const { task, run, checkpoint, ticket } = order;
+        const { task, run, spec, checkpoint, ticket } = order;
         const requests = [...this.running.values(), order].map(started => this.getRequest(started.task));
         const exceedsCapacity = isOverCapacity(requests, this.capacity);
         if (exceedsCapacity && this.guardsCapacity) {
@@ -257,7 +257,7 @@
         }
         const startedAt = this.monotonicClock();
         this.running.set(name, { task, run, checkpoint, percent: 0, load: 0, pace: 100, startedAt });
-        this.starts.push({ task, run, checkpoint, ticket });
+        this.starts.push({ task, run, spec, checkpoint, ticket });
         if (exceedsCapacity) {
             this.startsOverCapacity.push(name);
         }
