A refusal as malformed settles no submission while an earlier write of it is unanswered

What callers saw: a submission is answered 400 (or a cancellation 503, "not stored"), and its job is stored and runs afterwards.

A write whose answer is lost is sent again; if the store, or something before it, refused the second one as malformed, that settled the call, although the first could still be carried out.

Evidence: "A write that the store refuses as malformed settles nothing while an earlier one is unanswered" got bad-job in place of unclear before, and the job was stored then.

Why it works: only an answer after which no attempt can have an effect settles a write: its success, or a conflict. A refusal as malformed counts as any other refusal, which is reported once no attempt is unanswered or unclear. A write that is refused at the first attempt is still refused for good, after one write.

--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -115,6 +115,11 @@
     this.note<FakeFleetStore>("store").writeFaults.push(...faults);
 });
 
+Given("the store answers one write late and refuses the others as malformed", function(this: TestWorld) {
+    const faults = Array.from({ length: FAULTY_WRITE_COUNT }, (): WriteFault => "malformed");
+    this.note<FakeFleetStore>("store").writeFaults.push("late", ...faults);
+});
+
 When("the store answers writes again", function(this: TestWorld) {
     this.note<FakeFleetStore>("store").writeFaults.length = 0;
 });
--- a/packages/scheduler/src/callers/commitWithRetries.ts
+++ b/packages/scheduler/src/callers/commitWithRetries.ts
@@ -19,7 +19,7 @@
 
 /** Outcome of the attempts so far. */
 type Findings = {
-    /** An answer that settles the write. */
+    /** An answer that settles the write: it is done, or no attempt can have an effect any more. */
     finalResult: Result<number, StoreError> | undefined;
     /** The latest refusal that had no effect. */
     refusal: Result<number, StoreError> | undefined;
@@ -92,7 +92,6 @@
     switch (result.isOk() ? "done" : result.error.kind) {
         case "done":
         case "conflict":
-        case "invalid":
             findings.finalResult ??= result;
             return;
         case "unclear":
@@ -101,6 +100,7 @@
         case "unavailable":
         case "compacted":
         case "lease-ended":
+        case "invalid":
             findings.refusal = result;
     }
 }
--- a/packages/scheduler/src/callers/submitJob.feature
+++ b/packages/scheduler/src/callers/submitJob.feature
@@ -75,6 +75,22 @@
         When the store applies its delayed writes
         Then the job is stored: yes
 
+    Scenario: A job that the store refuses as malformed is refused for good
+        Given the next store writes have the faults "malformed"
+        When ana submits a job with the digest d
+        Then the reply is bad-job
+        And the reply gives no retry time
+        And 1 store write has been sent
+        And the job is stored: no
+
+    # REFUSED: a job was refused for good although an unanswered write of it could still be carried out, and then was.
+    Scenario: A write that the store refuses as malformed settles nothing while an earlier one is unanswered
+        Given the store answers one write late and refuses the others as malformed
+        When ana submits a job with the digest d
+        Then the reply is unclear
+        When the store applies its delayed writes
+        Then the job is stored: yes
+
     Scenario: A job is accepted although its daemon does not know the latest term
         Given a term of another owner has begun
         When ana submits a job with the digest d
--- a/packages/stand-ins/src/fleet/FakeFleetStore.ts
+++ b/packages/stand-ins/src/fleet/FakeFleetStore.ts
@@ -14,6 +14,8 @@
 export type WriteFault =
     /** The write has no effect, and the caller gets an error that says so. */
     | "refused"
+    /** The write has no effect, and the caller gets an error that it is malformed. */
+    | "malformed"
     /** The write takes effect, and the caller gets an unclear result. */
     | "lost-answer"
     /** The caller gets an unclear result; the write takes effect at `applyDelayedTransactions`. */
@@ -129,7 +131,7 @@
         if (fault === "refused" || this.isRefused(transaction)) {
             return err({ kind: "unavailable", message: "The store refuses the write. Try again later." });
         }
-        if (this.isMalformed(transaction)) {
+        if (fault === "malformed" || this.isMalformed(transaction)) {
             return err({ kind: "invalid", message: "The store refuses a value. Check its size." });
         }
         if (fault === "late") {
