A repeated write that is refused leaves an earlier unanswered one unclear

What callers saw, on the product's own interface: a submission is refused as not stored, so that it is sent again elsewhere, and its job is stored nevertheless.

Evidence: three new cases of Store.feature failed before: unavailable in place of done, with the value changed, and in place of unclear.

Why it works: after an unanswered write only success, a conflict or the end of the lease is a result. Any other refusal leaves the write unclear, so that it is read back and sent again as after a lost answer.

--- a/packages/coordination/src/Store.feature
+++ b/packages/coordination/src/Store.feature
@@ -18,8 +18,18 @@
             | late lost-call                      | done        | 1       |
             | late late                           | done        | 1       |
             | down                                | unavailable | 0       |
+            | lost-call down                      | done        | 1       |
+            | lost-call down down down down       | unclear     | 0       |
             | lost-call lost-call lost-call lost-call lost-call | unclear | 0 |
 
+    # A job was refused as not stored although an unanswered write of it could still be carried out, and then was.
+    Scenario: A write that is carried out while it is refused at the second attempt is done
+        Given an in-memory store with a claim written by another daemon
+        And the next writes meet the faults "late down"
+        When the claim is replaced
+        Then the write is "done"
+        And the value has changed 1 times
+
     Scenario: A lost write is a conflict if another daemon replaces the value before it is sent again
         Given an in-memory store with a claim written by another daemon
         And the next writes meet the faults "lost-call"
--- a/packages/coordination/src/Store.ts
+++ b/packages/coordination/src/Store.ts
@@ -40,7 +40,7 @@
  *
  * Every write carries a nonce. If the response to a write is lost, the value is read back. If the write
  * has not taken effect, it is sent again, which is safe because only one of the two can match the
- * expected revision.
+ * expected revision. It stays unclear if the second one is refused, as the first may still be carried out.
  *
  * @param transport - The calls of the key-value service.
  * @param options - Replacements for the nonce generator and the timer.
@@ -95,7 +95,7 @@
                 return ok(revision);
             }
             result = revision === messageWrite.expectedRevision
-                ? await transport.write(rawWrite)
+                ? keepUnclear(await transport.write(rawWrite))
                 : err({
                     kind: "conflict",
                     message: "The value has changed since it was read. Read it again.",
@@ -129,6 +129,29 @@
     return result.isErr() && result.error.kind === "unclear";
 }
 
+/**
+ * Returns the result of a write that repeats an unanswered one. Only success, a conflict or the end of the lease
+ * settles both: after any other refusal, the first may still be carried out.
+ */
+function keepUnclear(result: Result<number, StoreError>): Result<number, StoreError> {
+    if (result.isOk()) {
+        return result;
+    }
+    switch (result.error.kind) {
+        case "conflict":
+        case "lease-lost":
+        case "unclear":
+            return result;
+        case "unavailable":
+        case "too-large":
+        case "unreadable":
+        case "compacted":
+            return err({ kind: "unclear", message: result.error.message });
+        default:
+            return result.error satisfies never;
+    }
+}
+
 function readNonce(desc: DescMessage, bytes: Uint8Array): string | undefined {
     return decodeEnvelope(desc, bytes).map(decoded => decoded.nonce).unwrapOr(undefined);
 }
