A cell refuses a submission only if its job is certainly not stored

What callers saw, on the product's own interface: a refused job runs; an accepted job disappears after its submission was repeated in an outage of the store; of two submissions at the same time, one is accepted although the job is not stored. Seen in scenarios, not reported.

Cause: a submission whose write had certainly failed removed its job from the owner's memory, whether or not it had added it, and though an earlier unanswered write of the cell, which all calls share, may contain it.

Why it works: a submission is refused, and its job removed, only if it has added the job itself and no write of the cell is unclear; a later success makes such a write void. A submission whose job was removed while it waited adds it again.

--- a/features/support/GangTestHarness.ts
+++ b/features/support/GangTestHarness.ts
@@ -1,5 +1,5 @@
 import { cellStateKey, createStore, decodeEnvelope } from "@balsamward/coordination";
-import type { Job, JobId } from "@balsamward/schema";
+import type { Job, JobId, Outcome } from "@balsamward/schema";
 import { Adjacency, CellStateSchema, ConfigurationSchema, JobSchema, JobStage } from "@balsamward/schema";
 import type { ReservationReport } from "@balsamward/stand-ins";
 import { WorkerModel } from "@balsamward/stand-ins";
@@ -104,8 +104,8 @@
         this.commandFaults.schedule(kind, at);
     }
 
-    /** Submits a gang whose members each occupy a whole worker for `runMs` milliseconds. */
-    async submit(id: string, customer: string, runMs: number): Promise<void> {
+    /** Submits a gang whose members each occupy a whole worker for `runMs` milliseconds; returns the outcome. */
+    async submit(id: string, customer: string, runMs: number): Promise<Outcome> {
         const job = create(JobSchema, {
             id: toJobId(id),
             customer,
@@ -119,7 +119,8 @@
             stage: JobStage.QUEUED,
             submittedAtMs: BigInt(this.clock.now),
         });
-        await this.ownedCell!.submit(job);
+        const { outcome } = await this.ownedCell!.submit(job);
+        return outcome;
     }
 
     /** Advances the clock by `ms` milliseconds, and checks every gang after each step. */
--- a/packages/daemon/src/cells/CellRuntime.ts
+++ b/packages/daemon/src/cells/CellRuntime.ts
@@ -67,6 +67,8 @@
     sealedPages: number;
     /** Store revision of the last state read or written. */
     revision: number;
+    /** Whether a write has an unclear result that no later write has settled, so that it may still be carried out. */
+    hasUnclearWrite: boolean;
     /** Whether another owner has taken over the cell with a higher epoch. */
     fenced: boolean;
     readonly commits: GroupCommit<StoreError>;
@@ -107,6 +109,7 @@
         generation: 0n,
         sealedPages: storedState?.sealedPages ?? 0,
         revision: stored.value?.revision ?? 0,
+        hasUnclearWrite: false,
         fenced: false,
         commits: createGroupCommit(() => writeCellState(runtime)),
         tasks,
@@ -140,9 +143,11 @@
     });
     if (written.isErr()) {
         runtime.fenced ||= written.error.kind === "conflict";
+        runtime.hasUnclearWrite ||= written.error.kind === "unclear";
         return err(written.error);
     }
     runtime.revision = written.value;
+    runtime.hasUnclearWrite = false;
     if (movedJobs.length > 0) {
         runtime.sealedPages += 1;
         movedJobs.forEach(job => runtime.jobs.delete(job));
--- a/packages/daemon/src/cells/handleCellCalls.ts
+++ b/packages/daemon/src/cells/handleCellCalls.ts
@@ -27,13 +27,20 @@
  * await submitJob(runtime, job);
  */
 export async function submitJob(runtime: CellRuntime, job: Job): Promise<SubmitJobResponse> {
-    const existing = runtime.jobs.get(job.id as JobId);
+    const id = job.id as JobId;
+    const existing = runtime.jobs.get(id);
     if (existing === undefined) {
-        runtime.jobs.set(job.id as JobId, job);
+        runtime.jobs.set(id, job);
     }
     const committed = await runtime.commits.commit();
     if (committed.isErr()) {
-        return withdrawSubmission(runtime, job, committed.error);
+        return existing === undefined
+            ? undoSubmission(runtime, job, committed.error)
+            : createUnknownResponse();
+    }
+    if (!runtime.jobs.has(id)) {
+        // The submission that had added the job was refused while this one waited for its write.
+        return submitJob(runtime, job);
     }
     runtime.wakeScheduler();
     return create(SubmitJobResponseSchema, {
@@ -44,22 +51,22 @@
 }
 
 /**
- * Removes a job whose write has certainly failed, so that it cannot run, unless it has been attempted.
+ * Removes a job whose write has certainly failed, so that it cannot run, unless it has been attempted, or an earlier
+ * write that contains it may still be carried out.
  *
  * In all other cases the outcome of the submission is unknown.
  */
-function withdrawSubmission(runtime: CellRuntime, job: Job, error: StoreError): SubmitJobResponse {
+function undoSubmission(runtime: CellRuntime, job: Job, error: StoreError): SubmitJobResponse {
     const current = runtime.jobs.get(job.id as JobId);
-    const notStored = error.kind === "unavailable" && current?.attempts === 0;
-    if (notStored) {
-        runtime.jobs.delete(job.id as JobId);
+    if (error.kind !== "unavailable" || runtime.hasUnclearWrite || current?.attempts !== 0) {
+        return createUnknownResponse();
     }
-    return create(
-        SubmitJobResponseSchema,
-        notStored
-            ? { outcome: Outcome.REFUSED, reason: Reason.STORE_UNAVAILABLE }
-            : { outcome: Outcome.UNKNOWN, reason: Reason.STORE_UNCLEAR },
-    );
+    runtime.jobs.delete(job.id as JobId);
+    return create(SubmitJobResponseSchema, { outcome: Outcome.REFUSED, reason: Reason.STORE_UNAVAILABLE });
+}
+
+function createUnknownResponse(): SubmitJobResponse {
+    return create(SubmitJobResponseSchema, { outcome: Outcome.UNKNOWN, reason: Reason.STORE_UNCLEAR });
 }
 
 /**
