--- a/packages/daemon/src/callers/readRequestBody.ts
+++ b/packages/daemon/src/callers/readRequestBody.ts
@@ -1,6 +1,7 @@
 import { Reason } from "@balsamward/schema";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
+import { isUtf8 } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { MAX_REQUEST_BYTES } from "../constants.js";
 import { refuse } from "./refuse.js";
@@ -31,9 +32,11 @@
             }
             chunks.push(chunk);
         }
-        const parsed: unknown = JSON.parse(
-            (chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)).toString("utf8"),
-        );
+        const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+        if (!isUtf8(body)) {
+            return err(refuse(Reason.BAD_INPUT, "The body is not in UTF-8. Send a JSON object in UTF-8."));
+        }
+        const parsed: unknown = JSON.parse(body.toString("utf8"));
         return typeof parsed === "object" && parsed !== null && !Array.isArray(parsed)
             ? ok(parsed as BodyFields)
             : err(refuse(Reason.BAD_INPUT, "The body is not a JSON object. Send a JSON object."));
