A late removal of an ended job spares the next job with its id

What callers saw: a job that is accepted under the id of a job which ended minutes before does not run, or disappears (LOST). Seen in scenarios, not reported.

Cause: a removal expected the owner's key only, so that it could be carried out late, after the key was used again; and while the answer to a removal was lost, the owner took the next job for the one that it knew.

A record that is newer than that of an ended job shows that the latter is removed, and takes its place.

--- a/packages/scheduler/src/engine/jobs/registerJob.ts
+++ b/packages/scheduler/src/engine/jobs/registerJob.ts
@@ -9,7 +9,8 @@
 import { endJob } from "./endJob.js";
 
 /**
- * Registers a stored job with the scheduler; a job that is already registered stays unchanged.
+ * Registers a stored job with the scheduler; a job that is already registered stays unchanged, unless it has ended and
+ * its record has been removed.
  *
  * A job of a newer term shows that this owner has been replaced, and ends its term: the successor may start the job.
  *
@@ -26,7 +27,7 @@
     options: CreateJobEntryOptions = {},
 ): JobEntry | undefined {
     const known = scheduler.jobs.get(job.id as JobId);
-    if (known !== undefined) {
+    if (known !== undefined && !isRemoved(known, revision)) {
         return known;
     }
     if ((job.termRevision ?? 0) > scheduler.ownership.revision) {
@@ -55,6 +56,14 @@
     return entry;
 }
 
+/**
+ * Returns whether the record of an ended job has been removed from the store, since a later one has its id: a job is
+ * only stored under a key that is absent.
+ */
+function isRemoved(known: JobEntry, laterRevision: number): boolean {
+    return laterRevision > known.revision && isFinalState(known.durableState);
+}
+
 /** Formats the shape of a step for the log, such as '4x52000m/8a~5000ms gang one-rack'. */
 function formatStepShape(step: Step): string {
     const shape =
--- /dev/null
+++ b/packages/scheduler/src/engine/jobs/removeEndedJobs.feature
@@ -0,0 +1,40 @@
+Feature: Ended jobs are removed, and their ids can be used again
+
+    Background:
+        Given a fleet of 4 workers with an owner
+
+    Scenario: All jobs whose retention time has passed are removed
+        When ana submits and completes 30 jobs
+        And 230 seconds pass
+        Then 30 jobs are stored
+        When 25 seconds pass
+        Then 0 jobs are stored
+        And the owner knows 0 jobs
+
+    # LOST: an accepted job was removed by a late write for the job that had its id before.
+    Scenario: A removal that is carried out late spares the next job with the id
+        When ana submits the normal job J of "1 x 2"
+        And task 0.0.0 of J ends as done
+        And 235 seconds pass
+        And the next store writes hit the faults "late"
+        And 30 seconds pass
+        Then 0 jobs are stored
+        When another job is submitted under the id of J
+        Then 1 task of J runs
+        When the late store writes are carried out
+        Then 1 job is stored
+
+    # LOST: an accepted job did not run, and was removed, since the owner took it for the job that had its id before.
+    Scenario: The next job with the id runs although the answer to the removal was lost
+        When ana submits the normal job J of "1 x 2"
+        And task 0.0.0 of J ends as done
+        And 235 seconds pass
+        And the next store writes hit the faults "lost-answer"
+        And 16 seconds pass
+        Then 0 jobs are stored
+        And the owner knows 1 jobs
+        When another job is submitted under the id of J
+        Then 1 task of J runs
+        When 30 seconds pass
+        Then 1 job is stored
+        And 1 task of J runs
