--- a/packages/scheduler/src/cluster/serveCluster.steps.ts
+++ b/packages/scheduler/src/cluster/serveCluster.steps.ts
@@ -8,6 +8,7 @@
 import { connect as connectTcp } from "node:net";
 import { createTestCluster } from "../../../../features/support/createTestCluster.js";
 import { findFreeAddress } from "../../../../features/support/findFreeAddress.js";
+import { parseText } from "../../../../features/support/parseText.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import { collectUnhandledErrors, SETTLING_TURNS } from "../../../../features/support/unhandledErrors.js";
 import { waitTurns } from "../../../../features/support/waitTurns.js";
@@ -52,14 +53,14 @@
     async function(this: TestWorld, spec: string) {
         const addJob: OwnerService["addJob"] = job => this.notes.set("spec", job.spec);
         this.notes.set("localOwner", { addJob });
-        const job = create(JobSchema, { spec: JSON.parse(`"${spec}"`) as string });
+        const job = create(JobSchema, { spec: parseText(spec) });
         const { calls } = this.note<ReturnType<typeof createPeerClient>>("client");
         await calls.announceJob({ job }, { timeoutMs: CALL_TIMEOUT_MS });
     },
 );
 
 Then("the owner has a job with the spec {string}", function(this: TestWorld, spec: string) {
-    assert.equal(this.note("spec"), JSON.parse(`"${spec}"`));
+    assert.equal(this.note("spec"), parseText(spec));
 });
 
 /** Opens a call on a connection of its own, which lasts until the scenario ends. */
--- a/packages/scheduler/src/engine/takeover/storedText.steps.ts
+++ b/packages/scheduler/src/engine/takeover/storedText.steps.ts
@@ -1,14 +1,10 @@
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { parseText } from "../../../../../features/support/parseText.js";
 import { getHarness, getJobId } from "../../../../../features/support/schedulerScenario.js";
 import type { TestWorld } from "../../../../../features/support/TestWorld.js";
 import type { ExecutedStart } from "../../../../stand-ins/src/fleet/ExecutedStart.js";
 
-/** Reads a text in which code units are written as in JSON. */
-function parseText(text: string): string {
-    return JSON.parse(`"${text}"`) as string;
-}
-
 function getLastStart(world: TestWorld, job: string): ExecutedStart {
     const id = getJobId(world, job);
     return [...getHarness(world).workers.values()]
--- a/packages/schema/src/losslessTextEncoding.steps.ts
+++ b/packages/schema/src/losslessTextEncoding.steps.ts
@@ -2,6 +2,7 @@
 import { Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
 import assert from "node:assert/strict";
+import { parseText } from "../../../features/support/parseText.js";
 import type { TestWorld } from "../../../features/support/TestWorld.js";
 import { losslessTextEncoding } from "./losslessTextEncoding.js";
 import { JobSchema } from "./scheduling.js";
@@ -16,11 +17,6 @@
     fc.constantFrom(0xfeff, 0xfffd, 0x61),
 );
 
-/** Reads a text in which code units are written as in JSON. */
-function parseText(text: string): string {
-    return JSON.parse(`"${text}"`) as string;
-}
-
 function encode(text: string): Uint8Array {
     return toBinary(JobSchema, create(JobSchema, { spec: text }));
 }
