--- a/features/support/parseText.ts
+++ b/features/support/parseText.ts
@@ -1,5 +1,5 @@
 /**
- * Reads a text of a scenario in which code units may be written as in JSON, such as `\\ufeff`.
+ * Reads a text of a scenario in which code units may be written as in JSON, such as `\ufeff`.
  *
  * @param text - The text as it stands in the feature.
  * @returns The text with its code units.
--- a/packages/scheduler/src/callers/createSharedLease.ts
+++ b/packages/scheduler/src/callers/createSharedLease.ts
@@ -3,7 +3,7 @@
 import type { FleetStore, LeaseId, StoreError, StoreLease } from "../ports/FleetStore.js";
 
 /** Least time for which what is stored under a shared lease is kept, in milliseconds. */
-export const MIN_KEPT_MS = 240_000;
+const MIN_KEPT_MS = 240_000;
 
 /** Time for which a lease is used for further values, in milliseconds. */
 const SHARING_MS = 60_000;
