Logs: what else crashed beside a worker, and which failures of a task are counted

"A failure of a task is counted." names the counted runs and the limit. "A worker has crashed." is written for each crash, those of idle workers included, which the list of workers shows; "A worker has crashed under a task." counts the machines that crashed or fell silent at the same time, the other crashes of the last minute, the earlier ones of the machine, and what else ran there. balsamward_job_failures_total{reason} counts the failed jobs.

--- a/packages/scheduler/src/Metrics.ts
+++ b/packages/scheduler/src/Metrics.ts
@@ -33,6 +33,7 @@
             registers,
         }),
         jobEvents: counter("job_events", "Jobs by event.", ["event"]),
+        jobFailures: counter("job_failures", "Jobs that end as failed, by reason.", ["reason"]),
         starts: counter("starts", "Sent starts by outcome.", ["outcome"]),
         stops: counter("stops", "Stopped runs by reason.", ["reason"]),
         runEnds: counter("run_ends", "Ends that workers listed, by kind.", ["how"]),
--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -15,6 +15,7 @@
 import type { JobEntry, StepEntry } from "../state/JobEntry.js";
 import type { WorkerEntry } from "../state/WorkerEntry.js";
 import type { LostRuns } from "./crashes/LostRuns.js";
+import type { MachineLife, WorkerCrash } from "./crashes/WorkerCrash.js";
 
 /** Lists the workers that have registered, without malformed entries; `undefined` if the list cannot be read. */
 export type ListWorkers = () => Promise<readonly WorkerReport[] | undefined>;
@@ -109,6 +110,10 @@
     lostRuns: readonly LostRuns[];
     /** Monotonic times of the latest crashes of workers with runs, in milliseconds. */
     crashTimes: readonly number[];
+    /** The crashes of workers in the last minute. */
+    workerCrashes: readonly WorkerCrash[];
+    /** The life of each machine that was listed last, by the machine's name. */
+    readonly machineLives: Map<string, MachineLife>;
     /** Step whose reservation is planned in the next pass, before any other; `undefined` if none waits for that. */
     nextPlan: StepEntry | undefined;
     readonly getSuspendedAt: SuspensionDetector;
--- a/packages/scheduler/src/engine/crashes/LostRuns.ts
+++ b/packages/scheduler/src/engine/crashes/LostRuns.ts
@@ -1,6 +1,7 @@
 import type { WorkerId } from "../../ids.js";
-import type { Run, StepEntry, TaskEntry } from "../../state/JobEntry.js";
+import type { Run, TaskEntry } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import type { OutcomeUnit } from "./WorkerCrash.js";
 
 /** A run of an incarnation of a worker that may have crashed. */
 export type LostRun = {
@@ -27,6 +28,10 @@
     readonly bornMs: number;
     /** Monotonic time at which the runs were captured, in milliseconds. */
     readonly lostAt: number;
+    /** Monotonic time of the incarnation's last answer, in milliseconds. */
+    readonly lastAnswerAt: number;
+    /** Monotonic time at which it was known to be silent, in milliseconds. */
+    readonly silentAt: number;
     readonly runs: readonly LostRun[];
 };
 
@@ -45,6 +50,8 @@
         machine: worker.machine,
         bornMs: worker.bornMs,
         lostAt: now,
+        lastAnswerAt: worker.lastAnswerAt,
+        silentAt: worker.silentSince ?? now,
         runs: isLeaving ? [] : [...runs].filter(run => run.isOrderSent).map(captureRun),
     };
 }
@@ -67,6 +74,6 @@
  * @param task - The task.
  * @returns The step of the gang, or the task.
  */
-export function getOutcomeUnit(task: TaskEntry): StepEntry | TaskEntry {
+export function getOutcomeUnit(task: TaskEntry): OutcomeUnit {
     return task.step.spec.gang ? task.step : task;
 }
--- a/packages/scheduler/src/engine/crashes/countCrash.ts
+++ b/packages/scheduler/src/engine/crashes/countCrash.ts
@@ -1,12 +1,16 @@
 import { JobState } from "@balsamward/schema/scheduling";
 import { isFinalState } from "../../state/isFinalState.js";
 import type { StepEntry } from "../../state/JobEntry.js";
+import { getMachineName } from "../fleet/getMachineName.js";
 import { endJob, markProgressChanged } from "../jobs/endJob.js";
 import { stopGang, stopRun } from "../runs/stopRun.js";
 import type { Scheduler } from "../Scheduler.js";
+import { describeCircumstances } from "./describeCircumstances.js";
 import type { LostRun, LostRuns } from "./LostRuns.js";
 import { getOutcomeUnit } from "./LostRuns.js";
+import { recordWorkerCrash } from "./recordWorkerCrash.js";
 import { forgetSuspectedRun } from "./suspectedRuns.js";
+import type { WorkerCrash } from "./WorkerCrash.js";
 
 /**
  * Number of crashes at which a job is given up if the last worker ran nothing else, or if crashes before may have been
@@ -41,14 +45,22 @@
     }
     const now = scheduler.clock();
     scheduler.crashTimes = [...scheduler.crashTimes.filter(time => now - time < COMMON_CAUSE_WINDOW_MS), now];
-    const isAlone = new Set(lost.runs.map(({ task }) => getOutcomeUnit(task))).size === 1;
+    const units = [...new Set(lost.runs.map(({ task }) => getOutcomeUnit(task)))];
+    const crash = recordWorkerCrash(scheduler, {
+        machine: getMachineName({ machine: lost.machine, id: lost.worker }),
+        bornMs: lost.bornMs,
+        earliestAt: lost.lastAnswerAt,
+        latestAt: lost.silentAt,
+        units,
+    });
+    const isAlone = units.length === 1;
     lost.runs.filter(({ isCountable }) => isCountable)
-        .forEach(lostRun => countRun(scheduler, lost, lostRun, isAlone && lostRun.isConfirmed));
+        .forEach(lostRun => countRun(scheduler, crash, lostRun, isAlone && lostRun.isConfirmed));
 }
 
 function countRun(
     scheduler: Scheduler,
-    lost: LostRuns,
+    crash: WorkerCrash,
     { task, number, run, ageMs }: LostRun,
     isAlone: boolean,
 ): void {
@@ -74,8 +86,10 @@
     scheduler.log.warn("A worker has crashed under a task.", {
         ...task.name,
         run: number,
-        worker: lost.worker,
-        bornMs: lost.bornMs,
+        machine: crash.machine,
+        bornMs: crash.bornMs,
+        units: crash.units.length,
+        ...describeCircumstances(scheduler, crash, getOutcomeUnit(task)),
         crashes,
         alone: isAlone,
         suspected: isSuspected,
--- a/packages/scheduler/src/engine/crashes/suspectedRuns.ts
+++ b/packages/scheduler/src/engine/crashes/suspectedRuns.ts
@@ -69,6 +69,8 @@
             machine,
             bornMs,
             lostAt: scheduler.clock(),
+            lastAnswerAt: scheduler.clock(),
+            silentAt: scheduler.clock(),
             runs: [{ task, number: run, run: undefined, isCountable: true, isConfirmed: alone, ageMs: 0 }],
         }))
     );
--- a/packages/scheduler/src/engine/fleet/watchFleet.ts
+++ b/packages/scheduler/src/engine/fleet/watchFleet.ts
@@ -4,6 +4,7 @@
 import type { WorkerReport } from "../../ports/WorkerPort.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
 import { createWorkerEntry } from "../../state/WorkerEntry.js";
+import { followMachineLives } from "../crashes/followMachineLives.js";
 import type { Scheduler } from "../Scheduler.js";
 import { awaitIncarnation } from "./awaitIncarnation.js";
 import { getMachineName } from "./getMachineName.js";
@@ -40,6 +41,7 @@
  * @param reports - All workers that the platform lists.
  */
 export function applyReports(scheduler: Scheduler, reports: readonly WorkerReport[]): void {
+    followMachineLives(scheduler, reports);
     const listedAddresses = new Map(reports.map(report => [report.id, report.address]));
     for (const report of reports) {
         if (!isReplaced(scheduler, report)) {
--- a/packages/scheduler/src/engine/jobs/endJob.ts
+++ b/packages/scheduler/src/engine/jobs/endJob.ts
@@ -33,6 +33,9 @@
     entry.endedAtMs = scheduler.wallClock();
     scheduler.activeJobs.delete(entry);
     scheduler.metrics.jobEvents.inc({ event: JobState[state].toLowerCase() });
+    if (state === JobState.FAILED) {
+        scheduler.metrics.jobFailures.inc({ reason });
+    }
     scheduler.log.info("A job ends.", {
         job: entry.id,
         state: JobState[state],
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -58,6 +58,8 @@
         replacedWorkers: new Map(),
         lostRuns: [],
         crashTimes: [],
+        workerCrashes: [],
+        machineLives: new Map(),
         nextPlan: undefined,
         getSuspendedAt: createSuspensionDetector(dependencies),
         runTimePredictor: createRunTimePredictor(),
--- a/packages/scheduler/src/engine/runs/countFailure.ts
+++ b/packages/scheduler/src/engine/runs/countFailure.ts
@@ -25,7 +25,15 @@
         member.failures += 1;
     }
     markProgressChanged(scheduler, step.job);
-    if (task.failures >= getAttempts(scheduler, step.job)) {
+    const attempts = getAttempts(scheduler, step.job);
+    scheduler.log.info("A failure of a task is counted.", {
+        ...task.name,
+        run: runNumber,
+        countedRuns: [...task.countedRuns],
+        failures: task.failures,
+        attempts,
+    });
+    if (task.failures >= attempts) {
         endJob(scheduler, step.job, JobState.FAILED, "attempts-used-up");
     }
 }
