--- a/packages/scheduler/src/engine/takeover/takeover.feature
+++ b/packages/scheduler/src/engine/takeover/takeover.feature
@@ -10,6 +10,13 @@
         Then 3 tasks of J run
         And task 0.0.0 of J was started 1 time
 
+    Scenario: A job that runs is shown as queued after a takeover
+        When ana submits the normal job J of "2 x 2"
+        And the owner dies
+        And a new owner takes over
+        Then the job J is running
+        And 2 tasks of J run
+
     Scenario: A run end that the dead owner did not store is read from the worker
         When ana submits the normal job J of "1 x 2"
         And the owner dies
