A job that runs is no longer shown as queued after a takeover

Callers saw a job whose tasks ran as queued once another owner had taken over, until one more task of it started or its end was stored. Cause: a job became running only when its owner ordered a start. Progress is not stored for a start, so that the next owner began with a queued job and adopted its runs without a change of the state. Evidence: the scenario 'A job that runs is shown as queued after a takeover' failed with queued, and four of 'A job is shown as failed since its runs end again and again' showed the same. Now the state follows what a worker lists: a run that is confirmed, or the end of one, makes a queued job running, whoever ordered it.

--- a/packages/scheduler/src/engine/runs/applyRunEnd.ts
+++ b/packages/scheduler/src/engine/runs/applyRunEnd.ts
@@ -8,6 +8,7 @@
 import { countFailure } from "./countFailure.js";
 import { findTask } from "./findTask.js";
 import { listTasksSharingOutcome } from "./listTasksSharingOutcome.js";
+import { markStarted } from "./markStarted.js";
 import { recordCompleteRun } from "./recordRunTimes.js";
 import { releaseRun } from "./runs.js";
 import { endGang, stopRun } from "./stopRun.js";
@@ -40,7 +41,7 @@
         }
         releaseRun(run);
     }
-    task.step.job.hasStarted = true;
+    markStarted(task.step.job);
     task.lastRun = Math.max(task.lastRun, endedRun.run);
     if (endedRun.checkpoint !== "") {
         saveCheckpoint(task, endedRun.checkpoint);
--- a/packages/scheduler/src/engine/runs/confirmRun.ts
+++ b/packages/scheduler/src/engine/runs/confirmRun.ts
@@ -1,4 +1,5 @@
 import type { Run } from "../../state/JobEntry.js";
+import { markStarted } from "./markStarted.js";
 
 /**
  * Marks a run as confirmed by its worker; a confirmed run stays unchanged.
@@ -11,7 +12,7 @@
         return;
     }
     run.isConfirmed = true;
-    run.task.step.job.hasStarted = true;
+    markStarted(run.task.step.job);
     run.confirmedAt = now;
     run.progressedAt = now;
     if (run.phase === "starting") {
