Test: no end of a run is counted twice, under another limit, or without being a failure

In the soak, jobs of all shapes fail while owners die, are suspended and replaced, holds and writes lose their answers, and the queue is removed or is that of an older version; a job that the owner or the store shows as failed must have a task, or a gang, with as many failed runs as its queue allows.

--- a/features/support/soakTakeovers.ts
+++ b/features/support/soakTakeovers.ts
@@ -1,9 +1,11 @@
-import type { JobId, WorkerId } from "@balsamward/scheduler";
+import type { JobId, RunEndKind, WorkerId } from "@balsamward/scheduler";
 import type { FakeWorker } from "@balsamward/stand-ins";
 import { OWNER_LEASE_TTL_MS } from "../../packages/scheduler/src/constants.js";
 import { choose, createRandom } from "./createRandom.js";
 import type { Term } from "./SchedulerTestHarness.js";
 import { SchedulerTestHarness } from "./SchedulerTestHarness.js";
+import { FailedRuns } from "./takeovers/FailedRuns.js";
+import { ATTEMPTS, createConfigurations, submitVariedJob } from "./takeovers/variedJobs.js";
 
 /** Outcome of a soak. */
 export type SoakOutcome = {
@@ -11,6 +13,10 @@
     readonly overlappingTasks: readonly string[];
     /** Jobs of which a task neither ran nor was done after all faults had ended. */
     readonly stuckJobs: readonly JobId[];
+    /** Jobs that were shown as failed before any of their tasks had failed as often as their queue allows. */
+    readonly earlyFailures: readonly JobId[];
+    /** Number of jobs that were shown as failed. */
+    readonly failedJobs: number;
     readonly terms: number;
     readonly starts: number;
 };
@@ -20,7 +26,9 @@
     /** Owners are suspended, and replaced while they live. */
     | "suspended-owners"
     /** Workers restart under their ids and lose the answers to holds. */
-    | "restarted-workers";
+    | "restarted-workers"
+    /** Runs of gangs, copies and schedules end in all ways while owners, answers, writes and queues come and go. */
+    | "failed-runs";
 
 const WORKER_COUNT = 4;
 const FAULTY_STEPS = 80;
@@ -28,6 +36,17 @@
 const RECOVERY_STEP_MS = 500;
 const RECOVERY_MS = 25_000;
 const ORDER_FAULTS = ["lost-answer", "late", "refused"] as const;
+const WRITE_FAULTS = ["lost-answer", "late", "refused"] as const;
+const END_KINDS = ["failed", "failed", "failed", "done", "stopped", "lapsed", "broken", "alone"] as const;
+
+/** What a soak plays with. */
+type Soak = {
+    readonly harness: SchedulerTestHarness;
+    readonly random: () => number;
+    readonly faults: SoakFaults;
+    readonly jobs: JobId[];
+    readonly failedRuns: FailedRuns;
+};
 
 /**
  * Runs jobs while owners die or are replaced and lose workers, and workers lose orders.
@@ -43,8 +62,10 @@
     harness.addWorkers(WORKER_COUNT);
     await harness.beginTerm();
     const jobs: JobId[] = [];
+    const failedRuns = new FailedRuns(harness, faults === "failed-runs" ? ATTEMPTS : 2);
+    const soak = { harness, random, faults, jobs, failedRuns };
     for (let step = 0; step < FAULTY_STEPS; step++) {
-        chooseAction(harness, jobs, random, faults);
+        chooseAction(soak);
         if (canBeReplaced(harness, random)) {
             if (faults === "restarted-workers") {
                 harness.killOwner();
@@ -53,11 +74,15 @@
         }
         await harness.advance(Math.ceil(random() * MAX_STEP_MS));
         resignOverdueOwners(harness);
+        failedRuns.check(jobs);
     }
     await recover(harness);
+    failedRuns.check(jobs);
     const outcome = {
         overlappingTasks: [...harness.overlappingTasks],
         stuckJobs: jobs.filter(id => harness.stateOf(id) !== "completed" && !runsWhole(harness, id)),
+        earlyFailures: [...failedRuns.earlyFailures],
+        failedJobs: failedRuns.failedJobs.size,
         terms: harness.terms.length,
         starts: [...harness.workers.values()].reduce((sum, worker) => sum + worker.starts.length, 0),
     };
@@ -69,26 +94,13 @@
     return [...harness.workers.keys()].filter(() => random() < 0.3);
 }
 
-function chooseAction(
-    harness: SchedulerTestHarness,
-    jobs: JobId[],
-    random: () => number,
-    faults: SoakFaults,
-): void {
+function chooseAction(soak: Soak): void {
+    const { harness, random, faults } = soak;
     const worker = choose([...harness.workers.values()], random);
     const term = choose(harness.terms.slice(-3), random);
     const action = random();
     if (action < 0.25) {
-        const steps = [{
-            taskCount: 2,
-            request: { cpuMillis: 100, memoryMb: 100, accelerators: 0 },
-            lasting: random() < 0.5,
-        }];
-        const id = harness.submit("normal", "ana", steps, { withoutTerm: random() < 0.3 });
-        jobs.push(id);
-        if (random() < 0.5) {
-            harness.announce(id, term);
-        }
+        submitJob(soak, term);
     }
     else if (action < 0.4) {
         worker.orderFaults.push(choose(ORDER_FAULTS, random));
@@ -103,30 +115,58 @@
         term.unreachableWorkers.clear();
     }
     else if (action < 0.72) {
-        beginFault(faults, worker, term, random);
+        beginFault(soak, worker, term);
     }
     else if (action < 0.8) {
-        continueFault(faults, worker, term);
+        continueFault(soak, worker, term);
     }
     else if (action < 0.96) {
-        endSomeRun(worker, random);
+        endSomeRun(soak, worker, () => random() < 0.7 ? "done" : "failed");
     }
     else {
         harness.killOwner();
     }
+    if (faults === "failed-runs") {
+        harness.workers.forEach(other => endSomeRun(soak, other, () => choose(END_KINDS, random)));
+    }
 }
 
-function beginFault(faults: SoakFaults, worker: FakeWorker, term: Term, random: () => number): void {
+function submitJob({ harness, random, faults, jobs }: Soak, term: Term): void {
+    const id = faults === "failed-runs" ? submitVariedJob(harness, random) : submitPlainJob(harness, random);
+    jobs.push(id);
+    if (random() < 0.5) {
+        harness.announce(id, term);
+    }
+}
+
+function submitPlainJob(harness: SchedulerTestHarness, random: () => number): JobId {
+    const steps = [{
+        taskCount: 2,
+        request: { cpuMillis: 100, memoryMb: 100, accelerators: 0 },
+        lasting: random() < 0.5,
+    }];
+    return harness.submit("normal", "ana", steps, { withoutTerm: random() < 0.3 });
+}
+
+function beginFault({ harness, random, faults }: Soak, worker: FakeWorker, term: Term): void {
     switch (faults) {
         case "suspended-owners":
             term.clock.suspend(random() < 0.5);
             return;
         case "restarted-workers":
             worker.restart();
+            return;
+        case "failed-runs":
+            harness.configuration = choose(createConfigurations(), random);
+            harness.store.writeFaults.push(choose(WRITE_FAULTS, random));
+            worker.unansweredHoldCount += 1;
+            if (random() < 0.3) {
+                term.clock.suspend(random() < 0.5);
+            }
     }
 }
 
-function continueFault(faults: SoakFaults, worker: FakeWorker, term: Term): void {
+function continueFault({ harness, faults }: Soak, worker: FakeWorker, term: Term): void {
     switch (faults) {
         case "suspended-owners":
             term.clock.resume();
@@ -134,16 +174,22 @@
         case "restarted-workers":
             worker.unansweredHoldCount += 1;
             worker.register();
+            return;
+        case "failed-runs":
+            term.clock.resume();
+            harness.store.applyDelayedTransactions();
+            harness.configuration = createConfigurations()[0]!;
     }
 }
 
-function endSomeRun(
-    worker: { running: ReadonlyMap<string, unknown>; endRun: (task: string, how: "done" | "failed") => void },
-    random: () => number,
-): void {
-    const task = [...worker.running.keys()][0];
-    if (task !== undefined) {
-        worker.endRun(task, random() < 0.7 ? "done" : "failed");
+function endSomeRun({ failedRuns }: Soak, worker: FakeWorker, chooseEnd: () => RunEndKind): void {
+    const [name, running] = [...worker.running][0] ?? [];
+    if (name !== undefined && running !== undefined) {
+        const how = chooseEnd();
+        if (how === "failed") {
+            failedRuns.add(running.task, running.run);
+        }
+        worker.endRun(name, how);
     }
 }
 
--- a/packages/scheduler/src/engine/jobs/removedQueues.steps.ts
+++ b/packages/scheduler/src/engine/jobs/removedQueues.steps.ts
@@ -39,6 +39,14 @@
     },
 );
 
+When(
+    "the next configuration allows {int} attempts in the queue {word}",
+    function(this: TestWorld, attempts: number, name: string) {
+        const { configuration } = getHarness(this);
+        this.notes.set("next configuration", composeNext(configuration, name, { attempts }));
+    },
+);
+
 When("the owner has the next configuration", function(this: TestWorld) {
     getHarness(this).configuration = this.note<FleetConfiguration>("next configuration");
 });
--- a/packages/scheduler/src/engine/takeover/takeoverSoak.feature
+++ b/packages/scheduler/src/engine/takeover/takeoverSoak.feature
@@ -9,3 +9,7 @@
             | faults            | seeds      |
             | suspended-owners  | 1-8 65 270 |
             | restarted-workers | 1-8        |
+
+    Scenario: A job is shown as failed although no task has failed so often
+        When takeovers with failed-runs are played for the seeds "1-8"
+        Then jobs were shown as failed, none before a task had failed often enough
--- a/packages/scheduler/src/engine/takeover/takeoverSoak.steps.ts
+++ b/packages/scheduler/src/engine/takeover/takeoverSoak.steps.ts
@@ -35,3 +35,9 @@
     const failed = this.note<SeedOutcome[]>("outcomes").filter(outcome => outcome.stuckJobs.length > 0);
     assert.deepEqual(failed, []);
 });
+
+Then("jobs were shown as failed, none before a task had failed often enough", function(this: TestWorld) {
+    const outcomes = this.note<SeedOutcome[]>("outcomes");
+    assert.deepEqual(outcomes.filter(outcome => outcome.earlyFailures.length > 0), []);
+    assert.ok(outcomes.some(outcome => outcome.failedJobs > 0));
+});
