Test: a job of an earlier build fails while its new owner has no configuration (known red)

Callers see a job as failed after two failures of a task, although its queue allows three and an owner has stored that with the job's progress. It takes a job that was accepted by a build that stored no terms with it, and an owner that hears of the failure before it has read the configuration.

--- a/packages/scheduler/src/engine/runs/earlyFailures.feature
+++ b/packages/scheduler/src/engine/runs/earlyFailures.feature
@@ -77,3 +77,21 @@
         And a new owner takes over
         Then the job J is running
         And 1 task of J runs
+
+    Scenario: A job that stored no terms is shown as failed since a new owner does not have the configuration yet
+        Given a fleet of 2 workers with an owner
+        When the queue normal allows 3 attempts
+        And ana submits the normal job J of "1 x 1" through a daemon that stores no term
+        And 1 second passes
+        And task 0.0.0 of J ends as failed
+        And 1 second passes
+        And the owner dies
+        And task 0.0.0 of J ends as failed
+        And a new owner takes over that does not have the configuration yet
+        Then the job J is running
+        When the owner has the next configuration
+        And 1 second passes
+        Then 1 task of J runs
+        When task 0.0.0 of J ends as failed
+        And 1 second passes
+        Then the job J is failed
--- a/packages/scheduler/src/engine/runs/earlyFailures.steps.ts
+++ b/packages/scheduler/src/engine/runs/earlyFailures.steps.ts
@@ -46,3 +46,11 @@
         harness.killOwner();
     },
 );
+
+When("a new owner takes over that does not have the configuration yet", async function(this: TestWorld) {
+    const harness = getHarness(this);
+    this.notes.set("next configuration", harness.configuration);
+    Object.assign(harness, { configuration: undefined });
+    await harness.beginTerm();
+    await harness.advance(500);
+});
