A job of an earlier build keeps its queue's attempts while a new owner has no configuration

Callers saw a job as failed after two failures of a task, although its queue allowed three. Cause: the number of attempts is looked up when a failure is counted, also by an owner that has not read the configuration yet. It then looked at the terms of the job's acceptance alone, which a job of an earlier build does not have, and took two attempts for granted; the last known terms of the queue, which are stored with the progress for this very case, were passed over. Evidence: 'A job that stored no terms is shown as failed since a new owner does not have the configuration yet' failed with failed. Now one function decides on the terms in all cases: without a configuration, it is asked as with one that has no queues, and finds the accepted terms, then the last known ones. Two attempts are left for a job of which no terms are known at all.

--- a/packages/scheduler/src/engine/jobs/createTermsFinder.ts
+++ b/packages/scheduler/src/engine/jobs/createTermsFinder.ts
@@ -31,7 +31,9 @@
  * @example
  * const { terms } = createTermsFinder(configuration)(entry);
  */
-export function createTermsFinder({ version, queues, services }: FleetConfiguration): TermsFinder {
+export function createTermsFinder(
+    { version, queues, services }: Pick<FleetConfiguration, "version" | "queues" | "services">,
+): TermsFinder {
     const queuesByName = new Map(queues.map(queue => [queue.name, queue]));
     const [service, ...otherServices] = services;
     const assumed = service !== undefined && otherServices.length === 0
--- a/packages/scheduler/src/engine/runs/countFailure.ts
+++ b/packages/scheduler/src/engine/runs/countFailure.ts
@@ -1,4 +1,5 @@
 import { JobState } from "@balsamward/schema/scheduling";
+import type { FleetConfiguration } from "../../FleetConfiguration.js";
 import type { JobEntry, TaskEntry } from "../../state/JobEntry.js";
 import { createTermsFinder } from "../jobs/createTermsFinder.js";
 import { endJob, markProgressChanged } from "../jobs/endJob.js";
@@ -8,6 +9,13 @@
 /** Number of failures of a task after which its job fails, if no terms apply to it. */
 const DEFAULT_ATTEMPTS = 2;
 
+/** What an owner knows that has not read the configuration yet: terms that are stored with a job apply to it. */
+const NO_CONFIGURATION: Pick<FleetConfiguration, "version" | "queues" | "services"> = {
+    version: 0,
+    queues: [],
+    services: [],
+};
+
 /**
  * Counts a failure of a task that does not last, and fails its job once its attempts are used up.
  *
@@ -39,7 +47,6 @@
 }
 
 function getAttempts({ configuration }: Scheduler, entry: JobEntry): number {
-    const current = configuration();
-    const terms = current === undefined ? entry.acceptedTerms : createTermsFinder(current)(entry).terms;
-    return terms?.attempts ?? DEFAULT_ATTEMPTS;
+    const findTerms = createTermsFinder(configuration() ?? NO_CONFIGURATION);
+    return findTerms(entry).terms?.attempts ?? DEFAULT_ATTEMPTS;
 }
