--- a/packages/scheduler/src/engine/takeover/takeoverSoak.steps.ts
+++ b/packages/scheduler/src/engine/takeover/takeoverSoak.steps.ts
@@ -35,3 +35,12 @@
     const failed = this.note<SeedOutcome[]>("outcomes").filter(outcome => outcome.stuckJobs.length > 0);
     assert.deepEqual(failed, []);
 });
+
+Then("no job was shown as failed before a task had failed often enough", function(this: TestWorld) {
+    const outcomes = this.note<SeedOutcome[]>("outcomes");
+    assert.deepEqual(outcomes.filter(outcome => outcome.earlyFailures.length > 0), []);
+});
+
+Then("some jobs were shown as failed", function(this: TestWorld) {
+    assert.ok(this.note<SeedOutcome[]>("outcomes").some(outcome => outcome.failedJobs > 0));
+});
