--- a/packages/scheduler/src/engine/runs/applyRunEnd.ts
+++ b/packages/scheduler/src/engine/runs/applyRunEnd.ts
@@ -2,12 +2,14 @@
 import { isFinalState } from "../../state/isFinalState.js";
 import type { TaskEntry } from "../../state/JobEntry.js";
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
+import { forgetCrashes } from "../crashes/suspicion.js";
 import { pauseWorker } from "../fleet/pauseWorker.js";
 import { endJobIfComplete, markProgressChanged } from "../jobs/endJob.js";
 import type { Scheduler } from "../Scheduler.js";
 import { countFailure } from "./countFailure.js";
 import { findTask } from "./findTask.js";
 import { listTasksSharingOutcome } from "./listTasksSharingOutcome.js";
+import { markStarted } from "./markStarted.js";
 import { recordCompleteRun } from "./recordRunTimes.js";
 import { releaseRun } from "./runs.js";
 import { endGang, stopRun } from "./stopRun.js";
@@ -40,7 +42,7 @@
         }
         releaseRun(run);
     }
-    task.step.job.hasStarted = true;
+    markStarted(task.step.job);
     task.lastRun = Math.max(task.lastRun, endedRun.run);
     if (endedRun.checkpoint !== "") {
         saveCheckpoint(task, endedRun.checkpoint);
@@ -62,9 +64,11 @@
     switch (endedRun.how) {
         case "done":
             worker.consecutiveFaults = 0;
+            forgetCrashes(scheduler, task, endedRun.run, Number.POSITIVE_INFINITY);
             completeTasks(scheduler, listTasksSharingOutcome(task));
             return;
         case "failed":
+            forgetCrashes(scheduler, task, endedRun.run, Number.POSITIVE_INFINITY);
             // A lasting task may fail at any time; its failure does not indicate a fault of the worker.
             if (!wasStopping && !step.spec.lasting) {
                 task.avoidedWorkers.add(worker.id);
