A suspected task waits only as long as the evidence allows, and crashes are told apart by when workers fell silent

Cause: a hold began and grew with crashes that showed nothing; the times of a crash from the list of workers and from the worker's silence were merged into an empty interval, so that simultaneous crashes were missed and a silence was negative; a new owner took inherited crashes at full weight although it knows nothing of the time before it; each of many tasks of a step had a chance of its own to meet three crashes; and a task was placed again in the moment between the loss of a run and the count of its crash.

Why this works: a worker counts from when it fell silent; silence adds to the time in which a crash could come by chance. Guilt needs more evidence in a step of many tasks. A merely suspected task waits for a calm fleet, for 8 s at most; only evidence that is improbable for an innocent one holds it longer, more for one that lasts, and none after a crash with a common cause. After two crashes a task waits up to a second for what its lost run shows.

--- a/packages/scheduler/src/engine/crashes/computeCrashEvidence.ts
+++ b/packages/scheduler/src/engine/crashes/computeCrashEvidence.ts
@@ -12,7 +12,7 @@
 const ASSUMED_CRASH_RATE = 1 / 2_000_000;
 
 /** Shortest age of a run that is reckoned with, in milliseconds; ages are known from the answers of workers only. */
-const MIN_AGE_MS = 500;
+const MIN_AGE_MS = 600;
 
 /** Chance that a machine is unsound and goes on crashing, for each of its crashes in the last minute. */
 const UNSOUND_MACHINE_CHANCE = 0.2;
@@ -27,7 +27,7 @@
 const UNCONFIRMED_CHANCE = 0.005;
 
 /** Rate at which workers go unnoticed before a start that they do not confirm, per millisecond. */
-const UNNOTICED_RATE = 1 / 150_000;
+const UNNOTICED_RATE = 1 / 200_000;
 
 /** Least chance that is reckoned with, so that two crashes alone never convict a task. */
 const MIN_CHANCE = 1 / 700;
@@ -35,6 +35,9 @@
 /** What the crash of an innocent run brings on average: the mean of -log10 of an even chance is 0.43. */
 const MEAN_INNOCENT_EVIDENCE = 0.5;
 
+/** Chance that a crash between the terms of two owners has the same cause as the end of the earlier one. */
+const INHERITED_CHANCE = 0.009;
+
 /** A crash of a worker under a run, and what else could explain it. */
 export type CrashCircumstances = FleetCircumstances & {
     /** Time for which the run had lasted, in milliseconds. */
@@ -43,6 +46,8 @@
     readonly workerCount: number;
     /** Whether the worker had confirmed the run. */
     readonly isConfirmed: boolean;
+    /** Whether an earlier owner started the run, so that what else happened at the time is not known. */
+    readonly isInherited: boolean;
     /** Time from the worker's last answer until it was known to be silent, in milliseconds. */
     readonly silenceMs: number;
     /** Number of other tasks and gangs that ran on the worker. */
@@ -70,11 +75,12 @@
     const otherCrashes = circumstances.otherCrashes
         + MISTAKEN_CRASH_CHANCE * circumstances.otherCommonCrashes;
     const crashRate = ASSUMED_CRASH_RATE + otherCrashes / machines / observedMs;
-    const ageMs = Math.max(MIN_AGE_MS, circumstances.ageMs);
+    const ageMs = Math.max(MIN_AGE_MS, circumstances.ageMs + circumstances.silenceMs);
     const chance = workerCount * ageMs * crashRate
         + COMMON_CAUSE_CHANCE * workerCount * simultaneousCrashes / machines
         + getChanceOfMachine(circumstances, ageMs)
         + NEIGHBOUR_CHANCE * circumstances.neighbourCount
+        + (circumstances.isInherited ? INHERITED_CHANCE : 0)
         + (circumstances.isConfirmed ? 0 : UNCONFIRMED_CHANCE + UNNOTICED_RATE * circumstances.silenceMs);
     return -Math.log10(Math.min(1, Math.max(MIN_CHANCE, chance))) - MEAN_INNOCENT_EVIDENCE;
 }
--- a/packages/scheduler/src/engine/crashes/countCrash.ts
+++ b/packages/scheduler/src/engine/crashes/countCrash.ts
@@ -1,4 +1,5 @@
 import { JobState } from "@balsamward/schema/scheduling";
+import { MAX_WORKER_LEASE_MS } from "../../constants.js";
 import { isFinalState } from "../../state/isFinalState.js";
 import { getMachineName } from "../fleet/getMachineName.js";
 import { endJob, markProgressChanged } from "../jobs/endJob.js";
@@ -6,12 +7,14 @@
 import { stopGang, stopRun } from "../runs/stopRun.js";
 import type { Scheduler } from "../Scheduler.js";
 import { computeCrashEvidence } from "./computeCrashEvidence.js";
+import { holdAfterCrash } from "./crashHolds.js";
 import { describeCircumstances } from "./describeCircumstances.js";
+import { MAX_UNNOTICED_MS } from "./followMachineLives.js";
 import type { LostRun, LostRuns } from "./LostRuns.js";
 import { getOutcomeUnit } from "./LostRuns.js";
 import { recordWorkerCrash } from "./recordWorkerCrash.js";
 import { forgetSuspectedRun } from "./suspectedRuns.js";
-import { addCrashEvidence, extendHold, isGuilty } from "./suspicion.js";
+import { addCrashEvidence, isGuilty } from "./suspicion.js";
 import type { WorkerCrash } from "./WorkerCrash.js";
 
 /**
@@ -59,7 +62,8 @@
         ageMs: Math.round(ageMs),
         workerCount: step.spec.gang ? step.tasks.length : 1,
         isConfirmed,
-        silenceMs: Math.round(crash.latestAt - crash.earliestAt),
+        isInherited: run === undefined,
+        silenceMs: Math.round(getSilenceMs(scheduler, crash)),
         neighbourCount: crash.units.length - 1,
     };
     const evidence = computeCrashEvidence(circumstances);
@@ -87,7 +91,7 @@
         endJob(scheduler, step.job, JobState.FAILED, "crashes-workers");
         return;
     }
-    listTasksSharingOutcome(task).forEach(member => extendHold(scheduler, member));
+    listTasksSharingOutcome(task).forEach(member => holdAfterCrash(scheduler, member, evidence));
     if (run?.phase === "starting" && run.worker.runs.has(run)) {
         // A repeated order would start the run on the new incarnation, and a second crash under it is not counted.
         stopRun(scheduler, run, "unclear-start");
@@ -96,3 +100,11 @@
         }
     }
 }
+
+/**
+ * Returns the time within which a worker may have crashed under a run. One that was silent for long may have been cut
+ * off first, and then have crashed at any time; but no run outlives the lease of its worker.
+ */
+function getSilenceMs({ clock }: Scheduler, { earliestAt, latestAt }: WorkerCrash): number {
+    return clock() - latestAt > MAX_UNNOTICED_MS ? MAX_WORKER_LEASE_MS : latestAt - earliestAt;
+}
--- a/packages/scheduler/src/engine/crashes/crashEvidence.feature
+++ b/packages/scheduler/src/engine/crashes/crashEvidence.feature
@@ -15,6 +15,6 @@
             | a minute with 20 common crashes elsewhere      | 2.0      |
             | a crash of the machine 10 s ago                | 0.9      |
             | a machine that has crashed 4 times in 12 s     | -0.2     |
-            | a start that the silent worker never confirmed | 1.2      |
+            | a start that the silent worker never confirmed | 1.3      |
             | a run that had lasted 30 s                     | 0.0      |
             | a gang of 8 members                            | 1.6      |
--- a/packages/scheduler/src/engine/crashes/crashEvidence.steps.ts
+++ b/packages/scheduler/src/engine/crashes/crashEvidence.steps.ts
@@ -35,6 +35,7 @@
             ageMs: seconds * 1_000,
             workerCount: 1,
             isConfirmed: true,
+            isInherited: false,
             silenceMs: 0,
             neighbourCount: 0,
         };
--- a/packages/scheduler/src/engine/crashes/describeCircumstances.ts
+++ b/packages/scheduler/src/engine/crashes/describeCircumstances.ts
@@ -1,6 +1,6 @@
 import { getMachineName } from "../fleet/getMachineName.js";
 import type { Scheduler } from "../Scheduler.js";
-import { CRASH_RATE_WINDOW_MS } from "./recordWorkerCrash.js";
+import { CRASH_RATE_WINDOW_MS, overlaps } from "./recordWorkerCrash.js";
 import type { OutcomeUnit, WorkerCrash } from "./WorkerCrash.js";
 
 /** Number of other machines that crash or fall silent at the same time from which on there is a common cause. */
@@ -95,9 +95,3 @@
         .map(getMachineName)
         .filter(machine => machine !== crash.machine);
 }
-
-type Interval = Pick<WorkerCrash, "earliestAt" | "latestAt">;
-
-function overlaps(left: Interval, right: Interval): boolean {
-    return left.earliestAt <= right.latestAt && right.earliestAt <= left.latestAt;
-}
--- a/packages/scheduler/src/engine/crashes/followMachineLives.ts
+++ b/packages/scheduler/src/engine/crashes/followMachineLives.ts
@@ -5,7 +5,7 @@
 import type { MachineLife, WorkerCrash } from "./WorkerCrash.js";
 
 /** Longest time from a crash until the next life of the machine is listed, as far as is assumed, in milliseconds. */
-const MAX_UNNOTICED_MS = 5_000;
+export const MAX_UNNOTICED_MS = 5_000;
 
 /** Time for which a machine that is no longer listed is remembered, in milliseconds. */
 const LIFE_RETENTION_MS = 600_000;
--- a/packages/scheduler/src/engine/crashes/suspicion.ts
+++ b/packages/scheduler/src/engine/crashes/suspicion.ts
@@ -8,13 +8,7 @@
 const SUSPICION_EVIDENCE = 1;
 
 /** Evidence from which on a task counts as the cause of the crashes under it; two crashes bring less. */
-const GUILT_EVIDENCE = 4.8;
-
-/** Evidence from which on a task is probably the cause. */
-const PROBABLE_GUILT_EVIDENCE = 1.5;
-
-/** Number of crashes from which on a suspected task is held. */
-const MIN_CRASHES_FOR_HOLD = 3;
+const GUILT_EVIDENCE = 5.2;
 
 /** Time of running without a crash in which evidence falls to half, in milliseconds. */
 const EVIDENCE_HALF_LIFE_MS = 120_000;
@@ -22,15 +16,6 @@
 /** Time for which a run lasts without a crash until its task is no longer suspected, in milliseconds. */
 export const ACQUITTAL_MS = 30_000;
 
-/** Time for which a task is not started when it is held for the first time, in milliseconds. */
-const FIRST_HOLD_MS = 20_000;
-
-/** Factor by which this time grows with each further crash. */
-const HOLD_FACTOR = 6;
-
-/** Longest such time, in milliseconds. */
-const MAX_HOLD_MS = 3_600_000;
-
 /**
  * Returns whether a task is suspected of crashing its workers.
  *
@@ -42,24 +27,14 @@
 }
 
 /**
- * Returns whether a task counts as the cause of the crashes under it.
+ * Returns whether a task counts as the cause of the crashes under it. Of many tasks that run alike, one is likelier to
+ * meet several crashes by chance.
  *
  * @param task - The task.
  * @returns True if they are next to impossible to explain otherwise.
  */
-export function isGuilty({ crashEvidence }: TaskEntry): boolean {
-    return crashEvidence >= GUILT_EVIDENCE;
-}
-
-/**
- * Returns whether a task is not started for a while, since workers have crashed under it.
- *
- * @param task - The task.
- * @param now - Monotonic time in milliseconds.
- * @returns True if its time of waiting since the latest crash is not over.
- */
-export function isHeld({ crashedAt, crashHoldMs }: TaskEntry, now: number): boolean {
-    return now - crashedAt < crashHoldMs;
+export function isGuilty({ crashEvidence, step: { spec } }: TaskEntry): boolean {
+    return crashEvidence >= GUILT_EVIDENCE + (spec.gang ? 0 : Math.log10(spec.taskCount));
 }
 
 /**
@@ -73,28 +48,6 @@
     task.crashEvidence = Math.max(0, task.crashEvidence * 2 ** (-ageMs / EVIDENCE_HALF_LIFE_MS) + evidence);
 }
 
-/**
- * Makes a suspected task wait before it is started after its third crash, and for longer and longer after each further
- * one if it is probably the cause. For a
- * job of an earlier term a crash may have been missed, as its owner died with the worker.
- *
- * @param scheduler - The scheduler.
- * @param task - The task, after a crash.
- */
-export function extendHold({ ownership }: Scheduler, task: TaskEntry): void {
-    const isOfEarlierTerm = ownership.term > 0 && task.step.job.job.termRevision !== ownership.revision;
-    const crashes = task.crashedRuns.size + (isOfEarlierTerm ? 1 : 0);
-    if (!isSuspected(task) || crashes < MIN_CRASHES_FOR_HOLD) {
-        task.crashHoldMs = 0;
-        return;
-    }
-    if (task.crashEvidence < PROBABLE_GUILT_EVIDENCE) {
-        task.crashHoldMs = FIRST_HOLD_MS;
-        return;
-    }
-    task.crashHoldMs = Math.min(MAX_HOLD_MS, Math.max(FIRST_HOLD_MS, task.crashHoldMs * HOLD_FACTOR));
-}
-
 /**
  * Forgets the crashes under a task and its gang after a run that shows that it does not crash its workers.
  *
--- a/packages/scheduler/src/engine/passes/orderJobs.ts
+++ b/packages/scheduler/src/engine/passes/orderJobs.ts
@@ -64,7 +64,7 @@
     for (const entry of scheduler.activeJobs) {
         isolateJob(scheduler, entry, () => {
             const { terms } = findTerms(entry);
-            const readySteps = terms === undefined ? [] : findReadySteps(entry, now);
+            const readySteps = terms === undefined ? [] : findReadySteps(scheduler, entry);
             if (terms !== undefined && readySteps.length > 0) {
                 const times = estimateJobTimes(entry, terms, scheduler.runTimePredictor);
                 const capacity = capacities.get(terms.service);
--- a/packages/scheduler/src/engine/passes/placeStep.ts
+++ b/packages/scheduler/src/engine/passes/placeStep.ts
@@ -2,8 +2,9 @@
 import { getPlacementScope } from "../../placement/getPlacementScope.js";
 import type { StepEntry } from "../../state/JobEntry.js";
 import { listWaitingTasks } from "../../state/listWaitingTasks.js";
+import { isHeld } from "../crashes/crashHolds.js";
 import { isolateWorker } from "../crashes/isIsolated.js";
-import { isHeld, isSuspected } from "../crashes/suspicion.js";
+import { isSuspected } from "../crashes/suspicion.js";
 import { startRuns } from "../runs/startRuns.js";
 import type { Scheduler } from "../Scheduler.js";
 import { waitsForEmptyWorker } from "./assignSuspects.js";
@@ -45,8 +46,7 @@
         pass.hasUnplacedSteps = true;
         return;
     }
-    const now = scheduler.clock();
-    const waiting = listWaitingTasks(step).filter(task => !isHeld(task, now));
+    const waiting = listWaitingTasks(step).filter(task => !isHeld(scheduler, task));
     if (step.spec.gang && waiting.length < step.tasks.length) {
         // The members of an earlier run have not all ended.
         pass.hasUnplacedSteps = true;
