--- a/packages/scheduler/src/engine/crashes/countCrash.ts
+++ b/packages/scheduler/src/engine/crashes/countCrash.ts
@@ -36,7 +36,8 @@
         machine: getMachineName({ machine: lost.machine, id: lost.worker }),
         bornMs: lost.bornMs,
         earliestAt: lost.earliestAt,
-        latestAt: lost.silentAt,
+        // An answer of the former life may arrive after the worker was found silent.
+        latestAt: Math.max(lost.earliestAt, lost.silentAt),
         units,
     });
     lost.runs.filter(({ isCountable }) => isCountable).forEach(lostRun =>
