A suspected task no longer waits for ever for a machine that has not crashed under it

What was seen (review): from its third crash on, a suspected task was never started again where each machine with room had crashed under it and no further crash followed: in fleets of one to three workers, and in one of 33 of which 30 were full.

Cause: the crashes of the last minute are dropped only when the next one is recorded, so in a quiet fleet they stayed. Holds of tasks that count as the cause were set before the evidence of the crash was looked at, and evidence below 0 was not taken for none.

Why this works: crashes are filtered by their age where workers are ranked, and the wait for a fresh machine ends after 10 s. A crash without evidence, or with less than none, holds no task.

--- a/packages/scheduler/src/engine/crashes/crashHolds.ts
+++ b/packages/scheduler/src/engine/crashes/crashHolds.ts
@@ -66,6 +66,11 @@
  */
 export function holdAfterCrash(scheduler: Scheduler, task: TaskEntry, evidence: number): void {
     const crashes = countCrashes(scheduler, task);
+    if (evidence <= 0) {
+        // It has other causes, so that even a suspected task is to go on.
+        task.crashHoldMs = 0;
+        return;
+    }
     if (isGuilty(task)) {
         task.crashHoldMs = crashes <= MIN_CRASHES_FOR_CALM
             ? FIRST_GUILTY_HOLD_MS
@@ -77,8 +82,7 @@
     }
     const isProbablyGuilty = crashes >= MIN_CRASHES_FOR_CALM
         && task.crashEvidence >= (task.step.spec.lasting ? LASTING_HOLD_EVIDENCE : HOLD_EVIDENCE);
-    if (!isProbablyGuilty || evidence === 0) {
-        // After a crash with a common cause, even a suspected task is to go on.
+    if (!isProbablyGuilty) {
         task.crashHoldMs = 0;
     }
     else if (task.crashHoldMs > 0 && evidence >= MIN_EVIDENCE_FOR_LONG_HOLD) {
--- a/packages/scheduler/src/engine/crashes/innocentJobs.feature
+++ b/packages/scheduler/src/engine/crashes/innocentJobs.feature
@@ -42,3 +42,10 @@
         Then the job J is running
         When 60 seconds pass in which runs end after 3 seconds
         Then the job J is completed
+
+    Scenario: A suspected task waits for ever, since each machine with room has crashed under it
+        Given a fleet of 1 workers with an owner
+        When ana submits the normal job J of "1 x 2"
+        And the worker under task 0.0.0 of J crashes 3 times, 3 seconds after each start
+        And 40 seconds pass in which runs end after 3 seconds
+        Then the job J is completed
--- a/packages/scheduler/src/engine/crashes/innocentJobs.steps.ts
+++ b/packages/scheduler/src/engine/crashes/innocentJobs.steps.ts
@@ -89,3 +89,20 @@
         }
     },
 );
+
+When(
+    "the worker under task {word} of {word} crashes {int} times, {int} seconds after each start",
+    { timeout: LONG_STEP_TIMEOUT_MS },
+    async function(this: TestWorld, task: string, job: string, count: number, seconds: number) {
+        const harness = getHarness(this);
+        const name = `${getJobId(this, job)}.${task}`;
+        for (let crash = 0; crash < count; crash++) {
+            for (let waitedMs = 0; harness.workerOf(name) === undefined && waitedMs < LONG_INTERVAL_MS;) {
+                await advance(harness, LOOK_INTERVAL_MS);
+                waitedMs += LOOK_INTERVAL_MS;
+            }
+            await advance(harness, seconds * MS_PER_SECOND);
+            harness.workerOf(name)!.crash();
+        }
+    },
+);
--- a/packages/scheduler/src/engine/crashes/rankSuspectWorkers.ts
+++ b/packages/scheduler/src/engine/crashes/rankSuspectWorkers.ts
@@ -3,6 +3,7 @@
 import { getMachineName } from "../fleet/getMachineName.js";
 import type { Scheduler } from "../Scheduler.js";
 import { getOutcomeUnit } from "./LostRuns.js";
+import { CRASH_RATE_WINDOW_MS } from "./recordWorkerCrash.js";
 
 /** Workers for a suspected task, the best first. */
 export type SuspectWorkers = {
@@ -22,14 +23,15 @@
  * @returns The workers.
  */
 export function rankSuspectWorkers(
-    { workerCrashes }: Scheduler,
+    { workerCrashes, clock }: Scheduler,
     task: TaskEntry,
     workers: readonly WorkerEntry[],
 ): SuspectWorkers {
     const unit = getOutcomeUnit(task);
-    const unsound = new Set(workerCrashes.map(({ machine }) => machine));
+    const recent = workerCrashes.filter(({ latestAt }) => clock() - latestAt < CRASH_RATE_WINDOW_MS);
+    const unsound = new Set(recent.map(({ machine }) => machine));
     const used = new Set(
-        workerCrashes.filter(({ units }) => units.includes(unit)).map(({ machine }) => machine),
+        recent.filter(({ units }) => units.includes(unit)).map(({ machine }) => machine),
     );
     const isUnsound = (worker: WorkerEntry): boolean => unsound.has(getMachineName(worker));
     const sorted = [...workers].sort((left, right) =>
--- a/packages/scheduler/src/engine/passes/assignSuspects.ts
+++ b/packages/scheduler/src/engine/passes/assignSuspects.ts
@@ -11,6 +11,9 @@
 /** Number of crashes under a task from which on it is started only where a further crash would show something. */
 const MAX_UNTELLING_CRASHES = 3;
 
+/** Longest time for which it waits for such a machine, in milliseconds. */
+const MAX_FRESH_WAIT_MS = 10_000;
+
 /** Longest time for which a suspected task waits for a worker without runs, in milliseconds. */
 const ISOLATION_WAIT_MS = 1_500;
 
@@ -75,7 +78,7 @@
 
 /**
  * Places a suspected task or gang. One that has crashed machines lately is placed on these only if no other has room,
- * and from the third crash on not at all, so that each further start is telling.
+ * and from the third crash on only after a wait, so that further starts are telling.
  */
 function placeSuspect(
     scheduler: Scheduler,
@@ -93,7 +96,8 @@
     if (shared !== undefined) {
         return mayWait ? [] : shared;
     }
-    if (task.crashedRuns.size >= MAX_UNTELLING_CRASHES) {
+    const isRecent = scheduler.clock() - task.crashedAt < MAX_FRESH_WAIT_MS;
+    if (isRecent && task.crashedRuns.size >= MAX_UNTELLING_CRASHES) {
         return [];
     }
     const all = [...fresh, ...used];
