Calls are answered before their callers give up

Seen: a request for the state of a job could stay without an answer in its caller's time. It asks the owner for up to 0.6 s, the store for up to 1 s, and two peers that relay to the store for up to 0.9 s each: 3.4 s, while callers wait for 3 s. A cancellation first reads the job in the same way, or waits for the lease of withdrawals, and then waits for its write for 0.4 s at least.

Cause: only the writes of submissions and cancellations had a deadline, and that only between attempts; each other wait had a timeout of its own, and their sum was never compared with the time of the caller.

Change: reads, the lease of withdrawals and the last attempt of a write end at the caller's deadline. The answer then is that the state is not known now, that nothing was cancelled, or that the outcome is unclear, whichever is true.

That the users' cases were such requests is not shown.

--- a/packages/scheduler/src/callers/callerFixture.steps.ts
+++ b/packages/scheduler/src/callers/callerFixture.steps.ts
@@ -1,9 +1,10 @@
+import { ResultAsync } from "neverthrow";
 import type { FakeClock } from "../../../../features/support/FakeClock.js";
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import type { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
 import type { Cluster } from "../cluster/Cluster.js";
 import type { JobId } from "../ids.js";
-import type { FleetStore } from "../ports/FleetStore.js";
+import type { FleetStore, StoreError } from "../ports/FleetStore.js";
 import type { CallBounds } from "./CallBounds.js";
 import type { CallContext } from "./CallContext.js";
 import type { SharedLease } from "./createSharedLease.js";
@@ -31,16 +32,26 @@
     };
 }
 
-/** Creates a client that carries out the note `afterRead`, if there is one, once its next read is answered. */
+/**
+ * Creates a client whose answers to reads and grants take `readDelayMs` and `grantDelayMs`, and which carries out the
+ * note `afterRead`, if there is one, once its next read is answered.
+ */
 function createStoreClient(world: TestWorld): FleetStore {
     const client = world.note<FakeFleetStore>("store").createClient();
+    const delay = <T>(call: () => ResultAsync<T, StoreError>, note: string): ResultAsync<T, StoreError> => {
+        const delayMs = world.note<number | undefined>(note) ?? 0;
+        return delayMs === 0
+            ? call()
+            : new ResultAsync(getClock(world).pause(delayMs).then(call));
+    };
     return {
         ...client,
         read: key =>
-            client.read(key).andTee(() => {
+            delay(() => client.read(key), "readDelayMs").andTee(() => {
                 world.note<(() => void) | undefined>("afterRead")?.();
                 world.notes.delete("afterRead");
             }),
+        grantLease: ttlMs => delay(() => client.grantLease(ttlMs), "grantDelayMs"),
     };
 }
 
@@ -52,8 +63,9 @@
 /** Returns the bounds of a call that arrives now. */
 export function getBounds(world: TestWorld): CallBounds {
     const signal = world.notes.get("callSignal") as AbortSignal | undefined;
+    const timeoutMs = world.note<number | undefined>("callerTimeoutMs") ?? CALLER_TIMEOUT_MS;
     return {
-        deadline: world.note<Cluster>("cluster").clock() + CALLER_TIMEOUT_MS,
+        deadline: world.note<Cluster>("cluster").clock() + timeoutMs,
         signal: signal ?? new AbortController().signal,
     };
 }
--- a/packages/scheduler/src/callers/callers.steps.ts
+++ b/packages/scheduler/src/callers/callers.steps.ts
@@ -107,7 +107,7 @@
 );
 
 When("{word} requests the job's state", async function(this: TestWorld, customer: string) {
-    await awaitReply(this, describeJob(createCallContext(this), JOB_ID, customer));
+    await awaitReply(this, describeJob(createCallContext(this), JOB_ID, customer, getBounds(this)));
 });
 
 Given("the store carries out writes late and without an answer", function(this: TestWorld) {
--- a/packages/scheduler/src/callers/commitWithRetries.ts
+++ b/packages/scheduler/src/callers/commitWithRetries.ts
@@ -33,8 +33,8 @@
  * Commits an idempotent transaction, and sends it again if its answer is lost or late.
  *
  * Repeated sends are safe because the transaction expects the revisions of what it changes, or writes the same
- * value again. They end after half of the time for which the caller waits, so that an unclear outcome can still
- * be reported to the caller.
+ * value again. They end after half of the time for which the caller waits, and the last one is awaited until the
+ * deadline at most, so that an unclear outcome can still be reported to the caller.
  *
  * @param context - The services that the call uses.
  * @param transaction - The transaction.
@@ -59,7 +59,7 @@
     };
     while (!signal.aborted) {
         void attemptCommit(context, transaction, findings).then(attemptEnded.notify);
-        await attemptEnded.wait(RESEND_AFTER_MS, signal);
+        await attemptEnded.wait(Math.min(RESEND_AFTER_MS, Math.max(0, deadline - clock())), signal);
         const outcome = findOutcome(findings);
         if (outcome !== undefined) {
             return outcome;
--- a/packages/scheduler/src/callers/describeJob.ts
+++ b/packages/scheduler/src/callers/describeJob.ts
@@ -4,6 +4,8 @@
 import { PEER_CALL_TIMEOUT_MS } from "../constants.js";
 import type { JobId } from "../ids.js";
 import { storeKeys } from "../storeKeys.js";
+import { awaitWithinBounds } from "./awaitWithinBounds.js";
+import type { CallBounds } from "./CallBounds.js";
 import type { CallContext } from "./CallContext.js";
 import type { Reply, ReportedJobState } from "./Reply.js";
 import { refuse } from "./Reply.js";
@@ -14,11 +16,22 @@
  * @param context - The services that the call uses.
  * @param id - Id of the job.
  * @param customer - The calling customer; jobs of other customers are reported as missing.
+ * @param bounds - The deadline, and the signal on which the call is answered by what is known.
  * @returns The state, or a refusal: `no-such-job`, or `store-unavailable` if neither the owner nor the store
- * answers.
+ * answers in time.
  */
-export async function describeJob(context: CallContext, id: JobId, customer: string): Promise<Reply> {
-    const known = await readFromOwner(context, id) ?? await readFromStore(context, id);
+export async function describeJob(
+    context: CallContext,
+    id: JobId,
+    customer: string,
+    bounds: CallBounds,
+): Promise<Reply> {
+    const known = await awaitWithinBounds(
+        context,
+        readJob(context, id),
+        bounds,
+        () => "unavailable" as const,
+    );
     if (known === "unavailable") {
         return refuse("store-unavailable", "The job's state cannot be read from the store. Try again later.");
     }
@@ -28,6 +41,10 @@
     return { kind: "state", state: toReportedState(known.state) };
 }
 
+async function readJob(context: CallContext, id: JobId): Promise<KnownJob | "unavailable" | undefined> {
+    return await readFromOwner(context, id) ?? await readFromStore(context, id);
+}
+
 async function readFromOwner(context: CallContext, id: JobId): Promise<KnownJob | undefined> {
     const localOwner = context.localOwner();
     if (localOwner !== undefined) {
--- a/packages/scheduler/src/callers/requestCancellation.ts
+++ b/packages/scheduler/src/callers/requestCancellation.ts
@@ -1,10 +1,10 @@
 import type { Job } from "@balsamward/schema/scheduling";
 import { CancellationRecordSchema, JobSchema } from "@balsamward/schema/scheduling";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import { awaitUnlessAborted } from "../awaitUnlessAborted.js";
 import type { JobId } from "../ids.js";
 import type { StoreError } from "../ports/FleetStore.js";
 import { storeKeys } from "../storeKeys.js";
+import { awaitWithinBounds } from "./awaitWithinBounds.js";
 import type { CallBounds } from "./CallBounds.js";
 import type { CallContext } from "./CallContext.js";
 import { commitWithRetries } from "./commitWithRetries.js";
@@ -50,15 +50,9 @@
     customer: string,
     bounds: CallBounds,
 ): Promise<AttemptReply> {
-    const item = await awaitUnlessAborted(
-        context.store.read(storeKeys.job(id)),
-        bounds.signal,
-        () => undefined,
-    );
-    if (item === undefined) {
-        return refuse("store-unavailable", "The daemon stops. The job is not cancelled. Send it again.");
-    }
-    if (item.isErr()) {
+    const read = context.store.read(storeKeys.job(id));
+    const item = await awaitWithinBounds(context, read, bounds, () => undefined);
+    if (item === undefined || item.isErr()) {
         return refuse("store-unavailable", "The job cannot be read from the store. Try again later.");
     }
     const job = item.value === undefined ? undefined : fromBinary(JobSchema, item.value.value);
--- a/packages/scheduler/src/callers/withdrawSubmission.ts
+++ b/packages/scheduler/src/callers/withdrawSubmission.ts
@@ -2,10 +2,10 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import type { Result } from "neverthrow";
 import { err } from "neverthrow";
-import { awaitUnlessAborted } from "../awaitUnlessAborted.js";
 import type { JobId } from "../ids.js";
 import type { StoreError } from "../ports/FleetStore.js";
 import { storeKeys } from "../storeKeys.js";
+import { awaitWithinBounds } from "./awaitWithinBounds.js";
 import type { CallBounds } from "./CallBounds.js";
 import type { CallContext } from "./CallContext.js";
 import { commitWithRetries } from "./commitWithRetries.js";
@@ -45,7 +45,7 @@
     bounds: CallBounds,
 ): Promise<Result<number, StoreError>> {
     const { withdrawalLease } = context;
-    const lease = await awaitUnlessAborted(withdrawalLease.get(), bounds.signal, () => err(NOT_BEGUN));
+    const lease = await awaitWithinBounds(context, withdrawalLease.get(), bounds, () => err(NOT_BEGUN));
     if (lease.isErr()) {
         return err({ ...NOT_BEGUN, message: lease.error.message });
     }
