A jump of the wall clock does not remove ended jobs before their retention time

What callers saw: a job that had just ended was answered 410, although its state is promised for the retention time.

Cause: the removal compares the wall time of a job's end with the present wall time. Both are medians over the cluster, whose offsets are those of the last heartbeats: after a jump of the owner's own clock the median is wrong until its peers have been heard from again. A job that ends while it is behind, and every ended job while it is ahead, seems to have ended long ago. The same holds for an owner that takes over then.

Evidence: by reading, and by three new scenarios of removeEndedJobs.feature. They failed before: 0 jobs in place of 1 were stored 118 s after the end, with a retention time of 120 s.

The owner also notes on its monotonic clock when it ended a job or loaded it as ended, and removes it only once the retention time has passed by that clock as well. A wall clock alone no longer shortens it. The cost is that ended jobs are kept through takeovers that follow each other within the retention time.

The second example needs a jump of more than twice the retention time (240 s by the settings in use), so no connection with the incident is claimed.

--- a/features/support/SchedulerTestHarness.ts
+++ b/features/support/SchedulerTestHarness.ts
@@ -72,6 +72,8 @@
     workerClockRate = 1;
     /** Error of the wall clock of the owners' machines, in milliseconds. */
     wallClockErrorMs = 0;
+    /** Error of the median of the daemons' wall clocks, in milliseconds. */
+    medianWallClockErrorMs = 0;
     private jobCount = 0;
     private readonly submittedSteps = new Map<string, readonly MessageInitShape<typeof StepSchema>[]>();
 
@@ -204,7 +206,7 @@
             metrics,
             pause: clock.pause,
             clock: () => clock.now,
-            wallClock: () => this.clock.now,
+            wallClock: () => this.clock.now + this.medianWallClockErrorMs,
             machineWallClock: () => this.clock.now + this.wallClockErrorMs,
             bounds: { maxHoldMs: MAX_HOLD_MS, stateRetentionMs: 120_000 },
         }, ownership);
--- a/packages/scheduler/src/engine/jobs/endJob.ts
+++ b/packages/scheduler/src/engine/jobs/endJob.ts
@@ -31,6 +31,7 @@
     }
     entry.state = state;
     entry.endedAtMs = scheduler.wallClock();
+    entry.endKnownAt = scheduler.clock();
     scheduler.activeJobs.delete(entry);
     scheduler.metrics.jobEvents.inc({ event: JobState[state].toLowerCase() });
     if (state === JobState.FAILED) {
--- a/packages/scheduler/src/engine/jobs/registerJob.ts
+++ b/packages/scheduler/src/engine/jobs/registerJob.ts
@@ -38,7 +38,10 @@
     const ageMs = Math.max(0, scheduler.wallClock() - job.acceptedAtMs);
     const entry = createJobEntry(job, revision, scheduler.clock() - ageMs, options);
     scheduler.jobs.set(entry.id, entry);
-    if (!isFinalState(entry.state)) {
+    if (isFinalState(entry.state)) {
+        entry.endKnownAt = scheduler.clock();
+    }
+    else {
         scheduler.activeJobs.add(entry);
     }
     scheduler.metrics.jobEvents.inc({ event: "taken" });
--- a/packages/scheduler/src/engine/jobs/removeEndedJobs.feature
+++ b/packages/scheduler/src/engine/jobs/removeEndedJobs.feature
@@ -38,3 +38,30 @@
         When 30 seconds pass
         Then 1 job is stored
         And 1 task of J runs
+
+    # LOST: an ended job was answered 410, since a clock that had jumped made its retention time seem to have passed.
+    Scenario Outline: A jump of the wall clock while a job ends does not shorten its retention
+        When ana submits the normal job J of "1 x 2"
+        And the cluster's wall clock jumps by <before> seconds
+        And task 0.0.0 of J ends as done
+        And the cluster's wall clock jumps by <after> seconds
+        And 118 seconds pass
+        Then 1 job is stored
+        And the job J is completed
+
+        Examples:
+            | before | after |
+            | 0      | 3600  |
+            | -3600  | 3600  |
+
+    Scenario: A jump of the wall clock at a takeover does not shorten the retention of ended jobs
+        When ana submits the normal job J of "1 x 2"
+        And task 0.0.0 of J ends as done
+        And the owner dies
+        And the cluster's wall clock jumps by 3600 seconds
+        And a new owner takes over
+        And 118 seconds pass
+        Then 1 job is stored
+        And the job J is completed
+        When 14 seconds pass
+        Then 0 jobs are stored
--- a/packages/scheduler/src/engine/jobs/removeEndedJobs.ts
+++ b/packages/scheduler/src/engine/jobs/removeEndedJobs.ts
@@ -19,7 +19,7 @@
 
 /**
  * Removes ended jobs from the store during a term. A job is kept for twice the retention time that callers are
- * promised.
+ * promised, and for that time itself even if a wall clock has jumped.
  *
  * @param scheduler - The scheduler.
  */
@@ -27,9 +27,8 @@
     const { signal } = scheduler.ownership;
     while (!signal.aborted) {
         await scheduler.pause(REMOVAL_INTERVAL_MS, signal);
-        const endedBefore = scheduler.wallClock() - 2 * scheduler.bounds.stateRetentionMs;
         const expired = [...scheduler.jobs.values()].filter(entry =>
-            isFinalState(entry.durableState) && !entry.hasUnstoredProgress && entry.endedAtMs < endedBefore
+            isFinalState(entry.durableState) && !entry.hasUnstoredProgress && isExpired(scheduler, entry)
         );
         await removeInTransactions(
             scheduler,
@@ -38,6 +37,14 @@
     }
 }
 
+/** A wall clock may jump; the promised retention time must have passed by the owner's monotonic clock as well. */
+function isExpired(
+    { wallClock, clock, bounds: { stateRetentionMs } }: Scheduler,
+    { endedAtMs, endKnownAt }: JobEntry,
+): boolean {
+    return wallClock() - endedAtMs > 2 * stateRetentionMs && clock() - endKnownAt > stateRetentionMs;
+}
+
 async function removeInTransactions(scheduler: Scheduler, entries: readonly JobEntry[]): Promise<void> {
     for (let start = 0; start < entries.length; start += JOBS_PER_TRANSACTION) {
         const removed = await removeJobs(scheduler, entries.slice(start, start + JOBS_PER_TRANSACTION));
--- a/packages/scheduler/src/engine/owners.steps.ts
+++ b/packages/scheduler/src/engine/owners.steps.ts
@@ -27,6 +27,10 @@
     getHarness(this).wallClockErrorMs += seconds * MS_PER_SECOND;
 });
 
+When("the cluster's wall clock jumps by {int} second(s)", function(this: TestWorld, seconds: number) {
+    getHarness(this).medianWallClockErrorMs += seconds * MS_PER_SECOND;
+});
+
 When("the owner dies", function(this: TestWorld) {
     getHarness(this).killOwner();
 });
--- a/packages/scheduler/src/state/JobEntry.ts
+++ b/packages/scheduler/src/state/JobEntry.ts
@@ -166,4 +166,6 @@
     storedChangeCount: number;
     /** Wall time at which the job ended, in milliseconds since 1970; 0 before. */
     endedAtMs: number;
+    /** Monotonic time since which this owner knows that the job has ended, in milliseconds; infinite before. */
+    endKnownAt: number;
 };
--- a/packages/scheduler/src/state/createJobEntry.ts
+++ b/packages/scheduler/src/state/createJobEntry.ts
@@ -54,6 +54,7 @@
         changeCount: 0,
         storedChangeCount: 0,
         endedAtMs: stored?.endedAtMs ?? 0,
+        endKnownAt: Number.POSITIVE_INFINITY,
     };
     if (job.schedule === undefined) {
         getOrAddOccurrence(entry, 0);
