Tests: how a job's state is found, and the revision of a list of several pages

Two paths to a 410 for an accepted job had no test: a request for a state while the owner has not heard of the job, is none any more, does not answer or has left; and a job that is stored behind the page that a new owner is reading. Both are as they should be: the scenarios pass on the present code. The one of the pages fails if the revision of the last page is returned (11 in place of 9).

--- a/packages/scheduler/src/callers/callerFixture.steps.ts
+++ b/packages/scheduler/src/callers/callerFixture.steps.ts
@@ -3,6 +3,7 @@
 import type { TestWorld } from "../../../../features/support/TestWorld.js";
 import type { FakeFleetStore } from "../../../stand-ins/src/fleet/FakeFleetStore.js";
 import type { Cluster } from "../cluster/Cluster.js";
+import type { OwnerService } from "../cluster/serveCluster.js";
 import type { JobId } from "../ids.js";
 import type { FleetStore, StoreError } from "../ports/FleetStore.js";
 import type { CallBounds } from "./CallBounds.js";
@@ -16,7 +17,10 @@
 const CALLER_TIMEOUT_MS = 3_000;
 const CLOCK_STEP_MS = 50;
 
-/** Creates the services of a daemon that is not the owner; all contexts of a scenario are of the same daemon. */
+/**
+ * Creates the services of a daemon, which is the owner if there is the note `localOwner`; all contexts of a scenario
+ * are of the same daemon.
+ */
 export function createCallContext(world: TestWorld): CallContext {
     const cluster = world.note<Cluster>("cluster");
     const store = createStoreClient(world);
@@ -27,7 +31,7 @@
         cluster,
         store,
         withdrawalLease,
-        localOwner: () => undefined,
+        localOwner: () => world.note<OwnerService | undefined>("localOwner"),
         pause: getClock(world).pause,
     };
 }
