A stop does not wait without end for a peer that is cut off

Callers and the platform saw a daemon that was killed at the end of its grace period: after "Connections are closed by the stop." no line "The daemon has stopped." follows, and lines that were not written yet are lost.

Cause: when a session has been closed gracefully, destroying it only ends the daemon's side of the connection. The listener's close waits until the peer ends the other side, which a peer behind a cut link never does, so that the bound of the close did not hold. At the bound the sockets themselves are destroyed now.

--- a/packages/scheduler/src/cluster/serveCluster.steps.ts
+++ b/packages/scheduler/src/cluster/serveCluster.steps.ts
@@ -111,6 +111,15 @@
     await once(socket, "data");
 });
 
+When("a peer opens a connection and is cut off", async function(this: TestWorld) {
+    const [host, port] = this.note<string>("address").split(":");
+    // The daemon's end of the connection is received, but not answered.
+    const socket = connectTcp({ host: host!, port: Number(port), allowHalfOpen: true });
+    socket.on("error", () => {});
+    this.cleanups.push(() => void socket.destroy());
+    await once(socket, "data");
+});
+
 When("a peer relays a watch through the daemon", async function(this: TestWorld) {
     const { calls } = this.note<ReturnType<typeof createPeerClient>>("client");
     const call = { case: "watch", value: { prefix: "key", after: 100, waitMs: LONG_WAIT_MS } } as const;
--- a/packages/scheduler/src/startRpcListener.ts
+++ b/packages/scheduler/src/startRpcListener.ts
@@ -3,6 +3,7 @@
 import { setMaxListeners } from "node:events";
 import { createServer } from "node:http2";
 import type { ServerHttp2Session } from "node:http2";
+import type { Socket } from "node:net";
 import type { ListenOptions } from "./listenOn.js";
 import { listenOn } from "./listenOn.js";
 import { startDeadline } from "./startDeadline.js";
@@ -45,20 +46,26 @@
     // Each call in progress listens to the signal: more than the default limit.
     setMaxListeners(0, closing.signal);
     const sessions = new Set<ServerHttp2Session>();
+    const sockets = new Set<Socket>();
     const server = createServer(connectNodeAdapter({ routes: addRoutes, shutdownSignal: closing.signal }));
     server.on("session", session => {
         sessions.add(session);
         session.once("close", () => sessions.delete(session));
     });
+    server.on("connection", (socket: Socket) => {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+    });
     await listenOn(server, address, options);
     return {
         sessions,
         close: ({ timeoutMs = CLOSE_TIMEOUT_MS } = {}) =>
             new Promise(resolve => {
-                const endDeadline = startDeadline(
-                    timeoutMs,
-                    () => sessions.forEach(session => session.destroy()),
-                );
+                const endDeadline = startDeadline(timeoutMs, () => {
+                    sessions.forEach(session => session.destroy());
+                    // A session that is closing only ends its own side, and a peer that is cut off never ends the other.
+                    sockets.forEach(socket => socket.destroy());
+                });
                 server.close(() => {
                     endDeadline();
                     resolve();
