--- a/packages/scheduler/src/startRpcListener.ts
+++ b/packages/scheduler/src/startRpcListener.ts
@@ -63,7 +63,7 @@
             new Promise(resolve => {
                 const endDeadline = startDeadline(timeoutMs, () => {
                     sessions.forEach(session => session.destroy());
-                    // A session that is closing only ends its own side, and a peer that is cut off never ends the other.
+                    // A closing session only ends its own side; a peer that is cut off never ends the other.
                     sockets.forEach(socket => socket.destroy());
                 });
                 server.close(() => {
