Takeovers in series no longer wait anew for workers that do not answer

Callers saw accepted jobs with nothing running for more than 10 s beside idle workers, and not completed 20.5 s after the last fault. Cause: each new owner waits for the longest lease of every worker of the roster that does not answer, counted from its own takeover, and places no older job meanwhile. Owners that take over in series (stops one after the other, kills, store outages) start this wait anew each time, although none of them has extended the lease.

An owner now stores in the roster how long the unknown runs of such a worker may still last, and the next owner waits no longer than that. It is sound since the owner has sent that worker nothing that extends a lease, and sends nothing such once the worker answers until the roster without the bound is stored; a write with an unclear outcome counts as stored. An older owner that does not know of its successor is bounded by the first wait.

The scenario 'Inherited jobs wait anew ...' failed before (1 start instead of 2 after the third takeover); the second one shows that a worker that answers after its bound was stored is waited for in full.

--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -75,6 +75,12 @@
 /** Workers with their addresses as `IP:port`. */
 export type Roster = ReadonlyMap<WorkerId, string>;
 
+/**
+ * Times by which the unknown runs of workers have ended, in milliseconds from a write of the roster. The next owner
+ * relies on them, so this one neither starts a run on such a worker nor extends its lease.
+ */
+export type RosterBounds = ReadonlyMap<WorkerId, number>;
+
 /** What is known of a worker that another one has replaced. */
 export type Replacement = {
     /** Address at which the other worker has answered. */
@@ -90,14 +96,17 @@
     /** Jobs that have not ended. */
     readonly activeJobs: Set<JobEntry>;
     readonly fleet: Map<WorkerId, WorkerEntry>;
-    /** Workers of earlier terms that have not yet listed all their runs to this owner. */
-    readonly unreconciledWorkers: Set<WorkerId>;
+    /**
+     * Workers of earlier terms that have not yet listed all their runs to this owner, each with the monotonic time in
+     * milliseconds by which these have ended.
+     */
+    readonly unreconciledWorkers: Map<WorkerId, number>;
     /** Workers that have been replaced by others at their addresses and may still be listed. */
     readonly replacedWorkers: Map<WorkerId, Replacement>;
-    /** Monotonic time in milliseconds by which every unknown run has ended. */
-    unknownRunsEndAt: number;
     /** Addresses of the workers that the stored roster certainly lists; it lists those that may have runs. */
     roster: Roster;
+    /** Bounds that the stored roster may contain. */
+    rosterBounds: RosterBounds;
     /** Store revision that the next write of the roster expects. */
     rosterRevision: number;
     /** Whether the outcome of the last write of the roster is unknown. */
--- a/packages/scheduler/src/engine/fleet/decodeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/decodeRoster.ts
@@ -2,7 +2,10 @@
 import { decodeRecord } from "../../_lib/decodeRecord.js";
 import type { WorkerId } from "../../ids.js";
 import type { StoreItem } from "../../ports/FleetStore.js";
-import type { Roster, Scheduler } from "../Scheduler.js";
+import type { Roster, RosterBounds, Scheduler } from "../Scheduler.js";
+
+/** The stored roster, and the bounds that it contains. */
+export type StoredRoster = { readonly roster: Roster; readonly bounds: RosterBounds };
 
 /**
  * Decodes the stored roster.
@@ -14,10 +17,17 @@
 export function decodeRoster(
     scheduler: Pick<Scheduler, "log" | "metrics">,
     item: StoreItem | undefined,
-): Roster | undefined {
+): StoredRoster | undefined {
     if (item === undefined) {
-        return new Map();
+        return { roster: new Map(), bounds: new Map() };
     }
     const record = decodeRecord(scheduler, RosterRecordSchema, item);
-    return record && new Map(record.workers.map(({ worker, address }) => [worker as WorkerId, address]));
+    return record && {
+        roster: new Map(record.workers.map(({ worker, address }) => [worker as WorkerId, address])),
+        bounds: new Map(
+            record.workers.flatMap(({ worker, unknownRunsMs }) =>
+                unknownRunsMs === undefined ? [] : [[worker as WorkerId, unknownRunsMs] as const]
+            ),
+        ),
+    };
 }
--- a/packages/scheduler/src/engine/fleet/mayHaveUnknownRuns.ts
+++ b/packages/scheduler/src/engine/fleet/mayHaveUnknownRuns.ts
@@ -11,7 +11,8 @@
  * after the end, since a successor may have extended the lease.
  */
 export function mayHaveUnknownRuns(scheduler: Scheduler, id: WorkerId): boolean {
+    const unknownRunsEndAt = scheduler.unreconciledWorkers.get(id);
     const leaseEndsAt = scheduler.fleet.get(id)?.leaseEndsAt ?? Number.NEGATIVE_INFINITY;
-    return scheduler.unreconciledWorkers.has(id)
-        && scheduler.ownership.heldAt() < Math.max(scheduler.unknownRunsEndAt, leaseEndsAt);
+    return unknownRunsEndAt !== undefined
+        && scheduler.ownership.heldAt() < Math.max(unknownRunsEndAt, leaseEndsAt);
 }
--- a/packages/scheduler/src/engine/fleet/storeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/storeRoster.ts
@@ -4,7 +4,8 @@
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
 import { storeKeys } from "../../storeKeys.js";
 import { resignIfReplaced } from "../resignIfReplaced.js";
-import type { Roster, Scheduler } from "../Scheduler.js";
+import type { Roster, RosterBounds, Scheduler } from "../Scheduler.js";
+import type { StoredRoster } from "./decodeRoster.js";
 import { decodeRoster } from "./decodeRoster.js";
 import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
 import { hasLeaseEnded } from "./workerLease.js";
@@ -15,6 +16,9 @@
  */
 const ROSTER_SILENCE_LIMIT_MS = 2_000;
 
+/** Age from which the bounds of unknown runs are stored again, in milliseconds. */
+const BOUND_REFRESH_MS = 1_000;
+
 /**
  * Stores the roster of workers that may have runs or unstored ends, so that the next owner reconciles each of them.
  *
@@ -23,19 +27,28 @@
  * an unclear one succeeds only if that has not taken effect, and then also prevents that it does so later; otherwise,
  * it conflicts and returns what is stored.
  *
+ * The roster tells the next owner how long the runs may still last that this one could not ask for. Without that each
+ * owner would wait for them anew, and takeovers in series would keep inherited jobs from running without end.
+ *
  * @param scheduler - The scheduler.
  */
 export async function storeRoster(scheduler: Scheduler): Promise<void> {
     const rosterWorkers = [...scheduler.fleet.values()].filter(worker => mustBeAsked(scheduler, worker));
     const roster: Roster = new Map(rosterWorkers.map(worker => [worker.id, worker.address]));
-    if (!scheduler.isRosterUnclear && isSameRoster(scheduler.roster, roster)) {
+    const bounds = findBounds(scheduler, rosterWorkers);
+    const isStored = isSameRoster(scheduler.roster, roster) && areSameBounds(scheduler.rosterBounds, bounds);
+    if (!scheduler.isRosterUnclear && isStored) {
         return;
     }
     const message = create(RosterRecordSchema, {
-        workers: [...roster].map(([worker, address]) => ({ worker, address })),
+        workers: [...roster].map(([worker, address]) => {
+            const unknownRunsMs = bounds.get(worker);
+            return { worker, address, ...(unknownRunsMs === undefined ? {} : { unknownRunsMs }) };
+        }),
     });
-    const storedRoster = scheduler.roster;
+    const { roster: storedRoster, rosterBounds: storedBounds } = scheduler;
     scheduler.roster = new Map([...storedRoster].filter(([id, address]) => roster.get(id) === address));
+    scheduler.rosterBounds = new Map([...storedBounds, ...bounds]);
     const written = await scheduler.store.commit({
         expect: [
             { key: scheduler.ownership.key, revision: scheduler.ownership.revision },
@@ -45,14 +58,14 @@
         removals: [],
     });
     if (written.isOk()) {
-        setRoster(scheduler, written.value, roster);
+        setRoster(scheduler, written.value, { roster, bounds });
         return;
     }
     scheduler.log.warn("The roster of workers cannot be stored.", {
         reason: written.error.kind,
         workers: roster.size,
     });
-    handleCommitError(scheduler, written.error, storedRoster);
+    handleCommitError(scheduler, written.error, { roster: storedRoster, bounds: storedBounds });
 }
 
 /**
@@ -80,17 +93,42 @@
     return left.size === right.size && [...left].every(([id, address]) => right.get(id) === address);
 }
 
-function setRoster(scheduler: Scheduler, revision: number, roster: Roster): void {
+/** Returns the bounds of silent workers to which this owner has sent nothing that extends a lease. */
+function findBounds(scheduler: Scheduler, workers: readonly WorkerEntry[]): RosterBounds {
+    const now = scheduler.clock();
+    return new Map(workers.flatMap(worker => {
+        const unknownRunsEndAt = scheduler.unreconciledWorkers.get(worker.id);
+        return unknownRunsEndAt === undefined || !isUntouched(worker)
+            ? []
+            : [[worker.id, Math.max(0, Math.ceil(unknownRunsEndAt - now))] as const];
+    }));
+}
+
+function isUntouched({ hasAnswered, isUnresponsive, runs, longestLeaseEndsAt }: WorkerEntry): boolean {
+    return isUnresponsive && !hasAnswered && runs.size === 0
+        && longestLeaseEndsAt === Number.NEGATIVE_INFINITY;
+}
+
+function areSameBounds(stored: RosterBounds, current: RosterBounds): boolean {
+    return stored.size === current.size
+        && [...current].every(([id, ms]) =>
+            (stored.get(id) ?? Number.POSITIVE_INFINITY) - ms < BOUND_REFRESH_MS
+        );
+}
+
+function setRoster(scheduler: Scheduler, revision: number, { roster, bounds }: StoredRoster): void {
     scheduler.roster = roster;
+    scheduler.rosterBounds = bounds;
     scheduler.rosterRevision = revision;
     scheduler.isRosterUnclear = false;
     scheduler.requestPass();
 }
 
-function handleCommitError(scheduler: Scheduler, error: StoreError, storedRoster: Roster): void {
+function handleCommitError(scheduler: Scheduler, error: StoreError, stored: StoredRoster): void {
     switch (error.kind) {
         case "unavailable":
-            scheduler.roster = storedRoster;
+            scheduler.roster = stored.roster;
+            scheduler.rosterBounds = stored.bounds;
             return;
         case "conflict":
             adoptStoredRoster(scheduler, error.items);
@@ -111,5 +149,6 @@
         return;
     }
     const item = storedItems.get(storeKeys.roster);
-    setRoster(scheduler, item?.revision ?? 0, decodeRoster(scheduler, item) ?? new Map());
+    const stored = decodeRoster(scheduler, item) ?? { roster: new Map(), bounds: new Map() };
+    setRoster(scheduler, item?.revision ?? 0, stored);
 }
--- a/packages/scheduler/src/engine/fleet/syncWorker.ts
+++ b/packages/scheduler/src/engine/fleet/syncWorker.ts
@@ -51,6 +51,11 @@
 
 async function sendHolds(scheduler: Scheduler, worker: WorkerEntry, signal: AbortSignal): Promise<void> {
     while (!scheduler.ownership.signal.aborted && scheduler.fleet.get(worker.id) === worker) {
+        if (isIncarnationKnown(worker) && scheduler.rosterBounds.has(worker.id)) {
+            // The next owner would not wait for a lease that is extended now.
+            await worker.wakeSignal.wait(HOLD_RETRY_MS, signal);
+            continue;
+        }
         if (isIdle(scheduler, worker)) {
             await worker.wakeSignal.wait(MAX_IDLE_WAIT_MS, signal);
             continue;
@@ -182,6 +187,10 @@
 
 /** Marks a worker as answered, and as reconciled once all ends of its runs are applied. */
 function markAnswered(scheduler: Scheduler, worker: WorkerEntry, listsAllEnds: boolean): void {
+    worker.leaseEndsAt = Math.max(
+        worker.leaseEndsAt,
+        scheduler.unreconciledWorkers.get(worker.id) ?? Number.NEGATIVE_INFINITY,
+    );
     if (listsAllEnds && scheduler.unreconciledWorkers.delete(worker.id)) {
         scheduler.requestPass();
     }
--- a/packages/scheduler/src/engine/passes/findSchedulableWorkers.ts
+++ b/packages/scheduler/src/engine/passes/findSchedulableWorkers.ts
@@ -5,7 +5,8 @@
 
 /**
  * Finds the workers on which runs may be started now: reachable, listed, neither draining nor cordoned, not in an
- * evacuated data centre, not running a suspected task apart from others, and in the stored roster with their address.
+ * evacuated data centre, not running a suspected task apart from others, and in the stored roster with their address
+ * and without a bound of their unknown runs.
  *
  * @param scheduler - The scheduler.
  * @returns The workers, regardless of their free capacity and of pauses after faults.
@@ -21,5 +22,6 @@
         && !isEvacuated(scheduler, worker)
         && !isIsolated(worker, now)
         && scheduler.roster.get(worker.id) === worker.address
+        && !scheduler.rosterBounds.has(worker.id)
     );
 }
--- a/packages/scheduler/src/engine/passes/runPlacementPass.ts
+++ b/packages/scheduler/src/engine/passes/runPlacementPass.ts
@@ -96,5 +96,5 @@
  * successor may have extended them.
  */
 function hasUnknownRuns(scheduler: Scheduler): boolean {
-    return [...scheduler.unreconciledWorkers].some(id => mayHaveUnknownRuns(scheduler, id));
+    return [...scheduler.unreconciledWorkers.keys()].some(id => mayHaveUnknownRuns(scheduler, id));
 }
--- a/packages/scheduler/src/engine/takeover/loadState.ts
+++ b/packages/scheduler/src/engine/takeover/loadState.ts
@@ -84,17 +84,22 @@
         return;
     }
     scheduler.rosterRevision = item.revision;
-    const roster = decodeRoster(scheduler, item);
-    if (roster === undefined) {
-        scheduler.unreconciledWorkers.add(UNREADABLE_ENTRY);
+    const maxInheritedLeaseMs = getMaxInheritedLeaseMs(scheduler);
+    const decoded = decodeRoster(scheduler, item);
+    if (decoded === undefined) {
+        scheduler.unreconciledWorkers.set(UNREADABLE_ENTRY, scheduler.clock() + maxInheritedLeaseMs);
     }
-    scheduler.roster = roster ?? new Map();
+    scheduler.roster = decoded?.roster ?? new Map();
+    scheduler.rosterBounds = decoded?.bounds ?? new Map();
     for (const [id, address] of scheduler.roster) {
-        scheduler.unreconciledWorkers.add(id);
+        const unknownRunsMs = scheduler.rosterBounds.get(id) ?? maxInheritedLeaseMs;
+        scheduler.unreconciledWorkers.set(
+            id,
+            scheduler.clock() + Math.min(unknownRunsMs, maxInheritedLeaseMs),
+        );
         const wakeSignal = createWakeSignal(scheduler.pause);
         addWorker(scheduler, createWorkerEntry(id, address, wakeSignal, scheduler.clock()));
     }
-    scheduler.unknownRunsEndAt = scheduler.clock() + getMaxInheritedLeaseMs(scheduler);
 }
 
 /**
--- a/packages/scheduler/src/engine/takeover/takeover.feature
+++ b/packages/scheduler/src/engine/takeover/takeover.feature
@@ -61,6 +61,41 @@
         And ana submits the normal job K of "1 x 2"
         Then 1 task of K runs
 
+    Scenario: Inherited jobs wait anew for an unresponsive worker after each takeover in a series
+        When ana submits the normal job J of "1 x 2"
+        And the worker of task 0.0.0 of J is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass
+        And the owner dies
+        And a new owner takes over
+        Then task 0.0.0 of J was started 1 time
+        When 4 seconds pass
+        Then task 0.0.0 of J was started 2 times
+        And each task of J runs at most once
+
+    Scenario: A worker that answers after its bound was stored delays the next owner until its new lease has ended
+        When ana submits the normal job J of "1 x 2"
+        And the worker of task 0.0.0 of J is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass
+        And the disconnected worker is reachable again
+        And 3 seconds pass
+        Then 1 task of J runs
+        When the worker of task 0.0.0 of J is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass
+        Then task 0.0.0 of J was started 1 time
+        And each task of J runs at most once
+        When 8 seconds pass
+        Then task 0.0.0 of J was started 2 times
+        And each task of J runs at most once
+
     Scenario: A replaced owner resigns when workers refuse its calls
         When ana submits the normal job J of "1 x 2"
         And a new owner takes over
