A takeover does not wait for a worker whose machine has a later one

Callers saw accepted jobs with nothing running for 8 to 11 s after a takeover. Cause: a worker that left or crashed shortly before stands in the roster, and only its id and its address were known, so that the new owner waited for its lease although the next worker of its machine had answered. A worker is one life of a machine. Within a term this was known only at the same address.

The roster now has the machine and the start of each worker, as it is listed. A new owner removes a silent worker that is not listed once another one of the same machine, born later, has answered a hold itself. A foreign entry alone therefore removes nothing: what it names must answer under that id.

The scenario 'Inherited jobs wait for a worker whose machine ...' failed without the removal (0 tasks run); two others show that a later worker that does not answer, and one that was not born later, change nothing.

--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -81,6 +81,9 @@
  */
 export type RosterBounds = ReadonlyMap<WorkerId, number>;
 
+/** The machines and the starts of workers, as far as they are known. */
+export type RosterLives = ReadonlyMap<WorkerId, { readonly machine: string; readonly bornMs: number }>;
+
 /** What is known of a worker that another one has replaced. */
 export type Replacement = {
     /** Address at which the other worker has answered. */
@@ -107,6 +110,8 @@
     roster: Roster;
     /** Bounds that the stored roster may contain. */
     rosterBounds: RosterBounds;
+    /** Lives of workers that the stored roster contained last. */
+    rosterLives: RosterLives;
     /** Store revision that the next write of the roster expects. */
     rosterRevision: number;
     /** Whether the outcome of the last write of the roster is unknown. */
--- a/packages/scheduler/src/engine/fleet/decodeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/decodeRoster.ts
@@ -2,10 +2,17 @@
 import { decodeRecord } from "../../_lib/decodeRecord.js";
 import type { WorkerId } from "../../ids.js";
 import type { StoreItem } from "../../ports/FleetStore.js";
-import type { Roster, RosterBounds, Scheduler } from "../Scheduler.js";
+import type { Roster, RosterBounds, RosterLives, Scheduler } from "../Scheduler.js";
 
-/** The stored roster, and the bounds that it contains. */
-export type StoredRoster = { readonly roster: Roster; readonly bounds: RosterBounds };
+/** The stored roster, and the bounds and lives that it contains. */
+export type StoredRoster = {
+    readonly roster: Roster;
+    readonly bounds: RosterBounds;
+    readonly lives: RosterLives;
+};
+
+/** A roster without workers. */
+export const EMPTY_ROSTER: StoredRoster = { roster: new Map(), bounds: new Map(), lives: new Map() };
 
 /**
  * Decodes the stored roster.
@@ -19,7 +26,7 @@
     item: StoreItem | undefined,
 ): StoredRoster | undefined {
     if (item === undefined) {
-        return { roster: new Map(), bounds: new Map() };
+        return EMPTY_ROSTER;
     }
     const record = decodeRecord(scheduler, RosterRecordSchema, item);
     return record && {
@@ -29,5 +36,9 @@
                 unknownRunsMs === undefined ? [] : [[worker as WorkerId, unknownRunsMs] as const]
             ),
         ),
+        lives: new Map(
+            record.workers.filter(({ machine, bornMs }) => machine !== "" && bornMs > 0)
+                .map(({ worker, machine, bornMs }) => [worker as WorkerId, { machine, bornMs }]),
+        ),
     };
 }
--- a/packages/scheduler/src/engine/fleet/storeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/storeRoster.ts
@@ -4,9 +4,10 @@
 import type { WorkerEntry } from "../../state/WorkerEntry.js";
 import { storeKeys } from "../../storeKeys.js";
 import { resignIfReplaced } from "../resignIfReplaced.js";
-import type { Roster, RosterBounds, Scheduler } from "../Scheduler.js";
+import type { Roster, RosterBounds, RosterLives, Scheduler } from "../Scheduler.js";
 import type { StoredRoster } from "./decodeRoster.js";
-import { decodeRoster } from "./decodeRoster.js";
+import { decodeRoster, EMPTY_ROSTER } from "./decodeRoster.js";
+import { isUntouched } from "./isUntouched.js";
 import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
 import { hasLeaseEnded } from "./workerLease.js";
 
@@ -36,19 +37,26 @@
     const rosterWorkers = [...scheduler.fleet.values()].filter(worker => mustBeAsked(scheduler, worker));
     const roster: Roster = new Map(rosterWorkers.map(worker => [worker.id, worker.address]));
     const bounds = findBounds(scheduler, rosterWorkers);
-    const isStored = isSameRoster(scheduler.roster, roster) && areSameBounds(scheduler.rosterBounds, bounds);
+    const lives = findLives(scheduler, rosterWorkers);
+    const isStored = isSameRoster(scheduler.roster, roster) && areSameBounds(scheduler.rosterBounds, bounds)
+        && areSameLives(scheduler.rosterLives, lives);
     if (!scheduler.isRosterUnclear && isStored) {
         return;
     }
     const message = create(RosterRecordSchema, {
         workers: [...roster].map(([worker, address]) => {
             const unknownRunsMs = bounds.get(worker);
-            return { worker, address, ...(unknownRunsMs === undefined ? {} : { unknownRunsMs }) };
+            return {
+                worker,
+                address,
+                ...(unknownRunsMs === undefined ? {} : { unknownRunsMs }),
+                ...lives.get(worker),
+            };
         }),
     });
-    const { roster: storedRoster, rosterBounds: storedBounds } = scheduler;
-    scheduler.roster = new Map([...storedRoster].filter(([id, address]) => roster.get(id) === address));
-    scheduler.rosterBounds = new Map([...storedBounds, ...bounds]);
+    const stored = { roster: scheduler.roster, bounds: scheduler.rosterBounds, lives: scheduler.rosterLives };
+    scheduler.roster = new Map([...stored.roster].filter(([id, address]) => roster.get(id) === address));
+    scheduler.rosterBounds = new Map([...stored.bounds, ...bounds]);
     const written = await scheduler.store.commit({
         expect: [
             { key: scheduler.ownership.key, revision: scheduler.ownership.revision },
@@ -58,14 +66,14 @@
         removals: [],
     });
     if (written.isOk()) {
-        setRoster(scheduler, written.value, { roster, bounds });
+        setRoster(scheduler, written.value, { roster, bounds, lives });
         return;
     }
     scheduler.log.warn("The roster of workers cannot be stored.", {
         reason: written.error.kind,
         workers: roster.size,
     });
-    handleCommitError(scheduler, written.error, { roster: storedRoster, bounds: storedBounds });
+    handleCommitError(scheduler, written.error, stored);
 }
 
 /**
@@ -104,9 +112,19 @@
     }));
 }
 
-function isUntouched({ hasAnswered, isUnresponsive, runs, longestLeaseEndsAt }: WorkerEntry): boolean {
-    return isUnresponsive && !hasAnswered && runs.size === 0
-        && longestLeaseEndsAt === Number.NEGATIVE_INFINITY;
+/** Returns the lives of workers as they are listed, or as an earlier owner has stored them. */
+function findLives({ rosterLives }: Scheduler, workers: readonly WorkerEntry[]): RosterLives {
+    return new Map(workers.flatMap(({ id, machine, reportedColdness: { bornMs } }) => {
+        const life = machine !== "" && bornMs > 0 ? { machine, bornMs } : rosterLives.get(id);
+        return life === undefined ? [] : [[id, life] as const];
+    }));
+}
+
+function areSameLives(left: RosterLives, right: RosterLives): boolean {
+    return left.size === right.size && [...left].every(([id, { machine, bornMs }]) => {
+        const other = right.get(id);
+        return other?.machine === machine && other.bornMs === bornMs;
+    });
 }
 
 function areSameBounds(stored: RosterBounds, current: RosterBounds): boolean {
@@ -116,9 +134,10 @@
         );
 }
 
-function setRoster(scheduler: Scheduler, revision: number, { roster, bounds }: StoredRoster): void {
+function setRoster(scheduler: Scheduler, revision: number, { roster, bounds, lives }: StoredRoster): void {
     scheduler.roster = roster;
     scheduler.rosterBounds = bounds;
+    scheduler.rosterLives = lives;
     scheduler.rosterRevision = revision;
     scheduler.isRosterUnclear = false;
     scheduler.requestPass();
@@ -149,6 +168,6 @@
         return;
     }
     const item = storedItems.get(storeKeys.roster);
-    const stored = decodeRoster(scheduler, item) ?? { roster: new Map(), bounds: new Map() };
+    const stored = decodeRoster(scheduler, item) ?? EMPTY_ROSTER;
     setRoster(scheduler, item?.revision ?? 0, stored);
 }
--- a/packages/scheduler/src/engine/fleet/watchFleet.ts
+++ b/packages/scheduler/src/engine/fleet/watchFleet.ts
@@ -12,6 +12,7 @@
 import { isReplaced } from "./isReplaced.js";
 import { mayHaveUnknownRuns } from "./mayHaveUnknownRuns.js";
 import { releasePredecessor } from "./releasePredecessor.js";
+import { removeSucceededWorkers } from "./removeSucceededWorkers.js";
 import { removeWorker } from "./removeWorker.js";
 import { storeRoster } from "./storeRoster.js";
 import { syncWorker } from "./syncWorker.js";
@@ -51,6 +52,7 @@
     }
     [...scheduler.replacedWorkers.keys()].filter(id => !listedAddresses.has(id))
         .forEach(id => scheduler.replacedWorkers.delete(id));
+    removeSucceededWorkers(scheduler, listedAddresses);
     for (const worker of [...scheduler.fleet.values()]) {
         worker.isListed = listedAddresses.get(worker.id) === worker.address;
         if (!worker.isListed && isRemovable(scheduler, worker)) {
--- a/packages/scheduler/src/engine/runScheduler.ts
+++ b/packages/scheduler/src/engine/runScheduler.ts
@@ -51,6 +51,7 @@
         unreconciledWorkers: new Map(),
         roster: new Map(),
         rosterBounds: new Map(),
+        rosterLives: new Map(),
         rosterRevision: 0,
         isRosterUnclear: false,
         isLoaded: false,
--- a/packages/scheduler/src/engine/takeover/loadState.ts
+++ b/packages/scheduler/src/engine/takeover/loadState.ts
@@ -91,6 +91,7 @@
     }
     scheduler.roster = decoded?.roster ?? new Map();
     scheduler.rosterBounds = decoded?.bounds ?? new Map();
+    scheduler.rosterLives = decoded?.lives ?? new Map();
     for (const [id, address] of scheduler.roster) {
         const unknownRunsMs = scheduler.rosterBounds.get(id) ?? maxInheritedLeaseMs;
         scheduler.unreconciledWorkers.set(
--- a/packages/scheduler/src/engine/takeover/takeover.feature
+++ b/packages/scheduler/src/engine/takeover/takeover.feature
@@ -96,6 +96,27 @@
         Then task 0.0.0 of J was started 2 times
         And each task of J runs at most once
 
+    Scenario: Inherited jobs wait for a worker whose machine has a later one at another address
+        When ana submits the normal job J of "1 x 2"
+        And the owner dies
+        And the worker of task 0.0.0 of J is followed on its machine by w9 at another address, born 1 ms later
+        And a new owner takes over
+        And 1 second passes
+        Then 1 task of J runs
+
+    Scenario Outline: A takeover waits for the lease of a silent worker although <doubt>
+        When ana submits the normal job J of "1 x 2"
+        And the owner dies
+        And the worker of task 0.0.0 of J is followed on its machine by w9 at another address, born <later> ms later
+        And a new owner takes over that cannot reach <silent>
+        And 6 seconds pass
+        Then 0 tasks of J run
+
+        Examples:
+            | doubt                                         | later | silent |
+            | a later one that does not answer is listed    | 1     | w9     |
+            | one that was not born later is on its machine | 0     | none   |
+
     Scenario: A replaced owner resigns when workers refuse its calls
         When ana submits the normal job J of "1 x 2"
         And a new owner takes over
--- a/packages/scheduler/src/engine/workers.steps.ts
+++ b/packages/scheduler/src/engine/workers.steps.ts
@@ -91,6 +91,22 @@
     await harness.advance(2 * WORKER_LIST_INTERVAL_MS);
 });
 
+When(
+    "the worker of task {word} of {word} is followed on its machine by {word} at another address, born {int} ms later",
+    function(this: TestWorld, task: string, job: string, nextId: string, laterMs: number) {
+        const harness = getHarness(this);
+        const { report } = harness.workerOf(`${getJobId(this, job)}.${task}`)!;
+        harness.workers.delete(report.id);
+        const next = {
+            ...report,
+            id: nextId as WorkerId,
+            address: "10.0.8.1:80",
+            bornMs: report.bornMs + laterMs,
+        };
+        harness.addWorker(next);
+    },
+);
+
 Then("the counted crashes match the snapshot", async function(this: TestWorld) {
     const { values } = await getHarness(this).terms.at(-1)!.scheduler.metrics.workerCrashes.get();
     this.expectSnapshot(values.map(({ labels, value }) => ({ alone: labels.alone, crashes: value })));
