--- a/packages/scheduler/src/engine/takeover/takeover.feature
+++ b/packages/scheduler/src/engine/takeover/takeover.feature
@@ -61,6 +61,62 @@
         And ana submits the normal job K of "1 x 2"
         Then 1 task of K runs
 
+    Scenario: Inherited jobs wait anew for an unresponsive worker after each takeover in a series
+        When ana submits the normal job J of "1 x 2"
+        And the worker of task 0.0.0 of J is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass
+        And the owner dies
+        And a new owner takes over
+        Then task 0.0.0 of J was started 1 time
+        When 4 seconds pass
+        Then task 0.0.0 of J was started 2 times
+        And each task of J runs at most once
+
+    Scenario: A worker that answers after its bound was stored delays the next owner until its new lease has ended
+        When ana submits the normal job J of "1 x 2"
+        And the worker of task 0.0.0 of J is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass
+        And the disconnected worker is reachable again
+        And 3 seconds pass
+        Then 1 task of J runs
+        When the worker of task 0.0.0 of J is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass
+        Then task 0.0.0 of J was started 1 time
+        And each task of J runs at most once
+        When 8 seconds pass
+        Then task 0.0.0 of J was started 2 times
+        And each task of J runs at most once
+
+    Scenario: Inherited jobs wait for a worker whose machine has a later one at another address
+        When ana submits the normal job J of "1 x 2"
+        And the owner dies
+        And the worker of task 0.0.0 of J is followed on its machine by w9 at another address, born 1 ms later
+        And a new owner takes over
+        And 1 second passes
+        Then 1 task of J runs
+
+    Scenario Outline: A takeover waits for the lease of a silent worker although <doubt>
+        When ana submits the normal job J of "1 x 2"
+        And the owner dies
+        And the worker of task 0.0.0 of J is followed on its machine by w9 at another address, born <later> ms later
+        And a new owner takes over that cannot reach <silent>
+        And 6 seconds pass
+        Then 0 tasks of J run
+
+        Examples:
+            | doubt                                         | later | silent |
+            | a later one that does not answer is listed    | 1     | w9     |
+            | one that was not born later is on its machine | 0     | none   |
+
     Scenario: A replaced owner resigns when workers refuse its calls
         When ana submits the normal job J of "1 x 2"
         And a new owner takes over
