Bounds of unknown runs hold for the owner of the next term only

Seen: by reading.

Change: the record names the only term whose owner may rely on its bounds, the one after that of its writer. Each owner therefore stores its own bounds soon after its takeover, and those of its predecessor no longer keep it from extending leases.

--- a/packages/scheduler/src/engine/Scheduler.ts
+++ b/packages/scheduler/src/engine/Scheduler.ts
@@ -108,7 +108,7 @@
     readonly replacedWorkers: Map<WorkerId, Replacement>;
     /** Addresses of the workers that the stored roster certainly lists; it lists those that may have runs. */
     roster: Roster;
-    /** Bounds that the stored roster may contain. */
+    /** Bounds of this owner that the stored roster may contain. */
     rosterBounds: RosterBounds;
     /** Lives of workers that the stored roster contained last. */
     rosterLives: RosterLives;
--- a/packages/scheduler/src/engine/fleet/decodeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/decodeRoster.ts
@@ -9,10 +9,17 @@
     readonly roster: Roster;
     readonly bounds: RosterBounds;
     readonly lives: RosterLives;
+    /** Number of the only term whose owner may rely on the bounds. */
+    readonly nextTerm: number;
 };
 
 /** A roster without workers. */
-export const EMPTY_ROSTER: StoredRoster = { roster: new Map(), bounds: new Map(), lives: new Map() };
+export const EMPTY_ROSTER: StoredRoster = {
+    roster: new Map(),
+    bounds: new Map(),
+    lives: new Map(),
+    nextTerm: 0,
+};
 
 /**
  * Decodes the stored roster.
@@ -40,5 +47,6 @@
             record.workers.filter(({ machine, bornMs }) => machine !== "" && bornMs > 0)
                 .map(({ worker, machine, bornMs }) => [worker as WorkerId, { machine, bornMs }]),
         ),
+        nextTerm: record.nextTerm,
     };
 }
--- a/packages/scheduler/src/engine/fleet/storeRoster.ts
+++ b/packages/scheduler/src/engine/fleet/storeRoster.ts
@@ -53,6 +53,7 @@
                 ...lives.get(worker),
             };
         }),
+        nextTerm: scheduler.ownership.term + 1,
     });
     const stored = { roster: scheduler.roster, bounds: scheduler.rosterBounds, lives: scheduler.rosterLives };
     scheduler.roster = new Map([...stored.roster].filter(([id, address]) => roster.get(id) === address));
@@ -134,7 +135,11 @@
         );
 }
 
-function setRoster(scheduler: Scheduler, revision: number, { roster, bounds, lives }: StoredRoster): void {
+function setRoster(
+    scheduler: Scheduler,
+    revision: number,
+    { roster, bounds, lives }: Omit<StoredRoster, "nextTerm">,
+): void {
     scheduler.roster = roster;
     scheduler.rosterBounds = bounds;
     scheduler.rosterLives = lives;
@@ -143,7 +148,11 @@
     scheduler.requestPass();
 }
 
-function handleCommitError(scheduler: Scheduler, error: StoreError, stored: StoredRoster): void {
+function handleCommitError(
+    scheduler: Scheduler,
+    error: StoreError,
+    stored: Pick<StoredRoster, "roster" | "bounds">,
+): void {
     switch (error.kind) {
         case "unavailable":
             scheduler.roster = stored.roster;
--- a/packages/scheduler/src/engine/takeover/loadState.ts
+++ b/packages/scheduler/src/engine/takeover/loadState.ts
@@ -90,10 +90,10 @@
         scheduler.unreconciledWorkers.set(UNREADABLE_ENTRY, scheduler.clock() + maxInheritedLeaseMs);
     }
     scheduler.roster = decoded?.roster ?? new Map();
-    scheduler.rosterBounds = decoded?.bounds ?? new Map();
     scheduler.rosterLives = decoded?.lives ?? new Map();
+    const bounds = decoded?.nextTerm === scheduler.ownership.term ? decoded.bounds : undefined;
     for (const [id, address] of scheduler.roster) {
-        const unknownRunsMs = scheduler.rosterBounds.get(id) ?? maxInheritedLeaseMs;
+        const unknownRunsMs = bounds?.get(id) ?? maxInheritedLeaseMs;
         scheduler.unreconciledWorkers.set(
             id,
             scheduler.clock() + Math.min(unknownRunsMs, maxInheritedLeaseMs),
--- a/packages/scheduler/src/engine/takeover/oddRecords.steps.ts
+++ b/packages/scheduler/src/engine/takeover/oddRecords.steps.ts
@@ -161,3 +161,10 @@
 Then("the owner has not resigned", function(this: TestWorld) {
     assert.deepEqual(getHarness(this).terms.at(-1)!.resignations, []);
 });
+
+When("an owner of an earlier version has had a term since the roster was stored", function(this: TestWorld) {
+    const { store } = getHarness(this);
+    const record = fromBinary(RosterRecordSchema, store.get(storeKeys.roster)!.value);
+    record.nextTerm -= 1;
+    store.put(storeKeys.roster, toBinary(RosterRecordSchema, record));
+});
--- a/packages/scheduler/src/engine/takeover/takeover.feature
+++ b/packages/scheduler/src/engine/takeover/takeover.feature
@@ -96,6 +96,21 @@
         Then task 0.0.0 of J was started 2 times
         And each task of J runs at most once
 
+    Scenario: The bound of a worker does not hold once an owner that does not know of it may have extended the lease
+        When ana submits the normal job J of "1 x 2"
+        And the worker of task 0.0.0 of J is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass
+        And the owner dies
+        And an owner of an earlier version has had a term since the roster was stored
+        And a new owner takes over
+        And 8 seconds pass
+        Then task 0.0.0 of J was started 1 time
+        When 4 seconds pass
+        Then task 0.0.0 of J was started 2 times
+        And each task of J runs at most once
+
     Scenario: Inherited jobs wait for a worker whose machine has a later one at another address
         When ana submits the normal job J of "1 x 2"
         And the owner dies
