--- a/packages/scheduler/src/engine/takeover/takeover.feature
+++ b/packages/scheduler/src/engine/takeover/takeover.feature
@@ -262,6 +262,41 @@
         And task 0.0.1 of K ends as done
         Then 3 tasks of K run
 
+    Scenario: Takeovers in series postpone a task again and again for a worker that has left
+        When ana submits the normal job K of "4 x 8"
+        And the worker w0 has left
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass while all runs make progress
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass while all runs make progress
+        And the owner dies
+        And a new owner takes over
+        And 3 seconds pass while all runs make progress
+        And task 0.0.1 of K ends as done
+        And 1 second passes
+        Then 3 tasks of K run
+        And no task has had two runs at the same time
+
+    Scenario: A worker that an owner reaches between two takeovers has its whole lease after the second one
+        When ana submits the normal job K of "4 x 8"
+        And the worker of task 0.0.3 of K is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 2 seconds pass while all runs make progress
+        And the disconnected worker is reachable again
+        And 1 second passes
+        And the worker of task 0.0.3 of K is disconnected
+        And the owner dies
+        And a new owner takes over
+        And 4 seconds pass while all runs make progress
+        And task 0.0.1 of K ends as done
+        And 1 second passes
+        Then task 0.0.3 of K was started 1 time
+        When 6 seconds pass while all runs make progress
+        Then no task has had two runs at the same time
+
     Scenario: A listed worker that has long been silent does not delay later owners
         When ana submits the normal job K of "4 x 8"
         And the worker of task 0.0.3 of K is disconnected
